--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+GO ?= go
+ARGS ?=
+
+.PHONY: demo test lint build capacity fuzz
+
+demo:
+	$(GO) run ./cmd/kingcupreel-demo $(ARGS)
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	$(GO) test -json -count=1 ./... | $(GO) run ./internal/tools/testrun
+
+lint:
+	@out=$$($(GO) tool gofumpt -l cmd internal test); if [ -n "$$out" ]; then echo "run: go tool gofumpt -w cmd internal test"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,146 @@
+// Package daemon wires the processes together: settings in, a running kratos
+// application out.
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/config/codec"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/settings"
+	"github.com/kingcupreel/kingcupreel/internal/telemetry"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// headerTimeout bounds the wait for a caller's headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds an idle caller's connection.
+	idleTimeout    = 120 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// Ready is the line that a process prints on standard output once it serves.
+type Ready struct {
+	Process string            `json:"process"`
+	Listen  map[string]string `json:"listen"`
+}
+
+// announce prints the Ready line.
+func announce(out io.Writer, process string, listeners map[string]net.Listener) {
+	r := Ready{Process: process, Listen: map[string]string{}}
+	for name, l := range listeners {
+		r.Listen[name] = l.Addr().String()
+	}
+	_ = json.NewEncoder(out).Encode(r)
+}
+
+// parts are what every daemon has.
+type parts struct {
+	log     *zap.Logger
+	metrics metrics.Registry
+	events  *timeline.Ring
+	store   *config.Store
+	hello   wire.Hello
+	wire    wire.Options
+}
+
+func newParts(s settings.Common, role wire.Role) (*parts, error) {
+	log, err := telemetry.NewLogger(s.LogLevel, s.Process)
+	if err != nil {
+		return nil, err
+	}
+	return &parts{
+		log:     log,
+		metrics: metrics.NewRegistry(),
+		events:  timeline.NewRing(s.Process, timeline.DefaultCapacity, clockwork.NewRealClock()),
+		store:   config.NewStore(codec.Decode),
+		hello:   wire.Hello{Process: s.Process, Incarnation: uuid.NewString(), Role: role, DataCentre: s.DataCentre},
+		wire:    wire.Options{Heartbeat: s.Heartbeat, Silence: s.Silence},
+	}, nil
+}
+
+// listen opens the named addresses; an error closes those already open.
+func listen(addresses map[string]string) (map[string]net.Listener, error) {
+	open := map[string]net.Listener{}
+	for name, address := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, o := range open {
+				o.Close()
+			}
+			return nil, fault.Wrap(fault.Unavailable, err, "choose a free address of this VM", "listening for %s", name)
+		}
+		open[name] = l
+	}
+	return open, nil
+}
+
+// httpServer serves a handler by the kratos transport. Streams take as long as
+// they take, so only headers and idle connections have a bound here.
+func httpServer(l net.Listener, h http.Handler) *khttp.Server {
+	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0))
+	s.HandlePrefix("/", h)
+	s.ReadHeaderTimeout = headerTimeout
+	s.IdleTimeout = idleTimeout
+	s.MaxHeaderBytes = maxHeaderBytes
+	return s
+}
+
+// innerServer serves the inner protocol as a kratos transport.
+type innerServer struct {
+	listener net.Listener
+	serve    func(ctx context.Context, l net.Listener) error
+	cancel   context.CancelFunc
+}
+
+// Start implements transport.Server.
+func (s *innerServer) Start(ctx context.Context) error {
+	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	err := s.serve(ctx, s.listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Stop implements transport.Server.
+func (s *innerServer) Stop(context.Context) error {
+	if s.cancel != nil {
+		s.cancel()
+	}
+	return nil
+}
+
+// newApp builds the kratos application. drain runs before the servers stop.
+func (p *parts) newApp(ctx context.Context, s settings.Common, drain func(context.Context) error, opts ...kratos.Option) *kratos.App {
+	return kratos.New(append([]kratos.Option{
+		kratos.Context(ctx),
+		kratos.Name(s.Process),
+		kratos.Logger(telemetry.KratosLogger{Zap: p.log}),
+		kratos.StopTimeout(s.DrainTimeout),
+		kratos.BeforeStop(func(context.Context) error {
+			p.log.Info("stopping", zap.Duration("drain_timeout", s.DrainTimeout))
+			ctx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout)
+			defer cancel()
+			if err := drain(ctx); err != nil {
+				p.log.Warn("stopped with work in flight", zap.Error(err))
+			}
+			return nil
+		}),
+	}, opts...)...)
+}
--- /dev/null
+++ b/internal/demo/status.go
@@ -0,0 +1,23 @@
+package demo
+
+import (
+	"context"
+
+	"github.com/kingcupreel/kingcupreel/internal/ctl"
+)
+
+// connected returns the number of upstreams that the entry is connected to.
+func (d *Demo) connected(ctx context.Context) (int, error) {
+	client := ctl.Client{Base: d.Ops, Token: OperatorToken}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, u := range status.Upstreams {
+		if u.Connected {
+			n++
+		}
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/engineapi/engineapi.go
@@ -0,0 +1,78 @@
+// Package engineapi holds the types of the usual completions interface, as
+// far as kingcupreel reads it, and the calls that it asks of an engine beside
+// it.
+package engineapi
+
+import "strings"
+
+// Paths of an engine.
+const (
+	PathCompletions = "/v1/completions"
+	PathChat        = "/v1/chat/completions"
+	PathLoad        = "/load"
+)
+
+// Headers of a call to an engine or a plain service.
+const (
+	HeaderRequest  = "X-Request-Id"
+	HeaderAttempt  = "X-Attempt"
+	HeaderPriority = "X-Priority"
+)
+
+// StreamEnd is the last event of a stream.
+const StreamEnd = "data: [DONE]\n\n"
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Resume asks an engine to go on with a stream that another one began.
+type Resume struct {
+	// Tokens is the number of tokens generated so far.
+	Tokens int `json:"tokens"`
+	// Text is the text generated so far.
+	Text string `json:"text"`
+}
+
+// Call is the body of a completion call; other fields pass through unread.
+type Call struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt,omitempty"`
+	Messages  []Message `json:"messages,omitempty"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream,omitempty"`
+	Resume    Resume    `json:"kingcupreel_resume,omitzero"`
+}
+
+// PromptText returns the prompt, or the chat's messages joined.
+func (c *Call) PromptText() string {
+	if len(c.Messages) == 0 {
+		return c.Prompt
+	}
+	parts := make([]string, 0, len(c.Messages))
+	for _, m := range c.Messages {
+		parts = append(parts, m.Role+": "+m.Content)
+	}
+	return strings.Join(parts, "\n")
+}
+
+// Choice is one choice of an answer.
+type Choice struct {
+	Index int    `json:"index"`
+	Text  string `json:"text"`
+}
+
+// Answer is an answer, or one event of a stream.
+type Answer struct {
+	ID      string   `json:"id,omitempty"`
+	Choices []Choice `json:"choices"`
+}
+
+// Load is an engine's report of its load.
+type Load struct {
+	Running  int `json:"running"`
+	Queued   int `json:"queued"`
+	Capacity int `json:"capacity"`
+}
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,7 @@
+// Package entry is the process on an entry VM: callers' and operators' HTTP,
+// routing, dispatch to agents and retries.
+//
+// Lock order: linkTable.mu before link.mu before mailbox.mu. timeline.Ring and
+// config.Store have leaf locks. wire.Conn.Send never blocks and may be called
+// under any of them.
+package entry
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,129 @@
+// Package fault defines the typed errors of kingcupreel. Every error that
+// reaches a caller or an operator has a kind, a message and a remedy, so that
+// the reader learns what to do next.
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Kind classifies an error. The zero value is treated as Internal.
+type Kind string
+
+// The kinds of errors.
+const (
+	Invalid         Kind = "invalid"
+	Unauthenticated Kind = "unauthenticated"
+	Forbidden       Kind = "forbidden"
+	NotFound        Kind = "not_found"
+	Conflict        Kind = "conflict"
+	Mismatch        Kind = "mismatch"
+	TooLarge        Kind = "too_large"
+	Overloaded      Kind = "overloaded"
+	Unavailable     Kind = "unavailable"
+	Timeout         Kind = "timeout"
+	Stale           Kind = "stale"
+	Crashed         Kind = "crashed"
+	Internal        Kind = "internal"
+)
+
+// Error is the error struct shared by all packages.
+type Error struct {
+	// Kind classifies the error.
+	Kind Kind `json:"kind"`
+	// Message says what went wrong.
+	Message string `json:"message"`
+	// Remedy says what the reader can do about it.
+	Remedy string `json:"remedy"`
+	// RetryAfter is how long to wait before trying again; zero means the
+	// error gives no time.
+	RetryAfter time.Duration `json:"-"`
+	// Cause is the wrapped error, if any.
+	Cause error `json:"-"`
+}
+
+// New returns an error of the given kind.
+func New(kind Kind, remedy, format string, args ...any) *Error {
+	return &Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy}
+}
+
+// Wrap returns an error of the given kind with a cause.
+func Wrap(kind Kind, cause error, remedy, format string, args ...any) *Error {
+	e := New(kind, remedy, format, args...)
+	e.Cause = cause
+	return e
+}
+
+// After returns a copy of e with RetryAfter set.
+func (e *Error) After(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	s := e.Message
+	if e.Cause != nil {
+		s += ": " + e.Cause.Error()
+	}
+	if e.Remedy != "" {
+		s += "; " + e.Remedy
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// As returns err as an *Error; errors of other types become Internal ones.
+func As(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(Internal, err, "report this with the request id", "internal error")
+}
+
+// KindOf returns the kind of err, or "" for nil.
+func KindOf(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	return As(err).Kind
+}
+
+var statusOf = map[Kind]int{
+	Invalid:         http.StatusBadRequest,
+	Unauthenticated: http.StatusUnauthorized,
+	Forbidden:       http.StatusForbidden,
+	NotFound:        http.StatusNotFound,
+	Conflict:        http.StatusConflict,
+	Mismatch:        http.StatusUnprocessableEntity,
+	TooLarge:        http.StatusRequestEntityTooLarge,
+	Overloaded:      http.StatusTooManyRequests,
+	Unavailable:     http.StatusServiceUnavailable,
+	Timeout:         http.StatusGatewayTimeout,
+	Stale:           http.StatusConflict,
+	Crashed:         http.StatusBadGateway,
+	Internal:        http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status code for the error.
+func (e *Error) Status() int {
+	if s, ok := statusOf[e.Kind]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// RetryAfterSeconds formats d for the Retry-After header: whole seconds,
+// rounded up, at least 1.
+func RetryAfterSeconds(d time.Duration) string {
+	s := int64((d + time.Second - 1) / time.Second)
+	return strconv.FormatInt(max(s, 1), 10)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,146 @@
+// Package settings defines the daemons' static settings as flags with an
+// environment variable each, and checks them at start. All faults of a start
+// are reported together.
+package settings
+
+import (
+	"errors"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+)
+
+// envPrefix begins every environment variable.
+const envPrefix = "KINGCUPREEL_"
+
+// Common are the settings that every daemon has.
+type Common struct {
+	Process      string
+	VM           string
+	DataCentre   string
+	InnerListen  string
+	OpsListen    string
+	LogLevel     string
+	Heartbeat    time.Duration
+	Silence      time.Duration
+	DrainTimeout time.Duration
+}
+
+// Entry are the settings of an entry.
+type Entry struct {
+	Common
+	CallerListen        string
+	Platform            string
+	PlatformTimeout     time.Duration
+	OperatorTokenSHA256 string
+}
+
+// Agent are the settings of an agent.
+type Agent struct {
+	Common
+	Upstream string
+	Target   string
+	Workers  int
+}
+
+// flag declares a flag with its environment variable.
+func flag(cmd *kingpin.CmdClause, name, help string) *kingpin.FlagClause {
+	return cmd.Flag(name, help).Envar(envName(name))
+}
+
+func envName(flag string) string {
+	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+func (c *Common) declare(cmd *kingpin.CmdClause) {
+	flag(cmd, "process", "Name of this process, unique in the deployment.").StringVar(&c.Process)
+	flag(cmd, "vm", "Id of the VM in the VM list; empty when it is not listed.").StringVar(&c.VM)
+	flag(cmd, "data-centre", "Data centre of the VM.").StringVar(&c.DataCentre)
+	flag(cmd, "inner-listen", "Address of the inner protocol, IP:port; port 0 takes a free one.").Default("127.0.0.1:0").StringVar(&c.InnerListen)
+	flag(cmd, "ops-listen", "Address of operators, health and metrics, IP:port.").Default("127.0.0.1:0").StringVar(&c.OpsListen)
+	flag(cmd, "log-level", "Log level: debug, info, warn or error.").Default("info").StringVar(&c.LogLevel)
+	flag(cmd, "heartbeat", "Interval of heartbeats between processes.").Default("1s").DurationVar(&c.Heartbeat)
+	flag(cmd, "silence", "Silence after which a connection is replaced.").Default("3s").DurationVar(&c.Silence)
+	flag(cmd, "drain-timeout", "Time that a planned stop waits for work in flight.").Default("60s").DurationVar(&c.DrainTimeout)
+}
+
+// Declare adds the entry's flags to a command.
+func (e *Entry) Declare(cmd *kingpin.CmdClause) {
+	e.declare(cmd)
+	flag(cmd, "caller-listen", "Address of the callers' HTTP, IP:port.").Default("127.0.0.1:0").StringVar(&e.CallerListen)
+	flag(cmd, "platform", "Base URL of the platform's key-value service and VM list.").StringVar(&e.Platform)
+	flag(cmd, "platform-timeout", "Bound on a call to the platform.").Default("2s").DurationVar(&e.PlatformTimeout)
+	flag(cmd, "operator-token-sha256", "Hex SHA-256 of a first operator's token, for use before any record exists.").StringVar(&e.OperatorTokenSHA256)
+}
+
+// Declare adds the agent's flags to a command.
+func (a *Agent) Declare(cmd *kingpin.CmdClause) {
+	a.declare(cmd)
+	flag(cmd, "upstream", "Name of the upstream record that this agent serves.").StringVar(&a.Upstream)
+	flag(cmd, "target", "Base URL of the engine or plain service on this VM.").StringVar(&a.Target)
+	flag(cmd, "workers", "Attempts that run at once; twice as many may wait.").Default("256").IntVar(&a.Workers)
+}
+
+// checker collects the faults of a start.
+type checker struct{ faults []error }
+
+// require reports a fault of a setting unless ok.
+func (c *checker) require(ok bool, name, value, remedy string) {
+	if ok {
+		return
+	}
+	c.faults = append(c.faults, fault.New(fault.Invalid, remedy, "--%s (%s) is %q", name, envName(name), value))
+}
+
+func (c *checker) address(name, value string) {
+	_, err := netip.ParseAddrPort(value)
+	c.require(err == nil, name, value, "give IP:port")
+}
+
+func (c *checker) url(name, value string) {
+	u, err := url.Parse(value)
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+	c.require(ok, name, value, "give a URL such as http://10.0.0.5:2379")
+}
+
+func (c *checker) common(s *Common) {
+	c.require(s.Process != "", "process", s.Process, "give each process a name of its own")
+	c.require(s.DataCentre != "", "data-centre", s.DataCentre, "name the VM's data centre")
+	c.address("inner-listen", s.InnerListen)
+	c.address("ops-listen", s.OpsListen)
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		c.require(false, "log-level", s.LogLevel, "use debug, info, warn or error")
+	}
+	c.require(s.Heartbeat > 0, "heartbeat", s.Heartbeat.String(), "give a positive duration such as 1s")
+	c.require(s.Silence >= 2*s.Heartbeat, "silence", s.Silence.String(), "give at least twice the heartbeat")
+	c.require(s.DrainTimeout > 0, "drain-timeout", s.DrainTimeout.String(), "give a positive duration such as 60s")
+}
+
+// Check returns every fault of the settings, or nil.
+func (e *Entry) Check() error {
+	var c checker
+	c.common(&e.Common)
+	c.address("caller-listen", e.CallerListen)
+	c.url("platform", e.Platform)
+	c.require(e.PlatformTimeout > 0, "platform-timeout", e.PlatformTimeout.String(), "give a positive duration such as 2s")
+	hash := e.OperatorTokenSHA256
+	c.require(hash == "" || len(hash) == 64, "operator-token-sha256", hash, "give 64 hex digits, or leave it out")
+	return errors.Join(c.faults...)
+}
+
+// Check returns every fault of the settings, or nil.
+func (a *Agent) Check() error {
+	var c checker
+	c.common(&a.Common)
+	c.require(a.Upstream != "", "upstream", a.Upstream, "name the upstream record")
+	c.url("target", a.Target)
+	c.require(a.Workers > 0 && a.Workers <= 65536, "workers", "", "give 1 to 65536")
+	return errors.Join(c.faults...)
+}
--- /dev/null
+++ b/internal/standin/command/command.go
@@ -0,0 +1,110 @@
+// Package command runs the stand-ins as a program, one stand-in a process.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupreel/kingcupreel/internal/daemon"
+	"github.com/kingcupreel/kingcupreel/internal/standin/engine"
+	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
+	"github.com/kingcupreel/kingcupreel/internal/standin/link"
+	"github.com/kingcupreel/kingcupreel/internal/standin/plain"
+)
+
+// expiryInterval is how often the key-value stand-in ends lapsed leases.
+const expiryInterval = 50 * time.Millisecond
+
+// Main parses the arguments and serves a stand-in. It returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	app := kingpin.New("kingcupreel-standin", "Stand-ins of the systems around kingcupreel, for tests and demos.")
+	app.UsageWriter(out).ErrorWriter(errOut)
+	listen := app.Flag("listen", "Address, IP:port; port 0 takes a free one.").Default("127.0.0.1:0").String()
+
+	app.Command("kv", "Key-value service and VM list.")
+	engineCmd := app.Command("engine", "Model engine.")
+	var opts engine.Options
+	engineCmd.Flag("capacity", "Requests in the running batch.").Default("32").IntVar(&opts.Capacity)
+	engineCmd.Flag("token-time", "Time between tokens.").Default("10ms").DurationVar(&opts.TokenTime)
+	engineCmd.Flag("prefill-time", "Time to the first token.").Default("20ms").DurationVar(&opts.PrefillTime)
+	plainCmd := app.Command("plain", "Plain service that records its calls.")
+	delay := plainCmd.Flag("delay", "Time that a call takes after its effect.").Default("0s").Duration()
+
+	linkCmd := app.Command("link", "Network path that can be cut.")
+	to := linkCmd.Flag("to", "Address to forward to, IP:port.").Required().String()
+	linkListen := linkCmd.Flag("link-listen", "Address that is forwarded.").Default("127.0.0.1:0").String()
+
+	cmd, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return daemon.ExitSettings
+	}
+	var h http.Handler
+	switch cmd {
+	case engineCmd.FullCommand():
+		h = engine.New(opts).Handler()
+	case plainCmd.FullCommand():
+		h = (&plain.Service{Delay: *delay}).Handler()
+	case linkCmd.FullCommand():
+	default:
+		h = keyValue()
+	}
+	ready := daemon.Ready{Process: cmd, Listen: map[string]string{}}
+	if cmd == linkCmd.FullCommand() {
+		h, err = startLink(*to, *linkListen, &ready)
+	}
+	if err == nil {
+		err = serve(ready, *listen, h, out)
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return daemon.ExitFailure
+	}
+	return daemon.ExitOK
+}
+
+func keyValue() http.Handler {
+	store := kv.NewStore(clockwork.NewRealClock())
+	go func() {
+		for range time.Tick(expiryInterval) {
+			store.Expire()
+		}
+	}()
+	return kv.NewServer(store).Handler()
+}
+
+// startLink forwards in the background and returns the handler of its orders.
+func startLink(to, address string, ready *daemon.Ready) (http.Handler, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	ready.Listen["link"] = ln.Addr().String()
+	l := link.New(to)
+	go func() { _ = l.Serve(context.Background(), ln) }()
+	return l.Handler(), nil
+}
+
+func serve(ready daemon.Ready, address string, h http.Handler, out io.Writer) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	ready.Listen["http"] = l.Addr().String()
+	if err := json.NewEncoder(out).Encode(ready); err != nil {
+		return err
+	}
+	return http.Serve(l, h)
+}
+
+// Exit runs Main with the process's own arguments and exits.
+func Exit() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,223 @@
+// Package engine is a stand-in of a model engine: the usual completions
+// interface with server-sent events, continuous batching with a capacity, and
+// a record of every run. Its answer is a function of the prompt alone, so that
+// a checker can tell a wrong answer.
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcupreel/kingcupreel/internal/engineapi"
+	"github.com/kingcupreel/kingcupreel/internal/standin"
+)
+
+// DefaultTokens is the answer's length when the call sets no max_tokens.
+const DefaultTokens = 16
+
+// Options set the engine's behaviour.
+type Options struct {
+	// Capacity is the number of requests in the running batch.
+	Capacity int
+	// TokenTime is the time between two tokens of a request.
+	TokenTime time.Duration
+	// PrefillTime is the time to the first token.
+	PrefillTime time.Duration
+}
+
+// Run is the record of one request that the engine ran.
+type Run struct {
+	Request string    `json:"request"`
+	Attempt string    `json:"attempt"`
+	Prompt  string    `json:"prompt"`
+	Started time.Time `json:"started"`
+	Tokens  int       `json:"tokens"`
+	Ended   bool      `json:"ended"`
+}
+
+// Engine is the stand-in.
+type Engine struct {
+	opts  Options
+	slots chan struct{}
+
+	mu      sync.Mutex
+	runs    []*Run
+	queued  int
+	running int
+}
+
+// New returns an engine.
+func New(opts Options) *Engine {
+	return &Engine{opts: opts, slots: make(chan struct{}, opts.Capacity)}
+}
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engineapi.PathCompletions, e.complete)
+	mux.HandleFunc("POST "+engineapi.PathChat, e.complete)
+	mux.HandleFunc("GET "+engineapi.PathLoad, e.load)
+	mux.HandleFunc("GET /admin/runs", e.showRuns)
+	return mux
+}
+
+// Token returns the i-th token of a prompt's answer, counted from 0.
+func Token(prompt string, i int) string {
+	h := xxhash.Sum64String(prompt + "#" + strconv.Itoa(i))
+	return fmt.Sprintf("w%04x ", h&0xffff)
+}
+
+// Text returns the whole answer to a prompt.
+func Text(prompt string, tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(Token(prompt, i))
+	}
+	return b.String()
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var call engineapi.Call
+	if err := standin.Decode(r, &call); err != nil {
+		standin.Answer(w, nil, err)
+		return
+	}
+	if call.MaxTokens == 0 {
+		call.MaxTokens = DefaultTokens
+	}
+	if !e.acquire(r) {
+		return
+	}
+	defer e.release()
+	run := e.start(r, call)
+	if call.Stream {
+		e.stream(w, r, call, run)
+		return
+	}
+	e.whole(w, r, call, run)
+}
+
+// acquire waits for a place in the batch; false means that the caller left.
+func (e *Engine) acquire(r *http.Request) bool {
+	e.count(&e.queued, 1)
+	defer e.count(&e.queued, -1)
+	select {
+	case e.slots <- struct{}{}:
+		e.count(&e.running, 1)
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (e *Engine) release() {
+	e.count(&e.running, -1)
+	<-e.slots
+}
+
+func (e *Engine) count(n *int, d int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	*n += d
+}
+
+func (e *Engine) start(r *http.Request, call engineapi.Call) *Run {
+	run := &Run{
+		Request: r.Header.Get(engineapi.HeaderRequest),
+		Attempt: r.Header.Get(engineapi.HeaderAttempt),
+		Prompt:  call.PromptText(),
+		Started: time.Now(),
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs = append(e.runs, run)
+	return run
+}
+
+// pause waits for a token's time; false means that the caller left.
+func pause(r *http.Request, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// step waits for token i and records it.
+func (e *Engine) step(r *http.Request, run *Run, first bool) bool {
+	d := e.opts.TokenTime
+	if first {
+		d = e.opts.PrefillTime
+	}
+	if !pause(r, d) {
+		return false
+	}
+	e.count(&run.Tokens, 1)
+	return true
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, call engineapi.Call, run *Run) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w).Flush
+	from := call.Resume.Tokens
+	for i := from; i < call.MaxTokens; i++ {
+		if !e.step(r, run, i == from) {
+			return
+		}
+		data, _ := json.Marshal(engineapi.Answer{Choices: []engineapi.Choice{{Text: Token(run.Prompt, i)}}})
+		fmt.Fprintf(w, "data: %s\n\n", data)
+		_ = flush()
+	}
+	fmt.Fprint(w, engineapi.StreamEnd)
+	_ = flush()
+	e.end(run)
+}
+
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, call engineapi.Call, run *Run) {
+	for i := range call.MaxTokens {
+		if !e.step(r, run, i == 0) {
+			return
+		}
+	}
+	e.end(run)
+	text := Text(run.Prompt, call.MaxTokens)
+	standin.Answer(w, engineapi.Answer{Choices: []engineapi.Choice{{Text: text}}}, nil)
+}
+
+func (e *Engine) end(run *Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run.Ended = true
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	l := engineapi.Load{Running: e.running, Queued: e.queued, Capacity: e.opts.Capacity}
+	e.mu.Unlock()
+	standin.Answer(w, l, nil)
+}
+
+// Runs returns the record of runs.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]Run, 0, len(e.runs))
+	for _, r := range e.runs {
+		out = append(out, *r)
+	}
+	return out
+}
+
+func (e *Engine) showRuns(w http.ResponseWriter, _ *http.Request) {
+	standin.Answer(w, e.Runs(), nil)
+}
--- /dev/null
+++ b/internal/standin/kv/store.go
@@ -0,0 +1,207 @@
+// Package kv is a stand-in of the platform's key-value service: compare and
+// swap, leases and watches, a call counter and a rate limit, and faults to
+// order (outage, delay, lost answers).
+package kv
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+)
+
+// historyLimit is the number of events kept for watches.
+const historyLimit = 10000
+
+// lease is a lease and the time at which it lapses.
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Store is the service's state. Invariant: history holds the events of all
+// revisions above oldest, in order.
+type Store struct {
+	clock clockwork.Clock
+
+	mu       sync.Mutex
+	revision int64
+	oldest   int64
+	items    map[string]platform.Item
+	history  []platform.Event
+	leases   map[int64]*lease
+	nextID   int64
+	changed  chan struct{} // closed and replaced at each change
+}
+
+// NewStore returns an empty store.
+func NewStore(clock clockwork.Clock) *Store {
+	return &Store{
+		clock:   clock,
+		items:   map[string]platform.Item{},
+		leases:  map[int64]*lease{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Get reads one key.
+func (s *Store) Get(key string) (platform.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	item, ok := s.items[key]
+	if !ok {
+		return platform.Item{}, fault.New(fault.NotFound, "", "no key %q", key)
+	}
+	return item, nil
+}
+
+// List reads all keys below a prefix.
+func (s *Store) List(prefix string) platform.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l := platform.Listing{Revision: s.revision}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			l.Items = append(l.Items, item)
+		}
+	}
+	slices.SortFunc(l.Items, func(a, b platform.Item) int { return strings.Compare(a.Key, b.Key) })
+	return l
+}
+
+// Put writes a key under its condition.
+func (s *Store) Put(p platform.Put) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	present := s.items[p.Key]
+	if p.Expect != platform.AnyRevision && p.Expect != present.ModRevision {
+		return 0, fault.New(fault.Conflict, "", "key %q is at revision %d", p.Key, present.ModRevision)
+	}
+	if p.Lease != 0 && s.leases[p.Lease] == nil {
+		return 0, fault.New(fault.NotFound, "", "no lease %d", p.Lease)
+	}
+	s.revision++
+	item := platform.Item{Key: p.Key, Value: p.Value, CreateRevision: present.CreateRevision, ModRevision: s.revision, Lease: p.Lease}
+	if item.CreateRevision == 0 {
+		item.CreateRevision = s.revision
+	}
+	s.items[p.Key] = item
+	s.record(platform.Event{Item: item})
+	return s.revision, nil
+}
+
+// Delete removes a key under its condition.
+func (s *Store) Delete(key string, expect int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	present, ok := s.items[key]
+	if !ok {
+		return 0, fault.New(fault.NotFound, "", "no key %q", key)
+	}
+	if expect != platform.AnyRevision && expect != present.ModRevision {
+		return 0, fault.New(fault.Conflict, "", "key %q is at revision %d", key, present.ModRevision)
+	}
+	s.remove(key)
+	return s.revision, nil
+}
+
+// Changes returns the events below prefix after a revision, and a channel that
+// is closed at the next change.
+func (s *Store) Changes(prefix string, after int64) (platform.Batch, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if after < s.oldest || after > s.revision {
+		return platform.Batch{}, nil, fault.New(fault.Stale, "", "revision %d is not in %d to %d", after, s.oldest, s.revision)
+	}
+	b := platform.Batch{Revision: s.revision}
+	for _, e := range s.history {
+		if e.Item.ModRevision > after && strings.HasPrefix(e.Item.Key, prefix) {
+			b.Events = append(b.Events, e)
+		}
+	}
+	return b, s.changed, nil
+}
+
+// Grant makes a lease.
+func (s *Store) Grant(ttl time.Duration) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	s.leases[s.nextID] = &lease{ttl: ttl, expires: s.clock.Now().Add(ttl)}
+	return s.nextID
+}
+
+// KeepAlive renews a lease.
+func (s *Store) KeepAlive(id int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l := s.leases[id]
+	if l == nil {
+		return fault.New(fault.NotFound, "", "no lease %d", id)
+	}
+	l.expires = s.clock.Now().Add(l.ttl)
+	return nil
+}
+
+// Revoke ends a lease and deletes its keys.
+func (s *Store) Revoke(id int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endLease(id)
+}
+
+// Expire ends the leases that have lapsed.
+func (s *Store) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+}
+
+// expire ends lapsed leases. The caller holds mu.
+func (s *Store) expire() {
+	now := s.clock.Now()
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.endLease(id)
+		}
+	}
+}
+
+// endLease deletes a lease and its keys. The caller holds mu.
+func (s *Store) endLease(id int64) {
+	delete(s.leases, id)
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+// remove deletes a key. The caller holds mu.
+func (s *Store) remove(key string) {
+	s.revision++
+	delete(s.items, key)
+	s.record(platform.Event{Item: platform.Item{Key: key, ModRevision: s.revision}, Deleted: true})
+}
+
+// record appends to the history and wakes the watches. The caller holds mu.
+func (s *Store) record(e platform.Event) {
+	s.history = append(s.history, e)
+	if len(s.history) > historyLimit {
+		s.oldest = s.history[0].Item.ModRevision
+		s.history = s.history[1:]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/standin/plain/plain.go
@@ -0,0 +1,72 @@
+// Package plain is a stand-in of a plain service: it records each call that it
+// ran, so that a checker can find one that ran twice.
+package plain
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/engineapi"
+	"github.com/kingcupreel/kingcupreel/internal/standin"
+)
+
+// Call is the record of one call.
+type Call struct {
+	Key     string    `json:"key"`
+	Request string    `json:"request"`
+	Method  string    `json:"method"`
+	Path    string    `json:"path"`
+	Body    string    `json:"body"`
+	At      time.Time `json:"at"`
+}
+
+// Receipt is the answer to a call.
+type Receipt struct {
+	Done string `json:"done"`
+}
+
+// Service is the stand-in.
+type Service struct {
+	// Delay is the time that a call takes after it has taken effect.
+	Delay time.Duration
+
+	mu    sync.Mutex
+	calls []Call
+}
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/calls", s.showCalls)
+	mux.HandleFunc("/", s.serve)
+	return mux
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	call := Call{
+		Key:     r.Header.Get("Idempotency-Key"),
+		Request: r.Header.Get(engineapi.HeaderRequest),
+		Method:  r.Method,
+		Path:    r.URL.Path,
+		Body:    string(body),
+		At:      time.Now(),
+	}
+	s.mu.Lock()
+	s.calls = append(s.calls, call)
+	s.mu.Unlock()
+	time.Sleep(s.Delay)
+	standin.Answer(w, Receipt{Done: string(body)}, nil)
+}
+
+func (s *Service) showCalls(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	calls := append([]Call{}, s.calls...)
+	s.mu.Unlock()
+	standin.Answer(w, calls, nil)
+}
--- /dev/null
+++ b/internal/timeline/timeline.go
@@ -0,0 +1,142 @@
+// Package timeline records typed events in a bounded ring per process and
+// merges the rings of all processes in causal order.
+package timeline
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// DefaultCapacity is the number of events a ring keeps.
+const DefaultCapacity = 4096
+
+// Kind names what happened.
+type Kind string
+
+// The event kinds.
+const (
+	Started         Kind = "started"
+	Stopping        Kind = "stopping"
+	ConfigApplied   Kind = "config-applied"
+	Connected       Kind = "connected"
+	Disconnected    Kind = "disconnected"
+	Admitted        Kind = "admitted"
+	Dispatched      Kind = "dispatched"
+	AttemptRefused  Kind = "attempt-refused"
+	AttemptStarted  Kind = "attempt-started"
+	AttemptEnded    Kind = "attempt-ended"
+	Answered        Kind = "answered"
+	UpstreamLeaving Kind = "upstream-leaving"
+)
+
+// Stamp is a hybrid logical clock value: wall time in microseconds and a
+// counter that orders events of the same microsecond.
+type Stamp struct {
+	WallUS int64  `json:"wall_us"`
+	Count  uint32 `json:"count"`
+}
+
+// Compare orders two stamps.
+func (s Stamp) Compare(o Stamp) int {
+	if c := cmp.Compare(s.WallUS, o.WallUS); c != 0 {
+		return c
+	}
+	return cmp.Compare(s.Count, o.Count)
+}
+
+// Event is one entry of the time line. Empty fields don't apply.
+type Event struct {
+	At       Stamp  `json:"at"`
+	Process  string `json:"process"`
+	Kind     Kind   `json:"kind"`
+	Object   string `json:"object,omitempty"`
+	Revision int64  `json:"revision,omitempty"`
+	Request  string `json:"request,omitempty"`
+	Attempt  uint32 `json:"attempt,omitempty"`
+	Detail   string `json:"detail,omitempty"`
+}
+
+// Ring keeps a process's latest events. It is safe for concurrent use.
+type Ring struct {
+	process string
+	clock   clockwork.Clock
+
+	mu     sync.Mutex // leaf lock: nothing is called while it is held
+	last   Stamp
+	events []Event
+	next   int
+}
+
+// NewRing returns a ring for a process that keeps capacity events.
+func NewRing(process string, capacity int, clock clockwork.Clock) *Ring {
+	return &Ring{process: process, clock: clock, events: make([]Event, 0, capacity)}
+}
+
+// Add stamps and records an event.
+func (r *Ring) Add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tick(Stamp{})
+	e.At = r.last
+	e.Process = r.process
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % len(r.events)
+}
+
+// Observe moves the ring's clock past a stamp received from another process.
+func (r *Ring) Observe(s Stamp) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tick(s)
+}
+
+// Now returns a stamp for a message to another process.
+func (r *Ring) Now() Stamp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tick(Stamp{})
+	return r.last
+}
+
+// tick advances the clock past wall time, the last stamp and seen. The caller
+// holds mu.
+func (r *Ring) tick(seen Stamp) {
+	wall := Stamp{WallUS: r.clock.Now().UnixMicro()}
+	last := r.last
+	if seen.Compare(last) > 0 {
+		last = seen
+	}
+	if wall.Compare(last) > 0 {
+		r.last = wall
+		return
+	}
+	r.last = Stamp{WallUS: last.WallUS, Count: last.Count + 1}
+}
+
+// Events returns the recorded events, oldest first.
+func (r *Ring) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Event, 0, len(r.events))
+	out = append(out, r.events[r.next:]...)
+	return append(out, r.events[:r.next]...)
+}
+
+// Merge returns the events of several rings in causal order.
+func Merge(rings ...[]Event) []Event {
+	all := slices.Concat(rings...)
+	slices.SortStableFunc(all, func(a, b Event) int {
+		if c := a.At.Compare(b.At); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Process, b.Process)
+	})
+	return all
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,88 @@
+// Package wire is the inner protocol between the processes of kingcupreel:
+// TCP, frames with a length prefix, and typed messages in msgpack.
+//
+// A frame is a 4-byte big-endian length (of kind and body), a 1-byte kind and
+// the msgpack body. Structs are encoded as arrays: new fields are appended.
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+)
+
+// MaxFrame bounds a frame's kind and body, in bytes.
+const MaxFrame = 16 << 20
+
+// headerSize is the length prefix and the kind, in bytes.
+const headerSize = 5
+
+// AppendFrame encodes m as a frame at the end of buf.
+func AppendFrame(buf []byte, m Message) ([]byte, error) {
+	var body bytes.Buffer
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&body)
+	enc.UseArrayEncodedStructs(true)
+	if err := enc.Encode(m); err != nil {
+		return buf, fault.Wrap(fault.Internal, err, "report this", "encoding message kind %d", m.Kind())
+	}
+	size := body.Len() + 1
+	if size > MaxFrame {
+		return buf, fault.New(fault.TooLarge, "send a smaller body", "frame of %d bytes exceeds %d", size, MaxFrame)
+	}
+	buf = binary.BigEndian.AppendUint32(buf, uint32(size))
+	buf = append(buf, byte(m.Kind()))
+	return append(buf, body.Bytes()...), nil
+}
+
+// ReadFrame reads and decodes one frame. A malformed frame gives an error of
+// kind Invalid or TooLarge; the connection can't be used after that.
+func ReadFrame(r io.Reader) (Message, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:4])
+	if size < 1 || size > MaxFrame {
+		return nil, fault.New(fault.TooLarge, "check that the peer speaks this protocol", "frame of %d bytes, limit %d", size, MaxFrame)
+	}
+	body, err := readBody(r, int(size-1))
+	if err != nil {
+		return nil, err
+	}
+	return Decode(Kind(header[4]), body)
+}
+
+// readBody reads n bytes without trusting n for the first allocation.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	const trusted = 64 << 10
+	if n <= trusted {
+		body := make([]byte, n)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	var buf bytes.Buffer
+	got, err := io.CopyN(&buf, r, int64(n))
+	if err == io.EOF && got < int64(n) {
+		err = io.ErrUnexpectedEOF
+	}
+	return buf.Bytes(), err
+}
+
+// Decode decodes the body of a frame of the given kind.
+func Decode(kind Kind, body []byte) (Message, error) {
+	factory, ok := factories[kind]
+	if !ok {
+		return nil, fault.New(fault.Invalid, "upgrade the older process", "unknown message kind %d", kind)
+	}
+	m := factory()
+	if err := msgpack.Unmarshal(body, m); err != nil {
+		return nil, fault.Wrap(fault.Invalid, err, "check that the peer speaks this protocol", "decoding message kind %d", kind)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/wire/message.go
@@ -0,0 +1,264 @@
+package wire
+
+import (
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
+)
+
+// Kind is the frame's message kind. Values are part of the protocol: new kinds
+// are appended, none is reused.
+type Kind uint8
+
+// The message kinds.
+const (
+	KindHello Kind = iota + 1
+	KindPing
+	KindPong
+	KindDispatch
+	KindAccepted
+	KindRefused
+	KindHead
+	KindChunk
+	KindDone
+	KindCancel
+	KindVerdict
+	KindLoad
+	KindLeaving
+	KindConfigDigest
+	KindConfigSnapshot
+	KindEventsRequest
+	KindEventsReply
+)
+
+// Message is a typed message of the inner protocol.
+type Message interface {
+	// Kind returns the message's frame kind.
+	Kind() Kind
+}
+
+// Role says what part a process plays.
+type Role string
+
+// The roles.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Hello is the first message on a connection, in both directions.
+type Hello struct {
+	Process     string
+	Incarnation string
+	Role        Role
+	DataCentre  string
+	// Upstream is the upstream's name; empty for an entry.
+	Upstream string
+	// Revision is the configuration revision in force at the sender.
+	Revision int64
+}
+
+// Ping asks the peer for a Pong.
+type Ping struct{ Nonce uint64 }
+
+// Pong answers a Ping.
+type Pong struct{ Nonce uint64 }
+
+// AttemptID names one attempt of one request at one incarnation of an agent.
+type AttemptID struct {
+	Request     string
+	Attempt     uint32
+	Incarnation string
+}
+
+// Dispatch hands an attempt to an agent.
+type Dispatch struct {
+	ID          AttemptID
+	Account     string
+	Priority    int
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	// Model is set for completions, Service for plain services.
+	Model   string
+	Service string
+	// TimeoutMS is the time left until the caller's deadline, in milliseconds.
+	TimeoutMS int64
+	// NonIdempotent marks a call that must not run twice.
+	NonIdempotent bool
+	// Key is the caller's idempotency key, empty for none.
+	Key string
+	// ResumeFrom is the number of chunks that the caller already has.
+	ResumeFrom uint64
+	// ResumeText is the text generated so far, for a resumed stream.
+	ResumeText string
+}
+
+// Accepted says that the agent will run the attempt.
+type Accepted struct{ ID AttemptID }
+
+// Refused says that the agent has not run the attempt and never will.
+type Refused struct {
+	ID           AttemptID
+	Reason       fault.Kind
+	Message      string
+	RetryAfterMS int64
+}
+
+// Head carries the status and the content type of the answer.
+type Head struct {
+	ID          AttemptID
+	Status      int
+	ContentType string
+}
+
+// Chunk carries a part of the answer. Seq counts from 1 without gaps.
+type Chunk struct {
+	ID   AttemptID
+	Seq  uint64
+	Data []byte
+}
+
+// Done ends an attempt. Chunks is the Seq of the last chunk.
+type Done struct {
+	ID      AttemptID
+	Chunks  uint64
+	Outcome outcome.Outcome
+	Reason  fault.Kind
+	Message string
+}
+
+// Cancel stops an attempt, or forbids it when it has not arrived yet.
+type Cancel struct{ ID AttemptID }
+
+// AttemptState is an agent's word on an attempt.
+type AttemptState string
+
+// The attempt states.
+const (
+	// NeverSeen means that the attempt had not arrived and is now fenced.
+	NeverSeen AttemptState = "never-seen"
+	// NeverRun means that the attempt arrived and was refused or withdrawn
+	// before the engine had it.
+	NeverRun AttemptState = "never-run"
+	// Running means that the engine has it.
+	Running AttemptState = "running"
+	// Ended means that it ran and ended.
+	Ended AttemptState = "ended"
+	// Forgotten means that the agent's journal no longer covers it.
+	Forgotten AttemptState = "forgotten"
+)
+
+// Verdict answers a Cancel.
+type Verdict struct {
+	ID    AttemptID
+	State AttemptState
+}
+
+// Load is an agent's report of its engine's load.
+type Load struct {
+	Running  int
+	Queued   int
+	Capacity int
+}
+
+// Leaving says that the sender takes no new work.
+type Leaving struct{}
+
+// ConfigDigest tells the peer which configuration revision the sender has.
+type ConfigDigest struct{ Revision int64 }
+
+// ConfigRecord is one configuration record as stored.
+type ConfigRecord struct {
+	Key      string
+	Value    []byte
+	Revision int64
+}
+
+// ConfigSnapshot carries the whole configuration at a revision.
+type ConfigSnapshot struct {
+	Revision int64
+	Records  []ConfigRecord
+}
+
+// EventsRequest asks for the peer's event ring.
+type EventsRequest struct{ Nonce uint64 }
+
+// EventsReply carries the peer's event ring.
+type EventsReply struct {
+	Nonce  uint64
+	Events []timeline.Event
+}
+
+// Kind implements Message.
+func (*Hello) Kind() Kind { return KindHello }
+
+// Kind implements Message.
+func (*Ping) Kind() Kind { return KindPing }
+
+// Kind implements Message.
+func (*Pong) Kind() Kind { return KindPong }
+
+// Kind implements Message.
+func (*Dispatch) Kind() Kind { return KindDispatch }
+
+// Kind implements Message.
+func (*Accepted) Kind() Kind { return KindAccepted }
+
+// Kind implements Message.
+func (*Refused) Kind() Kind { return KindRefused }
+
+// Kind implements Message.
+func (*Head) Kind() Kind { return KindHead }
+
+// Kind implements Message.
+func (*Chunk) Kind() Kind { return KindChunk }
+
+// Kind implements Message.
+func (*Done) Kind() Kind { return KindDone }
+
+// Kind implements Message.
+func (*Cancel) Kind() Kind { return KindCancel }
+
+// Kind implements Message.
+func (*Verdict) Kind() Kind { return KindVerdict }
+
+// Kind implements Message.
+func (*Load) Kind() Kind { return KindLoad }
+
+// Kind implements Message.
+func (*Leaving) Kind() Kind { return KindLeaving }
+
+// Kind implements Message.
+func (*ConfigDigest) Kind() Kind { return KindConfigDigest }
+
+// Kind implements Message.
+func (*ConfigSnapshot) Kind() Kind { return KindConfigSnapshot }
+
+// Kind implements Message.
+func (*EventsRequest) Kind() Kind { return KindEventsRequest }
+
+// Kind implements Message.
+func (*EventsReply) Kind() Kind { return KindEventsReply }
+
+// factories makes an empty message for each kind.
+var factories = map[Kind]func() Message{
+	KindHello:          func() Message { return new(Hello) },
+	KindPing:           func() Message { return new(Ping) },
+	KindPong:           func() Message { return new(Pong) },
+	KindDispatch:       func() Message { return new(Dispatch) },
+	KindAccepted:       func() Message { return new(Accepted) },
+	KindRefused:        func() Message { return new(Refused) },
+	KindHead:           func() Message { return new(Head) },
+	KindChunk:          func() Message { return new(Chunk) },
+	KindDone:           func() Message { return new(Done) },
+	KindCancel:         func() Message { return new(Cancel) },
+	KindVerdict:        func() Message { return new(Verdict) },
+	KindLoad:           func() Message { return new(Load) },
+	KindLeaving:        func() Message { return new(Leaving) },
+	KindConfigDigest:   func() Message { return new(ConfigDigest) },
+	KindConfigSnapshot: func() Message { return new(ConfigSnapshot) },
+	KindEventsRequest:  func() Message { return new(EventsRequest) },
+	KindEventsReply:    func() Message { return new(EventsReply) },
+}
--- /dev/null
+++ b/test/scenario/fleet_test.go
@@ -0,0 +1,131 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	v2 "github.com/kingcupreel/kingcupreel/internal/config/v2"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
+)
+
+// operatorToken is the operator's token in scenarios; the account N has the
+// token "account-N".
+const operatorToken = "operator"
+
+// fleet is a deployment to start: the arguments of the script's "fleet".
+type fleet struct {
+	dcs, entries, engines, plains int
+	// links puts a stand-in link before each agent.
+	links bool
+	// engineArgs, plainArgs, entryArgs and agentArgs are extra flags.
+	engineArgs, plainArgs, entryArgs, agentArgs []string
+}
+
+// cmdFleet is "fleet dcs=1 entries=2 engines=2 plains=1 links=yes
+// engine-args='...'": it starts the key-value stand-in (kv), the engines and
+// plain services with their agents (engine1, agent-engine1, plain1,
+// agent-plain1, ...) and the entries (entry1, ...), spread over the data
+// centres dc1, dc2, ..., and writes their records. Each upstream serves model
+// "m" or service "s"; POST /once of "s" is non-idempotent.
+func cmdFleet(ts *testscript.TestScript, neg bool, args []string) {
+	f := fleet{dcs: 1, entries: 1, engines: 1}
+	numbers := map[string]*int{"dcs": &f.dcs, "entries": &f.entries, "engines": &f.engines, "plains": &f.plains}
+	extra := map[string]*[]string{"engine-args": &f.engineArgs, "plain-args": &f.plainArgs, "entry-args": &f.entryArgs, "agent-args": &f.agentArgs}
+	for _, arg := range args {
+		name, value, _ := strings.Cut(arg, "=")
+		switch {
+		case numbers[name] != nil:
+			n, err := strconv.Atoi(value)
+			ts.Check(err)
+			*numbers[name] = n
+		case extra[name] != nil:
+			*extra[name] = strings.Fields(value)
+		case name == "links":
+			f.links = value == "yes"
+		default:
+			ts.Fatalf("fleet: unknown argument %q", arg)
+		}
+	}
+	f.start(ts)
+}
+
+func (f *fleet) start(ts *testscript.TestScript) {
+	kv := startProcess(ts, "kv", "kingcupreel-standin", "kv")
+	base := "http://" + kv.Listen["http"]
+	f.write(ts, base, &config.ModelGroup{Name: "g", Model: "m", Ranks: max(f.engines, 1)})
+	f.write(ts, base, &config.PlainService{Name: "s", NonIdempotent: []config.CallPattern{{Method: "POST", PathPrefix: "/once"}}})
+	f.write(ts, base, &config.Operator{Name: "op", TokenSHA256: []string{config.HashToken(operatorToken)}})
+	for n := 1; n <= 3; n++ {
+		token := fmt.Sprintf("account-%d", n)
+		f.write(ts, base, &config.ClientAccount{Name: token, TokenSHA256: []string{config.HashToken(token)}, Priority: 2 * n})
+	}
+	for n := 1; n <= f.engines; n++ {
+		u := &config.Upstream{Name: fmt.Sprintf("engine%d", n), DataCentre: f.dc(n), Group: "g", Rank: n - 1}
+		f.upstream(ts, base, u, "engine", f.engineArgs)
+	}
+	for n := 1; n <= f.plains; n++ {
+		u := &config.Upstream{Name: fmt.Sprintf("plain%d", n), DataCentre: f.dc(n), Service: "s"}
+		f.upstream(ts, base, u, "plain", f.plainArgs)
+	}
+	for n := 1; n <= f.entries; n++ {
+		f.entry(ts, base, n)
+	}
+}
+
+func (f *fleet) dc(n int) string { return fmt.Sprintf("dc%d", (n-1)%f.dcs+1) }
+
+func (f *fleet) upstream(ts *testscript.TestScript, base string, u *config.Upstream, kind string, extra []string) {
+	target := startProcess(ts, u.Name, "kingcupreel-standin", append([]string{kind}, extra...)...)
+	agent := startProcess(ts, "agent-"+u.Name, "kingcupreeld", append([]string{
+		"agent", "--process", "agent-" + u.Name, "--vm", "vm-" + u.Name, "--data-centre", u.DataCentre,
+		"--upstream", u.Name, "--target", "http://" + target.Listen["http"],
+	}, f.agentArgs...)...)
+	u.VM = "vm-" + u.Name
+	u.Address = agent.Listen["inner"]
+	if f.links {
+		link := startProcess(ts, "link-"+u.Name, "kingcupreel-standin", "link", "--to", u.Address)
+		u.Address = link.Listen["link"]
+	}
+	f.write(ts, base, u)
+	f.vm(ts, base, platform.VM{ID: u.VM, DataCentre: u.DataCentre, Role: "upstream", Address: u.Address, State: platform.VMLive})
+}
+
+func (f *fleet) entry(ts *testscript.TestScript, base string, n int) {
+	name := fmt.Sprintf("entry%d", n)
+	ready := startProcess(ts, name, "kingcupreeld", append([]string{
+		"entry", "--process", name, "--vm", "vm-" + name, "--data-centre", f.dc(n), "--platform", base,
+	}, f.entryArgs...)...)
+	f.vm(ts, base, platform.VM{ID: "vm-" + name, DataCentre: f.dc(n), Role: "entry", Address: ready.Listen["inner"], State: platform.VMLive})
+	cmdUntil(ts, false, []string{
+		fmt.Sprintf(`connected=%d `, f.engines+f.plains), "check", "connected", "http://" + ready.Listen["ops"],
+	})
+}
+
+// write stores a record.
+func (f *fleet) write(ts *testscript.TestScript, base string, o config.Object) {
+	record, err := v2.Encode(o)
+	ts.Check(err)
+	f.post(ts, base+kvhttp.PathPut, platform.Put{Key: o.Key().Path(), Value: record, Expect: platform.AnyRevision})
+}
+
+func (f *fleet) vm(ts *testscript.TestScript, base string, vm platform.VM) {
+	f.post(ts, base+"/admin/vms", vm)
+}
+
+func (f *fleet) post(ts *testscript.TestScript, url string, body any) {
+	data, err := json.Marshal(body)
+	ts.Check(err)
+	resp, err := http.Post(url, "application/json", strings.NewReader(string(data)))
+	ts.Check(err)
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		ts.Fatalf("%s: status %d", url, resp.StatusCode)
+	}
+}
--- /dev/null
+++ b/test/scenario/programs_test.go
@@ -0,0 +1,127 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/kingcupreel/kingcupreel/internal/ctl"
+	"github.com/kingcupreel/kingcupreel/internal/standin/engine"
+	"github.com/kingcupreel/kingcupreel/internal/standin/plain"
+)
+
+// callMain is the program "call [flags] METHOD URL [BODY]": it prints the
+// status, the outcome, Retry-After and the body, and exits 0 whenever it got
+// an answer.
+func callMain() {
+	token := flag.String("token", "account-1", "bearer token")
+	key := flag.String("key", "", "idempotency key")
+	timeout := flag.String("timeout", "", "request timeout in seconds")
+	flag.Parse()
+	req, err := http.NewRequest(flag.Arg(0), flag.Arg(1), strings.NewReader(flag.Arg(2)))
+	exitOn(err)
+	req.Header.Set("Authorization", "Bearer "+*token)
+	req.Header.Set("Content-Type", "application/json")
+	for name, value := range map[string]string{"Idempotency-Key": *key, "Request-Timeout": *timeout} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	exitOn(err)
+	body, err := io.ReadAll(resp.Body)
+	outcome := resp.Header.Get("Kingcupreel-Outcome") + resp.Trailer.Get("Kingcupreel-Outcome")
+	fmt.Printf("status=%d outcome=%s retry-after=%q\n%s\n", resp.StatusCode, outcome, resp.Header.Get("Retry-After"), body)
+	exitOn(err)
+}
+
+func exitOn(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// checkMain is the program "check WHAT URL...": the judge, which reads what the
+// stand-ins recorded.
+func checkMain() {
+	checks := map[string]func(urls []string) error{
+		"connected": checkConnected,
+		"runs":      checkRuns,
+		"once":      checkOnce,
+	}
+	check := checks[os.Args[1]]
+	if check == nil {
+		exitOn(fmt.Errorf("no check %q", os.Args[1]))
+	}
+	exitOn(check(os.Args[2:]))
+}
+
+// checkConnected prints how many upstreams an entry is connected to.
+func checkConnected(urls []string) error {
+	client := ctl.Client{Base: urls[0], Token: operatorToken}
+	status, err := client.Status(context.Background())
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, u := range status.Upstreams {
+		if u.Connected {
+			n++
+		}
+	}
+	fmt.Printf("connected=%d revision=%d\n", n, status.Revision)
+	return nil
+}
+
+func fetch(url string, out any) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// checkRuns prints how many runs the engines recorded, and how many ended.
+func checkRuns(urls []string) error {
+	total, ended := 0, 0
+	for _, url := range urls {
+		var runs []engine.Run
+		if err := fetch(url+"/admin/runs", &runs); err != nil {
+			return err
+		}
+		for _, r := range runs {
+			total++
+			if r.Ended {
+				ended++
+			}
+		}
+	}
+	fmt.Printf("runs=%d ended=%d\n", total, ended)
+	return nil
+}
+
+// checkOnce fails when any idempotency key ran twice over the plain services.
+func checkOnce(urls []string) error {
+	seen := map[string]int{}
+	for _, url := range urls {
+		var calls []plain.Call
+		if err := fetch(url+"/admin/calls", &calls); err != nil {
+			return err
+		}
+		for _, c := range calls {
+			seen[c.Key]++
+			if seen[c.Key] > 1 {
+				return fmt.Errorf("key %q ran twice", c.Key)
+			}
+		}
+	}
+	fmt.Printf("calls=%d\n", len(seen))
+	return nil
+}
