Add membership: the VM list's view and a bounded set of peers

Cause: configuration, usage digests and convictions have to travel between entries; a full mesh of 330 entries would spend more than 3 KB/s on heartbeats alone. Ruled out: full mesh; a broadcast through the key-value service (its rates grow more slowly than the fleet). Conclusion: the seam is in place for the exchanges that follow.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
-	"net"
+	"math/rand/v2"
+	"time"
 
 	"github.com/go-kratos/kratos/v2"
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/entry"
+	"github.com/kingcupreel/kingcupreel/internal/membership"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
 	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
 	"github.com/kingcupreel/kingcupreel/internal/provider"
 	"github.com/kingcupreel/kingcupreel/internal/settings"
@@ -29,18 +32,20 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	kv := kvhttp.New(s.Platform, s.PlatformTimeout)
+	view := &membership.View{}
+	peers := &membership.Peers{Self: s.VM, DataCentre: s.DataCentre, Seeds: s.Seeds, View: view, Wire: p.wire}
 	e := entry.New(work, entry.Options{
-		Hello: p.hello, Wire: p.wire, Store: p.store, KV: kv, Events: p.events,
+		Hello: p.hello, Wire: p.wire, Store: p.store, KV: kv, Peers: peers, View: view, Events: p.events,
 		Metrics: p.metrics, Log: p.log, OperatorTokenSHA256: s.OperatorTokenSHA256,
 	})
+	peers.Hello, peers.Handler = e.Hello, e.PeerHandler()
+	go peers.Run(work)
+	go pollVMs(work, kv, view, s.VMListInterval)
 	watcher := provider.Watcher{KV: kv, Store: p.store, Log: p.log}
 	go watcher.Run(work)
 	caller := httpServer(listeners["caller"], e.CallerHandler())
 	ops := httpServer(listeners["ops"], e.OperatorHandler())
-	inner := &innerServer{listener: listeners["inner"], serve: func(ctx context.Context, l net.Listener) error {
-		<-ctx.Done()
-		return l.Close()
-	}}
+	inner := &innerServer{listener: listeners["inner"], serve: peers.Serve}
 	drain := func(context.Context) error {
 		e.Drain()
 		return nil
@@ -51,3 +56,16 @@
 	announce(out, s.Process, listeners)
 	return app.Run()
 }
+
+// pollVMs reads the VM list at jittered intervals until ctx is done.
+func pollVMs(ctx context.Context, list platform.VMList, view *membership.View, interval time.Duration) {
+	for ctx.Err() == nil {
+		if vms, err := list.VMs(ctx); err == nil {
+			view.Set(vms)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval/2 + rand.N(interval)):
+		}
+	}
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -57,7 +57,7 @@
 	if err := writeConfig(store, upstreams); err != nil {
 		return nil, err
 	}
-	s := settings.Entry{Common: common("entry-1"), CallerListen: "127.0.0.1:0", Platform: platformURL, PlatformTimeout: 2 * time.Second}
+	s := settings.Entry{Common: common("entry-1"), CallerListen: "127.0.0.1:0", Platform: platformURL, PlatformTimeout: 2 * time.Second, VMListInterval: time.Second}
 	ready, err := startDaemon(func(out io.Writer) error { return daemon.RunEntry(ctx, s, out) })
 	if err != nil {
 		return nil, err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/membership"
 	"github.com/kingcupreel/kingcupreel/internal/platform"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
@@ -28,6 +29,9 @@
 	Events  *timeline.Ring
 	Metrics metrics.Registry
 	Log     *zap.Logger
+	// Peers are the other entries; View is the VM list.
+	Peers *membership.Peers
+	View  *membership.View
 	// OperatorTokenSHA256 admits a first operator before any record exists;
 	// empty admits none.
 	OperatorTokenSHA256 string
@@ -39,6 +43,10 @@
 	links    linkTable
 	draining atomic.Bool
 	gather   gatherTable
+	// peerMux routes the messages of other entries, agentMux those of agents
+	// that belong to no attempt. Both are filled before the entry starts.
+	peerMux  wire.Mux
+	agentMux wire.Mux
 }
 
 // New returns an entry. It dials upstreams until ctx is done.
@@ -47,6 +55,8 @@
 		opts.Picker = lockedPicker{picker: balance.TwoChoices{Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}, mu: new(sync.Mutex)}
 	}
 	e := &Entry{opts: opts, links: linkTable{links: map[string]*link{}}, gather: gatherTable{waits: map[uint64]chan []timeline.Event{}}}
+	e.peerMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
+	e.agentMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	opts.Store.OnChange(func(s *config.Snapshot) { e.configApplied(ctx, s) })
 	return e
 }
@@ -64,6 +74,9 @@
 	return p.picker.Pick(r, c)
 }
 
+// PeerHandler returns the handler of the other entries' messages.
+func (e *Entry) PeerHandler() wire.Handler { return &e.peerMux }
+
 func (e *Entry) configApplied(ctx context.Context, s *config.Snapshot) {
 	e.event(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision})
 	e.links.reconcile(ctx, e, s)
@@ -73,7 +86,8 @@
 	}
 }
 
-func (e *Entry) hello() *wire.Hello {
+// Hello returns what the entry says of itself now.
+func (e *Entry) Hello() *wire.Hello {
 	h := e.opts.Hello
 	h.Revision = e.opts.Store.Current().Revision
 	return &h
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -64,7 +64,7 @@
 		return false
 	}
 	c := wire.NewConn(nc, l, l.entry.opts.Wire)
-	_ = c.Send(l.entry.hello())
+	_ = c.Send(l.entry.Hello())
 	err = c.Run(ctx)
 	l.disconnected(c, err)
 	return true
@@ -91,6 +91,10 @@
 	case *wire.EventsReply:
 		l.entry.gathered(m)
 	default:
+		if l.entry.agentMux.Funcs[m.Kind()] != nil {
+			l.entry.agentMux.Receive(c, m)
+			return
+		}
 		l.deliver(m)
 	}
 }
--- /dev/null
+++ b/internal/membership/choose.go
@@ -0,0 +1,84 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+)
+
+const (
+	// WatchersPerDataCentre is the number of entries of a data centre that
+	// watch the key-value service.
+	WatchersPerDataCentre = 3
+	// neighbours is the number of other entries of its data centre that an
+	// entry keeps connected to.
+	neighbours = 3
+)
+
+// Rank orders ids by rendezvous hash with a salt: every process computes the
+// same order, and a lost id moves no other.
+func Rank(salt string, ids []string) []string {
+	type scored struct {
+		id    string
+		score uint64
+	}
+	list := make([]scored, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, scored{id, xxhash.Sum64String(salt + "\x00" + id)})
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	out := make([]string, 0, len(list))
+	for _, s := range list {
+		out = append(out, s.id)
+	}
+	return out
+}
+
+// first returns at most n of the ids.
+func first(n int, ids []string) []string { return ids[:min(n, len(ids))] }
+
+// byDataCentre groups the entries' ids.
+func byDataCentre(entries []platform.VM) map[string][]string {
+	groups := map[string][]string{}
+	for _, vm := range entries {
+		groups[vm.DataCentre] = append(groups[vm.DataCentre], vm.ID)
+	}
+	return groups
+}
+
+// Watchers returns the ids of a data centre's watchers.
+func Watchers(entries []platform.VM, dataCentre string) []string {
+	return first(WatchersPerDataCentre, Rank("watch:"+dataCentre, byDataCentre(entries)[dataCentre]))
+}
+
+// IsWatcher says whether the VM watches for its data centre. An entry that the
+// list does not show watches for itself.
+func IsWatcher(entries []platform.VM, self, dataCentre string) bool {
+	listed := slices.ContainsFunc(entries, func(vm platform.VM) bool { return vm.ID == self })
+	return !listed || slices.Contains(Watchers(entries, dataCentre), self)
+}
+
+// Targets returns the ids of the entries that self keeps connected to: its data
+// centre's watchers, a few neighbours, and, for a watcher, one watcher of every
+// other data centre. Their number does not grow with the fleet's entries.
+func Targets(entries []platform.VM, self, dataCentre string) []string {
+	groups := byDataCentre(entries)
+	targets := Watchers(entries, dataCentre)
+	near := slices.DeleteFunc(slices.Clone(groups[dataCentre]), func(id string) bool { return id == self })
+	targets = append(targets, first(neighbours, Rank("neighbour:"+self, near))...)
+	if IsWatcher(entries, self, dataCentre) {
+		for dc := range groups {
+			if dc != dataCentre {
+				targets = append(targets, first(1, Rank("remote:"+self, Watchers(entries, dc)))...)
+			}
+		}
+	}
+	slices.Sort(targets)
+	targets = slices.Compact(targets)
+	return slices.DeleteFunc(targets, func(id string) bool { return id == self })
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,80 @@
+// Package membership knows the VMs of the deployment from the platform's
+// lagging list, and keeps an entry connected to a few other entries.
+//
+// Lock order: Peers.mu before View.mu. Conn.Send may be called under either.
+package membership
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+)
+
+// RoleEntry is an entry's role in the VM list.
+const RoleEntry = "entry"
+
+// View is the last VM list that was read. The zero value is empty. A list that
+// can't be read leaves the last one in place.
+type View struct {
+	mu       sync.Mutex
+	vms      map[string]platform.VM
+	onChange []func()
+}
+
+// Set replaces the list and calls the listeners if it differs.
+func (v *View) Set(vms []platform.VM) {
+	for _, f := range v.replace(vms) {
+		f()
+	}
+}
+
+func (v *View) replace(vms []platform.VM) []func() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := make(map[string]platform.VM, len(vms))
+	changed := len(vms) != len(v.vms)
+	for _, vm := range vms {
+		next[vm.ID] = vm
+		changed = changed || v.vms[vm.ID] != vm
+	}
+	if !changed {
+		return nil
+	}
+	v.vms = next
+	return slices.Clone(v.onChange)
+}
+
+// OnChange registers a function that is called after each change.
+func (v *View) OnChange(f func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.onChange = append(v.onChange, f)
+}
+
+// Leaving says whether the list shows the VM as leaving.
+func (v *View) Leaving(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.vms[id].State == platform.VMLeaving
+}
+
+// All returns the list, by id.
+func (v *View) All() []platform.VM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]platform.VM, 0, len(v.vms))
+	for _, vm := range v.vms {
+		out = append(out, vm)
+	}
+	slices.SortFunc(out, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Entries returns the live entry VMs, by id.
+func (v *View) Entries() []platform.VM {
+	return slices.DeleteFunc(v.All(), func(vm platform.VM) bool {
+		return vm.Role != RoleEntry || vm.State != platform.VMLive
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/netip"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -38,6 +39,8 @@
 	Platform            string
 	PlatformTimeout     time.Duration
 	OperatorTokenSHA256 string
+	Seeds               []string
+	VMListInterval      time.Duration
 }
 
 // Agent are the settings of an agent.
@@ -76,6 +79,8 @@
 	flag(cmd, "platform", "Base URL of the platform's key-value service and VM list.").StringVar(&e.Platform)
 	flag(cmd, "platform-timeout", "Bound on a call to the platform.").Default("2s").DurationVar(&e.PlatformTimeout)
 	flag(cmd, "operator-token-sha256", "Hex SHA-256 of a first operator's token, for use before any record exists.").StringVar(&e.OperatorTokenSHA256)
+	flag(cmd, "seed", "Inner address of another entry, IP:port, for a start while the VM list is out; repeatable.").StringsVar(&e.Seeds)
+	flag(cmd, "vm-list-interval", "Interval between two reads of the VM list.").Default("1s").DurationVar(&e.VMListInterval)
 }
 
 // Declare adds the agent's flags to a command.
@@ -130,6 +135,10 @@
 	c.address("caller-listen", e.CallerListen)
 	c.url("platform", e.Platform)
 	c.require(e.PlatformTimeout > 0, "platform-timeout", e.PlatformTimeout.String(), "give a positive duration such as 2s")
+	for _, seed := range e.Seeds {
+		c.address("seed", seed)
+	}
+	c.require(e.VMListInterval > 0, "vm-list-interval", e.VMListInterval.String(), "give a positive duration such as 1s")
 	hash := e.OperatorTokenSHA256
 	c.require(hash == "" || len(hash) == 64, "operator-token-sha256", hash, "give 64 hex digits, or leave it out")
 	return errors.Join(c.faults...)
@@ -141,6 +150,6 @@
 	c.common(&a.Common)
 	c.require(a.Upstream != "", "upstream", a.Upstream, "name the upstream record")
 	c.url("target", a.Target)
-	c.require(a.Workers > 0 && a.Workers <= 65536, "workers", "", "give 1 to 65536")
+	c.require(a.Workers > 0 && a.Workers <= 65536, "workers", strconv.Itoa(a.Workers), "give 1 to 65536")
 	return errors.Join(c.faults...)
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
@@ -51,6 +52,24 @@
 	Receive(c *Conn, m Message)
 }
 
+// Mux routes messages by kind to functions. A message without a function goes
+// to Default; a nil Default drops it.
+type Mux struct {
+	Funcs   map[Kind]func(c *Conn, m Message)
+	Default func(c *Conn, m Message)
+}
+
+// Receive implements Handler.
+func (x *Mux) Receive(c *Conn, m Message) {
+	f := x.Funcs[m.Kind()]
+	if f == nil {
+		f = x.Default
+	}
+	if f != nil {
+		f(c, m)
+	}
+}
+
 // Conn is one connection between two processes. Send may be called from any
 // goroutine.
 type Conn struct {
@@ -61,6 +80,7 @@
 	closed  chan struct{}
 	once    sync.Once
 	cause   error
+	peer    atomic.Pointer[Hello]
 }
 
 // NewConn wraps an established network connection.
@@ -78,6 +98,14 @@
 // RemoteAddr returns the peer's address.
 func (c *Conn) RemoteAddr() string { return c.nc.RemoteAddr().String() }
 
+// Peer returns the peer's Hello, or the zero value before it has come.
+func (c *Conn) Peer() Hello {
+	if h := c.peer.Load(); h != nil {
+		return *h
+	}
+	return Hello{}
+}
+
 // Closed is closed when the connection ends.
 func (c *Conn) Closed() <-chan struct{} { return c.closed }
 
@@ -136,6 +164,9 @@
 		case *Ping:
 			_ = c.Send(&Pong{Nonce: m.Nonce})
 		case *Pong:
+		case *Hello:
+			c.peer.Store(m)
+			c.handler.Receive(c, m)
 		default:
 			c.handler.Receive(c, m)
 		}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -1,13 +1,16 @@
 package wire
 
 import (
+	"maps"
+
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 )
 
-// Kind is the frame's message kind. Values are part of the protocol: new kinds
-// are appended, none is reused.
+// Kind is the frame's message kind. Values are part of the protocol: none is
+// reused. Each concern has a range and a file of its own: 1 to 39 here, 40 to 49
+// once.go, 50 to 59 usage.go, 60 to 69 configuration.go, 70 to 79 maps.go.
 type Kind uint8
 
 // The message kinds.
@@ -243,7 +246,20 @@
 func (*EventsReply) Kind() Kind { return KindEventsReply }
 
 // factories makes an empty message for each kind.
-var factories = map[Kind]func() Message{
+var factories = merge(coreFactories, onceFactories, usageFactories, configurationFactories, mapFactories)
+
+// factory makes an empty message.
+type factory = func() Message
+
+func merge(tables ...map[Kind]factory) map[Kind]factory {
+	all := map[Kind]factory{}
+	for _, t := range tables {
+		maps.Copy(all, t)
+	}
+	return all
+}
+
+var coreFactories = map[Kind]factory{
 	KindHello:          func() Message { return new(Hello) },
 	KindPing:           func() Message { return new(Ping) },
 	KindPong:           func() Message { return new(Pong) },
