Meter the inner protocol and the process's own cost

Cause: docs/CAPACITY.md needs processor time, memory and bytes for control per role, and operators need to see them. Change: gauges for processor time, resident memory and goroutines; frames and bytes of the inner protocol, apart for control and for requests.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,13 +64,17 @@
 	if err != nil {
 		return nil, err
 	}
+	reg := metrics.NewRegistry()
+	meter := &wire.Meter{}
+	telemetry.RegisterProcess(reg)
+	telemetry.RegisterMeter(reg, meter)
 	return &parts{
 		log:     log,
-		metrics: metrics.NewRegistry(),
+		metrics: reg,
 		events:  timeline.NewRing(s.Process, timeline.DefaultCapacity, clockwork.NewRealClock()),
 		store:   config.NewStore(codec.Decode),
 		hello:   wire.Hello{Process: s.Process, Incarnation: uuid.NewString(), Role: role, DataCentre: s.DataCentre},
-		wire:    wire.Options{Heartbeat: s.Heartbeat, Silence: s.Silence},
+		wire:    wire.Options{Heartbeat: s.Heartbeat, Silence: s.Silence, Meter: meter},
 	}, nil
 }
 
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -31,6 +31,8 @@
 	Silence time.Duration
 	// Queue is the number of messages that may wait to be sent.
 	Queue int
+	// Meter counts the connection's traffic; nil counts nothing.
+	Meter *Meter
 }
 
 func (o Options) withDefaults() Options {
@@ -156,10 +158,11 @@
 		if err := c.nc.SetReadDeadline(time.Now().Add(c.opts.Silence)); err != nil {
 			return err
 		}
-		m, err := ReadFrame(r)
+		m, size, err := readFrame(r)
 		if err != nil {
 			return silenceError(err, c.opts.Silence)
 		}
+		c.opts.Meter.in(m.Kind(), size)
 		switch m := m.(type) {
 		case *Ping:
 			_ = c.Send(&Pong{Nonce: m.Nonce})
@@ -212,6 +215,7 @@
 	if err != nil {
 		return buf, err
 	}
+	c.opts.Meter.out(m.Kind(), len(buf))
 	if err := c.nc.SetWriteDeadline(time.Now().Add(c.opts.Silence)); err != nil {
 		return buf, err
 	}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -43,19 +43,26 @@
 // ReadFrame reads and decodes one frame. A malformed frame gives an error of
 // kind Invalid or TooLarge; the connection can't be used after that.
 func ReadFrame(r io.Reader) (Message, error) {
+	m, _, err := readFrame(r)
+	return m, err
+}
+
+// readFrame also returns the frame's size in bytes.
+func readFrame(r io.Reader) (Message, int, error) {
 	var header [headerSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	size := binary.BigEndian.Uint32(header[:4])
 	if size < 1 || size > MaxFrame {
-		return nil, fault.New(fault.TooLarge, "check that the peer speaks this protocol", "frame of %d bytes, limit %d", size, MaxFrame)
+		return nil, 0, fault.New(fault.TooLarge, "check that the peer speaks this protocol", "frame of %d bytes, limit %d", size, MaxFrame)
 	}
 	body, err := readBody(r, int(size-1))
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return Decode(Kind(header[4]), body)
+	m, err := Decode(Kind(header[4]), body)
+	return m, headerSize + len(body), err
 }
 
 // readBody reads n bytes without trusting n for the first allocation.
