Add the bench: load, path, sample, slopes and capacity tables

Cause: docs/CAPACITY.md is to be made from measured slopes, and every policy needs a load that checks its answers. Ruled out: measuring all roles in one process, which can't tell an entry's processor time from an agent's; reading other processes' /proc. Change: kingcupreel-bench with open-loop load whose answers are compared with the engine stand-in's, a path comparison in alternating slices of one run, samples of a process's /metrics, least-squares fits and the page's tables; a script starts the real processes on loopback.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 ARGS ?=
 
-.PHONY: demo test lint build capacity fuzz
+.PHONY: demo test lint build capacity
 
 demo:
 	$(GO) run ./cmd/kingcupreel-demo $(ARGS)
@@ -16,3 +16,7 @@
 	@out=$$($(GO) tool gofumpt -l cmd internal test); if [ -n "$$out" ]; then echo "run: go tool gofumpt -w cmd internal test"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+capacity: build
+	scripts/capacity.sh bin > docs/capacity-slopes.jsonl
+	bin/kingcupreel-bench capacity --slopes docs/capacity-slopes.jsonl > docs/capacity-tables.md
--- /dev/null
+++ b/internal/bench/caller.go
@@ -0,0 +1,149 @@
+package bench
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/engineapi"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/standin/engine"
+)
+
+// caller sends requests as a client account would and checks the answers.
+type caller struct {
+	http   *http.Client
+	model  string
+	tokens int
+	stream bool
+	first  *latencies
+	next   *latencies
+}
+
+func newCaller(model string, tokens int, stream bool) *caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: 4096, MaxIdleConns: 0, DisableCompression: true}
+	return &caller{
+		http: &http.Client{Transport: transport}, model: model, tokens: tokens, stream: stream,
+		first: newLatencies(), next: newLatencies(),
+	}
+}
+
+// reply is what one call came to.
+type reply struct {
+	outcome    outcome.Outcome
+	wrong      bool
+	retryAfter time.Duration
+}
+
+// complete sends a completion call and compares the answer with what the
+// engine stand-in must say.
+func (c *caller) complete(ctx context.Context, target, token, prompt string) (reply, error) {
+	body, err := json.Marshal(engineapi.Call{Model: c.model, Prompt: prompt, MaxTokens: c.tokens, Stream: c.stream})
+	if err != nil {
+		return reply{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target+engineapi.PathCompletions, strings.NewReader(string(body)))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	req.Header.Set("Content-Type", "application/json")
+	sent := time.Now()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	text, err := c.read(resp, sent)
+	if err != nil {
+		return reply{}, err
+	}
+	r := reply{outcome: outcomeOf(resp), retryAfter: retryAfter(resp)}
+	r.wrong = r.outcome == outcome.Completed && text != engine.Text(prompt, c.tokens)
+	return r, nil
+}
+
+// outcomeOf reads the outcome from the header or the trailer. A target without
+// one, such as an engine, completes with status 200.
+func outcomeOf(resp *http.Response) outcome.Outcome {
+	if o := resp.Trailer.Get(outcome.Header); o != "" {
+		return outcome.Outcome(o)
+	}
+	if o := resp.Header.Get(outcome.Header); o != "" {
+		return outcome.Outcome(o)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return outcome.Completed
+	}
+	return outcome.Failed
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	d, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+// read returns the answer's text and records the times of its tokens.
+func (c *caller) read(resp *http.Response, sent time.Time) (string, error) {
+	if !c.stream || resp.StatusCode != http.StatusOK {
+		var a engineapi.Answer
+		err := json.NewDecoder(resp.Body).Decode(&a)
+		if err == nil && len(a.Choices) > 0 {
+			c.first.add(time.Since(sent))
+			return a.Choices[0].Text, nil
+		}
+		return "", nil
+	}
+	var text strings.Builder
+	last, tokens := sent, 0
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var a engineapi.Answer
+		if err := json.Unmarshal([]byte(data), &a); err != nil || len(a.Choices) == 0 {
+			continue
+		}
+		text.WriteString(a.Choices[0].Text)
+		now := time.Now()
+		c.record(tokens, now.Sub(last))
+		last = now
+		tokens++
+	}
+	return text.String(), lines.Err()
+}
+
+func (c *caller) record(token int, d time.Duration) {
+	if token == 0 {
+		c.first.add(d)
+		return
+	}
+	c.next.add(d)
+}
+
+// order sends a non-idempotent call to a plain service.
+func (c *caller) order(ctx context.Context, target, token, path, key string) (reply, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target+path, strings.NewReader(fmt.Sprintf(`{"order":%q}`, key)))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return reply{}, fault.Wrap(fault.Unavailable, err, "check the target", "sending an order")
+	}
+	resp.Body.Close()
+	return reply{outcome: outcomeOf(resp), retryAfter: retryAfter(resp)}, nil
+}
--- /dev/null
+++ b/internal/bench/path.go
@@ -0,0 +1,60 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// PathReport compares the path through entry and agent with the engine called
+// directly, in one run.
+type PathReport struct {
+	Through         LoadReport `json:"through"`
+	Direct          LoadReport `json:"direct"`
+	FirstTokenRatio float64    `json:"first_token_p50_ratio"`
+	InterTokenRatio float64    `json:"inter_token_p50_ratio"`
+	FirstTokenAddMS float64    `json:"first_token_p95_added_ms"`
+	InterTokenAddMS float64    `json:"inter_token_p95_added_ms"`
+}
+
+func declarePath(app *kingpin.Application, e env) (string, command) {
+	cmd := app.Command("path", "Measure what the path through entry and agent adds to the engine called directly.")
+	target := cmd.Flag("target", "Callers' base URL of an entry.").Required().String()
+	direct := cmd.Flag("direct", "Base URL of the engine behind it.").Required().String()
+	o := loadOptions{accounts: 1, tokenFormat: "account-%d", stream: true}
+	cmd.Flag("rate", "Requests a second on each of both.").Default("20").Float64Var(&o.rate)
+	cmd.Flag("duration", "Time over which requests are sent.").Default("10s").DurationVar(&o.duration)
+	cmd.Flag("model", "Model to ask for.").Default("m").StringVar(&o.model)
+	cmd.Flag("tokens", "Tokens of each answer.").Default("64").IntVar(&o.tokens)
+	cmd.Flag("seed", "Seed of the arrivals.").Default("1").Uint64Var(&o.seed)
+	return cmd.FullCommand(), func(ctx context.Context) error {
+		return e.print(runPath(ctx, o, *target, *direct))
+	}
+}
+
+// runPath sends the same arrivals both ways, in alternating slices of the
+// duration, so that both meet the same machine.
+func runPath(ctx context.Context, o loadOptions, target, direct string) PathReport {
+	const slices = 5
+	through, engine := o, o
+	through.targets, engine.targets = []string{target}, []string{direct}
+	through.duration = o.duration / slices
+	engine.duration = through.duration
+	a := &loadRun{opts: through, caller: newCaller(o.model, o.tokens, true)}
+	b := &loadRun{opts: engine, caller: newCaller(o.model, o.tokens, true)}
+	start := time.Now()
+	for range slices {
+		for _, l := range []*loadRun{a, b} {
+			l.wg.Go(func() { l.arrivals(ctx, o.rate, 0, l.completion) })
+			l.wg.Wait()
+		}
+	}
+	elapsed := time.Since(start) / 2
+	r := PathReport{Through: a.report(elapsed), Direct: b.report(elapsed)}
+	r.FirstTokenRatio = r.Through.FirstToken.P50 / r.Direct.FirstToken.P50
+	r.InterTokenRatio = r.Through.InterToken.P50 / r.Direct.InterToken.P50
+	r.FirstTokenAddMS = r.Through.FirstToken.P95 - r.Direct.FirstToken.P95
+	r.InterTokenAddMS = r.Through.InterToken.P95 - r.Direct.InterToken.P95
+	return r
+}
--- /dev/null
+++ b/internal/bench/prepare.go
@@ -0,0 +1,60 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/kingcupreel/kingcupreel/internal/ctl"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
+)
+
+const (
+	awaitLimit = 60 * time.Second
+	awaitPoll  = 100 * time.Millisecond
+)
+
+func declareAwait(app *kingpin.Application, _ env) (string, command) {
+	cmd := app.Command("await", "Wait until an entry is connected to a number of upstreams.")
+	var client ctl.Client
+	cmd.Flag("ops", "Base URL of the entry's ops listener.").Required().StringVar(&client.Base)
+	cmd.Flag("token", "Operator's bearer token.").Required().StringVar(&client.Token)
+	wanted := cmd.Flag("connected", "Number of upstreams.").Required().Int()
+	return cmd.FullCommand(), func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, awaitLimit)
+		defer cancel()
+		return await(ctx, &client, *wanted)
+	}
+}
+
+func await(ctx context.Context, client *ctl.Client, wanted int) error {
+	for {
+		n := 0
+		status, err := client.Status(ctx)
+		for _, u := range status.Upstreams {
+			if u.Connected {
+				n++
+			}
+		}
+		if err == nil && n >= wanted {
+			return nil
+		}
+		if pause(ctx, awaitPoll) != nil {
+			return fault.New(fault.Timeout, "read the entry's log", "%d of %d upstreams connected", n, wanted)
+		}
+	}
+}
+
+func declareListVM(app *kingpin.Application, _ env) (string, command) {
+	cmd := app.Command("list-vm", "Put an entry's VM into the VM list of the stand-in.")
+	url := cmd.Flag("platform", "Base URL of the key-value stand-in.").Required().String()
+	vm := platform.VM{DataCentre: "dc1", Role: "entry", State: platform.VMLive}
+	cmd.Flag("id", "Id of the VM.").Required().StringVar(&vm.ID)
+	cmd.Flag("address", "Inner address of the entry.").Required().StringVar(&vm.Address)
+	return cmd.FullCommand(), func(ctx context.Context) error {
+		return kvhttp.New(*url, kvhttp.DefaultTimeout).Post(ctx, "/admin/vms", vm)
+	}
+}
--- /dev/null
+++ b/internal/bench/target.go
@@ -0,0 +1,60 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/kingcupreel/kingcupreel/internal/membership"
+)
+
+// The target's sizes.
+const (
+	targetNodes       = 330.0
+	targetUpstreams   = 5200.0
+	targetRequests    = 3000.0
+	targetTokens      = 1.1e6
+	targetAccounts    = 1600.0
+	targetDataCentres = 11.0
+	secondsPerDay     = 86400.0
+	targetChanges     = 8300.0 / secondsPerDay
+	// tokensPerNode and requestsPerNode are an entry's part at the peak.
+	tokensPerNode   = targetTokens / targetNodes
+	requestsPerNode = targetRequests / targetNodes
+	// tokensPerUpstream is an agent's part.
+	tokensPerUpstream = targetTokens / targetUpstreams
+	// entriesPerDataCentre is the number of entries beside each other.
+	entriesPerDataCentre = targetNodes / targetDataCentres
+	watchers             = targetDataCentres * membership.WatchersPerDataCentre
+)
+
+// The limits of control per node, and of the key-value service.
+const (
+	limitCorePercent = 3.0
+	limitMemory      = 32e6
+	limitControl     = 3e3
+	limitKVReads     = 2000.0
+	limitKVWrites    = 300.0
+)
+
+// writeSlopeTable writes the slopes themselves.
+func writeSlopeTable(w io.Writer, slopes map[string]Slope) {
+	fmt.Fprintln(w, "### Slopes")
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "| slope | sizes measured | base | per size | fit R2 |")
+	fmt.Fprintln(w, "|---|---|---|---|---|")
+	for _, name := range slices.Sorted(maps.Keys(slopes)) {
+		s := slopes[name]
+		fmt.Fprintf(w, "| `%s` | %s | %s | %s | %.3f |\n", name, joinSizes(s.Sizes), quantity(s.Base, s.Unit), quantity(s.PerSize, s.Unit), s.FitR2)
+	}
+}
+
+func joinSizes(sizes []float64) string {
+	parts := make([]string, 0, len(sizes))
+	for _, v := range sizes {
+		parts = append(parts, fmt.Sprintf("%g", v))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/bench/upstreams.go
@@ -0,0 +1,136 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/agent"
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/config/codec"
+	v2 "github.com/kingcupreel/kingcupreel/internal/config/v2"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
+	"github.com/kingcupreel/kingcupreel/internal/standin/engine"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// hostedEvents and hostedWorkers keep many agents in one process small.
+	hostedEvents  = 64
+	hostedWorkers = 4
+)
+
+// hostOptions are the flags of the upstreams command.
+type hostOptions struct {
+	platform  string
+	count     int
+	accounts  int
+	tokenTime time.Duration
+	// agent and plainAgent are agents in processes of their own, for model m
+	// and for plain service s; empty means none.
+	agent      string
+	plainAgent string
+}
+
+func declareUpstreams(app *kingpin.Application, e env) (string, command) {
+	cmd := app.Command("upstreams", "Host many agents with engines in one process, and write the records of model m for them.")
+	var o hostOptions
+	cmd.Flag("platform", "Base URL of the key-value stand-in.").Required().StringVar(&o.platform)
+	cmd.Flag("count", "Number of upstreams.").Default("100").IntVar(&o.count)
+	cmd.Flag("accounts", "Number of client accounts, with tokens account-1 and so on.").Default("10").IntVar(&o.accounts)
+	cmd.Flag("token-time", "Time between tokens of an engine.").Default("10ms").DurationVar(&o.tokenTime)
+	cmd.Flag("agent", "Inner address of a running agent of upstream u, to record for model m.").StringVar(&o.agent)
+	cmd.Flag("plain-agent", "Inner address of a running agent of upstream u, to record for plain service s.").StringVar(&o.plainAgent)
+	return cmd.FullCommand(), func(ctx context.Context) error { return hostUpstreams(ctx, e, o) }
+}
+
+// Hosted is the line that the upstreams command prints once all serve.
+type Hosted struct {
+	Upstreams int `json:"upstreams"`
+	Accounts  int `json:"accounts"`
+}
+
+func hostUpstreams(ctx context.Context, e env, o hostOptions) error {
+	objects := o.baseRecords()
+	for n := range o.count {
+		u, err := hostUpstream(ctx, fmt.Sprintf("u%d", n), o.tokenTime)
+		if err != nil {
+			return err
+		}
+		objects = append(objects, u)
+	}
+	kv := kvhttp.New(o.platform, kvhttp.DefaultTimeout)
+	for _, obj := range objects {
+		if err := writeRecord(ctx, kv, obj); err != nil {
+			return err
+		}
+	}
+	if err := e.print(Hosted{Upstreams: o.count, Accounts: o.accounts}); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func writeRecord(ctx context.Context, kv platform.KV, obj config.Object) error {
+	record, err := v2.Encode(obj)
+	if err != nil {
+		return err
+	}
+	_, err = kv.Put(ctx, platform.Put{Key: obj.Key().Path(), Value: record, Expect: platform.AnyRevision})
+	return err
+}
+
+// baseRecords are the records beside the hosted upstreams'.
+func (o hostOptions) baseRecords() []config.Object {
+	objects := []config.Object{
+		&config.ModelGroup{Name: "g", Model: "m", Ranks: max(1, min(o.count, config.MaxRanks))},
+		&config.PlainService{Name: "s", NonIdempotent: []config.CallPattern{{Method: "POST", PathPrefix: "/once"}}},
+		&config.Operator{Name: "op", TokenSHA256: []string{config.HashToken("operator")}},
+	}
+	for n := 1; n <= o.accounts; n++ {
+		name := fmt.Sprintf("account-%d", n)
+		objects = append(objects, &config.ClientAccount{Name: name, TokenSHA256: []string{config.HashToken(name)}, Priority: 5})
+	}
+	if o.agent != "" {
+		objects = append(objects, &config.Upstream{Name: "u", VM: "vm-u", DataCentre: "dc1", Address: o.agent, Group: "g"})
+	}
+	if o.plainAgent != "" {
+		objects = append(objects, &config.Upstream{Name: "u", VM: "vm-u", DataCentre: "dc1", Address: o.plainAgent, Service: "s"})
+	}
+	return objects
+}
+
+// hostUpstream starts an engine and its agent and returns their record.
+func hostUpstream(ctx context.Context, name string, tokenTime time.Duration) (*config.Upstream, error) {
+	engineListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	h := engine.New(engine.Options{Capacity: hostedWorkers, TokenTime: tokenTime, PrefillTime: tokenTime}).Handler()
+	go func() { _ = http.Serve(engineListener, h) }()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	a := agent.New(agent.Options{
+		Hello:   wire.Hello{Process: "agent-" + name, Incarnation: name, Role: wire.RoleAgent, DataCentre: "dc1", Upstream: name},
+		Target:  "http://" + engineListener.Addr().String(),
+		Workers: hostedWorkers,
+		Store:   config.NewStore(codec.Decode),
+		Events:  timeline.NewRing("agent-"+name, hostedEvents, clockwork.NewRealClock()),
+		Metrics: metrics.NewRegistry(),
+		Log:     zap.NewNop(),
+	})
+	go func() { _ = a.Serve(ctx, inner) }()
+	return &config.Upstream{Name: name, VM: "vm-" + name, DataCentre: "dc1", Address: inner.Addr().String(), Group: "g"}, nil
+}
--- a/internal/platform/kvhttp/client.go
+++ b/internal/platform/kvhttp/client.go
@@ -146,6 +146,11 @@
 	return fault.New(kind, remedy, "%s answered %d: %.200s", path, status, answer)
 }
 
+// Post sends a JSON body to a path and drops the answer.
+func (c *Client) Post(ctx context.Context, path string, body any) error {
+	return c.call(ctx, c.timeout, path, body, nil)
+}
+
 // Get implements platform.KV.
 func (c *Client) Get(ctx context.Context, key string) (platform.Item, error) {
 	var item platform.Item
