--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,22 +6,24 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/config"
-	"github.com/kingcupreel/kingcupreel/internal/fault"
-	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
 const (
-	// refusalRetry is the Retry-After of a refusal by a full or leaving agent.
-	refusalRetry = 1 * time.Second
-	// loadInterval is how often the agent reports its engine's load.
+	// DefaultStallTimeout and DefaultOrphanTimeout are the defaults of Options.
+	DefaultStallTimeout  = 10 * time.Second
+	DefaultOrphanTimeout = 10 * time.Second
+	// loadInterval is how often the agent reports its engine's load, and
+	// loadTimeout bounds the engine's answer.
 	loadInterval = 500 * time.Millisecond
+	loadTimeout  = 2 * time.Second
 )
 
 // Options are what an agent is built from.
@@ -32,6 +34,14 @@
 	Target string
 	// Workers bounds the attempts that run at once; twice as many may wait.
 	Workers int
+	// StallTimeout is how long an engine may be silent: between two parts of a
+	// stream, or when asked for its load.
+	StallTimeout time.Duration
+	// OrphanTimeout is how long an attempt goes on without its entry's
+	// connection.
+	OrphanTimeout time.Duration
+	// Clock is the real clock when nil.
+	Clock   clockwork.Clock
 	Wire    wire.Options
 	Store   *config.Store
 	Events  *timeline.Ring
@@ -39,6 +49,19 @@
 	Log     *zap.Logger
 }
 
+func (o Options) withDefaults() Options {
+	if o.StallTimeout == 0 {
+		o.StallTimeout = DefaultStallTimeout
+	}
+	if o.OrphanTimeout == 0 {
+		o.OrphanTimeout = DefaultOrphanTimeout
+	}
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	return o
+}
+
 // Agent serves the entries' connections.
 type Agent struct {
 	opts     Options
@@ -55,10 +78,11 @@
 
 // New returns an agent.
 func New(opts Options) *Agent {
+	opts = opts.withDefaults()
 	a := &Agent{
 		opts:     opts,
-		upstream: newUpstream(opts.Target),
-		journal:  newJournal(),
+		upstream: newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
+		journal:  newJournal(journalLimit),
 		queue:    make(chan *run, 2*opts.Workers),
 		conns:    map[*wire.Conn]wire.Hello{},
 		runs:     map[wire.AttemptID]*run{},
@@ -91,21 +115,37 @@
 	_ = c.Send(&hello)
 	err := c.Run(ctx)
 	a.mu.Lock()
-	peer := a.conns[c]
+	peer, known := a.conns[c]
 	delete(a.conns, c)
 	a.mu.Unlock()
+	if !known {
+		a.count("connections.nameless")
+		return
+	}
+	a.journal.disconnect(peer.Incarnation)
+	a.disconnected(c)
 	a.opts.Events.Add(timeline.Event{Kind: timeline.Disconnected, Object: peer.Process, Detail: err.Error()})
 }
 
 // Receive implements wire.Handler.
 func (a *Agent) Receive(c *wire.Conn, m wire.Message) {
+	if hello, ok := m.(*wire.Hello); ok {
+		a.connected(c, *hello)
+		return
+	}
+	if c.Peer().Incarnation == "" {
+		c.Close()
+		return
+	}
 	switch m := m.(type) {
-	case *wire.Hello:
-		a.connected(c, *m)
 	case *wire.Dispatch:
 		a.dispatch(c, m)
 	case *wire.Cancel:
 		a.cancel(c, m)
+	case *wire.Attach:
+		a.attach(c, m)
+	case *wire.Release:
+		a.release(m)
 	case *wire.ConfigSnapshot:
 		a.opts.Store.Apply(m.Revision, recordsOf(m))
 	case *wire.EventsRequest:
@@ -123,9 +163,15 @@
 	return records
 }
 
+// connected takes a connection's Hello; a second one ends the connection.
 func (a *Agent) connected(c *wire.Conn, hello wire.Hello) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if _, again := a.conns[c]; again || hello.Incarnation == "" {
+		c.Close()
+		return
+	}
+	a.journal.connect(hello.Incarnation, hello.Number)
 	a.conns[c] = hello
 	a.opts.Events.Add(timeline.Event{Kind: timeline.Connected, Object: hello.Process})
 	if a.leaving {
@@ -133,62 +179,6 @@
 	}
 }
 
-// dispatch queues an attempt, or refuses it.
-func (a *Agent) dispatch(c *wire.Conn, d *wire.Dispatch) {
-	if err := a.enqueue(c, d); err != nil {
-		e := fault.As(err)
-		a.count("attempts.refused")
-		a.opts.Events.Add(timeline.Event{Kind: timeline.AttemptRefused, Request: d.ID.Request, Attempt: d.ID.Attempt, Detail: e.Message})
-		_ = c.Send(&wire.Refused{ID: d.ID, Reason: e.Kind, Message: e.Error(), RetryAfterMS: e.RetryAfter.Milliseconds()})
-	}
-}
-
-func (a *Agent) enqueue(c *wire.Conn, d *wire.Dispatch) error {
-	if d.ID.Incarnation != a.opts.Hello.Incarnation {
-		return fault.New(fault.Stale, "dispatch to the agent's present incarnation", "the attempt is meant for another incarnation")
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.journal.begin(d.ID) {
-		return fault.New(fault.Conflict, "use a new attempt number", "the attempt was seen or withdrawn before")
-	}
-	r, err := a.admit(c, d)
-	if err != nil {
-		a.journal.set(d.ID, wire.NeverRun)
-		return err
-	}
-	a.runs[d.ID] = r
-	a.active.Add(1)
-	_ = c.Send(&wire.Accepted{ID: d.ID})
-	return nil
-}
-
-// admit puts a run in the queue. The caller holds mu.
-func (a *Agent) admit(c *wire.Conn, d *wire.Dispatch) (*run, error) {
-	if a.leaving {
-		return nil, fault.New(fault.Unavailable, "use another upstream", "the upstream is leaving").After(refusalRetry)
-	}
-	r := newRun(context.Background(), d, c)
-	select {
-	case a.queue <- r:
-		return r, nil
-	default:
-		r.cancel()
-		return nil, fault.New(fault.Overloaded, "use another upstream", "the upstream's queue is full").After(refusalRetry)
-	}
-}
-
-// cancel stops or fences an attempt and tells the entry its state.
-func (a *Agent) cancel(c *wire.Conn, m *wire.Cancel) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	state := a.journal.fence(m.ID)
-	if r := a.runs[m.ID]; r != nil {
-		r.cancel()
-	}
-	_ = c.Send(&wire.Verdict{ID: m.ID, State: state})
-}
-
 // work takes runs from the queue until ctx is done.
 func (a *Agent) work(ctx context.Context) {
 	for {
@@ -201,49 +191,47 @@
 	}
 }
 
-func (a *Agent) execute(r *run) {
-	id := r.dispatch.ID
-	defer a.finish(r)
-	if r.ctx.Err() != nil {
-		a.journal.set(id, wire.NeverRun)
-		r.done(outcome.NotRun, fault.New(fault.Timeout, "send the request again", "withdrawn before it ran"))
-		return
-	}
-	a.opts.Events.Add(timeline.Event{Kind: timeline.AttemptStarted, Request: id.Request, Attempt: id.Attempt})
-	o, err := a.upstream.run(r)
-	state := wire.Ended
-	if o == outcome.NotRun {
-		state = wire.NeverRun
-	}
-	a.journal.set(id, state)
-	r.done(o, err)
-	a.count("attempts." + string(o))
-	a.opts.Events.Add(timeline.Event{Kind: timeline.AttemptEnded, Request: id.Request, Attempt: id.Attempt, Detail: string(o)})
-}
-
-func (a *Agent) finish(r *run) {
-	r.cancel()
-	a.mu.Lock()
-	delete(a.runs, r.dispatch.ID)
-	a.mu.Unlock()
-	a.active.Done()
-}
-
-// reportLoad sends the engine's load to every entry.
+// reportLoad sends the engine's load to every entry, and gives up its
+// attempts when the engine stays silent.
 func (a *Agent) reportLoad(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
+	heard := a.opts.Clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		load, err := a.upstream.load(ctx)
-		if err != nil {
+		if !a.servesModel() {
 			continue
 		}
-		a.broadcast(&load)
+		load, err := a.upstream.load(ctx)
+		switch {
+		case err == nil:
+			heard = a.opts.Clock.Now()
+			a.broadcast(&load)
+		case a.opts.Clock.Since(heard) >= a.opts.StallTimeout:
+			a.giveUpStalled()
+		}
+	}
+}
+
+// servesModel says whether the upstream's record names a model group: only
+// engines are asked for their load.
+func (a *Agent) servesModel() bool {
+	u := a.opts.Store.Current().Upstreams[a.opts.Hello.Upstream]
+	return u != nil && u.Group != ""
+}
+
+// giveUpStalled ends the running attempts that may run again elsewhere.
+func (a *Agent) giveUpStalled() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.runs {
+		if !r.dispatch.NonIdempotent {
+			r.cancel(errStalled)
+		}
 	}
 }
 
@@ -260,25 +248,4 @@
 	a.broadcast(&wire.ConfigDigest{Revision: s.Revision})
 }
 
-// Leave refuses new work, tells every entry, and waits until the work in
-// flight has ended or ctx is done.
-func (a *Agent) Leave(ctx context.Context) error {
-	a.mu.Lock()
-	a.leaving = true
-	a.mu.Unlock()
-	a.opts.Events.Add(timeline.Event{Kind: timeline.UpstreamLeaving, Object: a.opts.Hello.Upstream})
-	a.broadcast(&wire.Leaving{})
-	ended := make(chan struct{})
-	go func() {
-		a.active.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (a *Agent) count(name string) { telemetry.Counter(a.opts.Metrics, name).Inc(1) }
--- /dev/null
+++ b/internal/agent/attempts.go
@@ -0,0 +1,186 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// refusalRetry is the Retry-After of a refusal by a full or leaving agent.
+	refusalRetry = 1 * time.Second
+	// lingerTimeout bounds how long an ended run waits for its entry's Release.
+	lingerTimeout = 10 * time.Second
+)
+
+// dispatch queues an attempt, or refuses it.
+func (a *Agent) dispatch(c *wire.Conn, d *wire.Dispatch) {
+	if err := a.enqueue(c, d); err != nil {
+		e := fault.As(err)
+		a.count("attempts.refused")
+		a.opts.Events.Add(timeline.Event{Kind: timeline.AttemptRefused, Request: d.ID.Request, Attempt: d.ID.Attempt, Detail: e.Message})
+		_ = c.Send(&wire.Refused{ID: d.ID, Reason: e.Kind, Message: e.Error(), RetryAfterMS: e.RetryAfter.Milliseconds()})
+	}
+}
+
+func (a *Agent) enqueue(c *wire.Conn, d *wire.Dispatch) error {
+	if d.ID.Incarnation != a.opts.Hello.Incarnation {
+		return fault.New(fault.Stale, "dispatch to the agent's present incarnation", "the attempt is meant for another incarnation")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.journal.begin(c.Peer().Incarnation, d.ID) {
+		return fault.New(fault.Conflict, "use a new attempt number", "the attempt was seen or withdrawn before, or is too old")
+	}
+	r, err := a.admit(c, d)
+	if err != nil {
+		a.journal.set(d.ID, wire.NeverRun)
+		return err
+	}
+	a.runs[d.ID] = r
+	a.active.Add(1)
+	_ = c.Send(&wire.Accepted{ID: d.ID})
+	return nil
+}
+
+// admit puts a run in the queue. The caller holds mu.
+func (a *Agent) admit(c *wire.Conn, d *wire.Dispatch) (*run, error) {
+	if a.leaving {
+		return nil, fault.New(fault.Unavailable, "use another upstream", "the upstream is leaving").After(refusalRetry)
+	}
+	r := newRun(d, c)
+	select {
+	case a.queue <- r:
+		return r, nil
+	default:
+		r.close()
+		return nil, fault.New(fault.Overloaded, "use another upstream", "the upstream's queue is full").After(refusalRetry)
+	}
+}
+
+// cancel stops or fences an attempt and tells the entry its state.
+func (a *Agent) cancel(c *wire.Conn, m *wire.Cancel) {
+	_ = c.Send(&wire.Verdict{ID: m.ID, State: a.stop(c, m)})
+}
+
+func (a *Agent) stop(c *wire.Conn, m *wire.Cancel) wire.AttemptState {
+	if m.ID.Incarnation != a.opts.Hello.Incarnation {
+		return wire.Forgotten
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := a.runs[m.ID]
+	if r == nil {
+		return a.journal.fence(c.Peer().Incarnation, m.ID)
+	}
+	if r.withdraw() {
+		a.journal.set(m.ID, wire.NeverRun)
+		a.remove(r)
+		return wire.NeverRun
+	}
+	state := a.journal.fence(c.Peer().Incarnation, m.ID)
+	if !m.Waiting {
+		a.remove(r)
+	}
+	return state
+}
+
+// attach gives an attempt's answer to another connection of its entry.
+func (a *Agent) attach(c *wire.Conn, m *wire.Attach) {
+	if m.ID.Incarnation != a.opts.Hello.Incarnation {
+		_ = c.Send(&wire.Verdict{ID: m.ID, State: wire.Forgotten})
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count("attempts.attached")
+	if r := a.runs[m.ID]; r != nil && r.attach(c, m.After) {
+		return
+	}
+	_ = c.Send(&wire.Verdict{ID: m.ID, State: a.journal.fence(c.Peer().Incarnation, m.ID)})
+}
+
+// release forgets the answer of an attempt whose end the entry has.
+func (a *Agent) release(m *wire.Release) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r := a.runs[m.ID]; r != nil {
+		a.remove(r)
+	}
+}
+
+// remove drops a run and stops it if it still runs. The caller holds mu.
+func (a *Agent) remove(r *run) {
+	if a.runs[r.dispatch.ID] != r {
+		return
+	}
+	delete(a.runs, r.dispatch.ID)
+	r.close()
+	a.active.Done()
+}
+
+// execute runs one attempt to its end.
+func (a *Agent) execute(r *run) {
+	id := r.dispatch.ID
+	if !r.start() {
+		if r.withdraw() {
+			a.journal.set(id, wire.NeverRun)
+			a.end(r, outcome.NotRun, fault.New(fault.Timeout, "allow more time with Request-Timeout", "the deadline passed before it ran"))
+		}
+		return
+	}
+	a.opts.Events.Add(timeline.Event{Kind: timeline.AttemptStarted, Request: id.Request, Attempt: id.Attempt})
+	o, err := a.upstream.run(r)
+	state := wire.Ended
+	if o == outcome.NotRun {
+		state = wire.NeverRun
+	}
+	a.journal.set(id, state)
+	a.end(r, o, err)
+}
+
+// end tells the entry how an attempt ended and keeps the answer until the entry
+// has it.
+func (a *Agent) end(r *run, o outcome.Outcome, err error) {
+	id := r.dispatch.ID
+	r.done(o, err)
+	a.count("attempts." + string(o))
+	a.opts.Events.Add(timeline.Event{Kind: timeline.AttemptEnded, Request: id.Request, Attempt: id.Attempt, Detail: string(o)})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.runs[id] != r {
+		return
+	}
+	r.setTimer(a.opts.Clock, lingerTimeout, func() { a.release(&wire.Release{ID: id}) })
+}
+
+// disconnected leaves the runs of a lost connection without a sink. Those that
+// no entry attaches to in time are stopped, but for a non-idempotent call that
+// the upstream has: it goes on to its deadline.
+func (a *Agent) disconnected(c *wire.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.runs {
+		if r.detach(c) && r.orphaned() {
+			r.setTimer(a.opts.Clock, a.opts.OrphanTimeout, func() { a.stopOrphan(r) })
+		}
+	}
+}
+
+func (a *Agent) stopOrphan(r *run) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.runs[r.dispatch.ID] != r || !r.orphaned() {
+		return
+	}
+	if r.withdraw() {
+		a.journal.set(r.dispatch.ID, wire.NeverRun)
+	} else if r.dispatch.NonIdempotent {
+		return
+	}
+	a.count("attempts.orphaned")
+	a.remove(r)
+}
--- a/internal/agent/journal.go
+++ b/internal/agent/journal.go
@@ -6,47 +6,99 @@
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
-// journalLimit bounds the attempts that the journal covers.
-const journalLimit = 1 << 16
+// journalLimit bounds the attempts that the journal holds.
+const journalLimit = 1 << 13
 
-// journal remembers every attempt of this incarnation, newest journalLimit of
-// them. Invariant: an attempt enters the journal once, either as started or as
-// fenced, and a fenced attempt is never started.
+// journal remembers the attempts of this incarnation, the newest limit of them.
+// Each entry's incarnation numbers its dispatches, and for each the journal
+// knows the number up to which it no longer covers them.
+//
+// Invariants: an attempt enters the journal once, as begun or as fenced, and a
+// fenced attempt never begins; an attempt that isn't covered neither begins
+// nor is vouched for.
 type journal struct {
+	limit int
+
 	mu      sync.Mutex
 	states  map[wire.AttemptID]wire.AttemptState
-	order   []wire.AttemptID
-	dropped bool
+	order   []journalKey
+	entries map[string]*coverage
+}
+
+// journalKey names an attempt and the entry's incarnation that made it.
+type journalKey struct {
+	entry string
+	id    wire.AttemptID
 }
 
-func newJournal() *journal {
-	return &journal{states: map[wire.AttemptID]wire.AttemptState{}}
+// coverage is what the journal knows of one entry's incarnation: every
+// dispatch numbered above floor is in the journal or never came.
+type coverage struct {
+	floor uint64
+	// conns and held count its connections and its attempts in the journal.
+	conns, held int
 }
 
-// begin records an attempt as running; false means that the journal already
-// has it and it must not run.
-func (j *journal) begin(id wire.AttemptID) bool {
+func newJournal(limit int) *journal {
+	return &journal{limit: limit, states: map[wire.AttemptID]wire.AttemptState{}, entries: map[string]*coverage{}}
+}
+
+// connect notes a connection of an entry whose last dispatch has the given
+// number. Earlier dispatches of an unknown entry aren't covered.
+func (j *journal) connect(entry string, number uint64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if _, seen := j.states[id]; seen {
+	c := j.entries[entry]
+	if c == nil {
+		c = &coverage{floor: number}
+		j.entries[entry] = c
+	}
+	c.conns++
+}
+
+// disconnect notes the end of a connection.
+func (j *journal) disconnect(entry string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c := j.entries[entry]; c != nil {
+		c.conns--
+		j.forget(entry, c)
+	}
+}
+
+// forget drops an entry without connections and attempts. A dispatch comes
+// only on a connection, and the next one sets the floor anew. The caller holds
+// mu.
+func (j *journal) forget(entry string, c *coverage) {
+	if c.conns == 0 && c.held == 0 {
+		delete(j.entries, entry)
+	}
+}
+
+// begin records an attempt as running; false means that it must not run: the
+// journal has it already, or no longer covers it.
+func (j *journal) begin(entry string, id wire.AttemptID) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if _, seen := j.states[id]; seen || !j.covers(entry, id) {
 		return false
 	}
-	j.insert(id, wire.Running)
+	j.insert(entry, id, wire.Running)
 	return true
 }
 
 // fence answers a Cancel: an attempt that has not been seen is fenced, so that
 // a late dispatch is refused.
-func (j *journal) fence(id wire.AttemptID) wire.AttemptState {
+func (j *journal) fence(entry string, id wire.AttemptID) wire.AttemptState {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if state, seen := j.states[id]; seen {
 		return state
 	}
-	j.insert(id, wire.NeverRun)
-	if j.dropped {
+	if !j.covers(entry, id) {
 		return wire.Forgotten
 	}
+	j.insert(entry, id, wire.NeverRun)
 	return wire.NeverSeen
 }
 
@@ -59,15 +111,31 @@
 	}
 }
 
-// insert adds an attempt and drops the oldest over the limit. The caller holds
+// covers says whether an unseen attempt certainly never came. The caller holds
 // mu.
-func (j *journal) insert(id wire.AttemptID, state wire.AttemptState) {
+func (j *journal) covers(entry string, id wire.AttemptID) bool {
+	c := j.entries[entry]
+	return c != nil && id.Number > c.floor
+}
+
+// insert adds an attempt of a known entry and drops the oldest over the limit.
+// The caller holds mu.
+func (j *journal) insert(entry string, id wire.AttemptID, state wire.AttemptState) {
 	j.states[id] = state
-	j.order = append(j.order, id)
-	if len(j.order) <= journalLimit {
-		return
+	j.order = append(j.order, journalKey{entry, id})
+	j.entries[entry].held++
+	if len(j.order) > j.limit {
+		j.drop(j.order[0])
+		j.order = j.order[1:]
 	}
-	delete(j.states, j.order[0])
-	j.order = j.order[1:]
-	j.dropped = true
+}
+
+// drop removes an attempt and raises its entry's floor over it. The caller
+// holds mu.
+func (j *journal) drop(k journalKey) {
+	delete(j.states, k.id)
+	c := j.entries[k.entry]
+	c.floor = max(c.floor, k.id.Number)
+	c.held--
+	j.forget(k.entry, c)
 }
--- /dev/null
+++ b/internal/agent/leave.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+// handOnTimeout bounds the wait for the entries to take over what a leaving
+// agent hands on.
+const handOnTimeout = 2 * time.Second
+
+// errHandOn ends a run that outlasts a leaving agent.
+var errHandOn = fault.New(fault.Unavailable, "the stream goes on at another upstream", "the upstream left before the answer was whole")
+
+// Leave refuses new work, tells every entry, and waits until the work in
+// flight has ended and the entries have it. What is left when ctx is done is
+// handed on: waiting and running attempts end with an error that lets the
+// entry go on elsewhere.
+func (a *Agent) Leave(ctx context.Context) error {
+	a.mu.Lock()
+	a.leaving = true
+	a.mu.Unlock()
+	a.opts.Events.Add(timeline.Event{Kind: timeline.UpstreamLeaving, Object: a.opts.Hello.Upstream})
+	a.broadcast(&wire.Leaving{})
+	ended := make(chan struct{})
+	go func() {
+		a.active.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+	}
+	a.handOn()
+	select {
+	case <-ended:
+		return nil
+	case <-a.opts.Clock.After(handOnTimeout):
+		return ctx.Err()
+	}
+}
+
+// handOn ends every attempt so that its entry can go on elsewhere.
+func (a *Agent) handOn() {
+	a.mu.Lock()
+	runs := make([]*run, 0, len(a.runs))
+	for _, r := range a.runs {
+		runs = append(runs, r)
+	}
+	a.mu.Unlock()
+	for _, r := range runs {
+		if r.withdraw() {
+			a.journal.set(r.dispatch.ID, wire.NeverRun)
+			a.end(r, outcome.NotRun, errHandOn)
+			continue
+		}
+		r.cancel(errHandOn)
+	}
+}
--- /dev/null
+++ b/internal/agent/replay.go
@@ -0,0 +1,40 @@
+package agent
+
+import "github.com/kingcupreel/kingcupreel/internal/wire"
+
+// replayLimit bounds the chunks that a run keeps for a repetition, in bytes of
+// data. The newest chunk is always kept.
+const replayLimit = 1 << 20
+
+// replay keeps the newest chunks of a run's answer. The zero value is empty.
+type replay struct {
+	chunks []*wire.Chunk
+	size   int
+	// dropped is the number of the last chunk that is no longer kept.
+	dropped uint64
+}
+
+// startAt makes the first chunk's number follow seq.
+func (p *replay) startAt(seq uint64) { p.dropped = seq }
+
+// add keeps a chunk and drops the oldest over the limit.
+func (p *replay) add(c *wire.Chunk, limit int) {
+	p.chunks = append(p.chunks, c)
+	p.size += len(c.Data)
+	for p.size > limit && len(p.chunks) > 1 {
+		p.size -= len(p.chunks[0].Data)
+		p.dropped = p.chunks[0].Seq
+		p.chunks[0] = nil
+		p.chunks = p.chunks[1:]
+	}
+}
+
+// after returns the chunks that follow number seq; false means that some of
+// them are no longer kept.
+func (p *replay) after(seq uint64) ([]*wire.Chunk, bool) {
+	if seq < p.dropped {
+		return nil, false
+	}
+	skip := min(seq-p.dropped, uint64(len(p.chunks)))
+	return p.chunks[skip:], true
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -3,57 +3,182 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
-// run is one attempt at the upstream.
+// phase is where a run stands.
+type phase int
+
+// The phases. A run goes from waiting to running to ended, or from waiting to
+// withdrawn.
+const (
+	waiting phase = iota
+	running
+	ended
+	withdrawn
+)
+
+// run is one attempt at the upstream, with what the entry needs to attach to it
+// again.
 type run struct {
 	dispatch *wire.Dispatch
 	ctx      context.Context
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 
-	mu   sync.Mutex
-	sink *wire.Conn
-	seq  uint64
+	mu    sync.Mutex
+	phase phase
+	// sink is the connection that gets the answer; nil while there is none.
+	sink   *wire.Conn
+	seq    uint64
+	head   *wire.Head
+	replay replay
+	end    *wire.Done
+	// timer ends a run without a sink, or removes one that has ended.
+	timer clockwork.Timer
 }
 
-func newRun(ctx context.Context, d *wire.Dispatch, sink *wire.Conn) *run {
-	ctx, cancel := context.WithCancel(ctx)
-	return &run{dispatch: d, ctx: ctx, cancel: cancel, sink: sink, seq: d.ResumeFrom}
+// newRun returns a waiting run whose context ends at the caller's deadline.
+func newRun(d *wire.Dispatch, sink *wire.Conn) *run {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	if d.TimeoutMS > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, time.Duration(d.TimeoutMS)*time.Millisecond)
+		context.AfterFunc(ctx, stop)
+	}
+	r := &run{dispatch: d, ctx: ctx, cancel: cancel, sink: sink, seq: d.ResumeFrom}
+	r.replay.startAt(d.ResumeFrom)
+	return r
 }
 
-// send passes a message to the entry. A lost connection loses the message; the
-// entry finds the gap.
-func (r *run) send(m wire.Message) {
+// start moves a waiting run to running; false means that it must not run.
+func (r *run) start() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_ = r.sink.Send(m)
+	if r.phase != waiting || r.ctx.Err() != nil {
+		return false
+	}
+	r.phase = running
+	return true
 }
 
-// head sends the status line of the answer.
-func (r *run) head(status int, contentType string) {
-	r.send(&wire.Head{ID: r.dispatch.ID, Status: status, ContentType: contentType})
+// withdraw ends a waiting run before the upstream has it; false means that it
+// is too late.
+func (r *run) withdraw() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.phase != waiting {
+		return false
+	}
+	r.phase = withdrawn
+	return true
 }
 
-// chunk sends the next part of the answer.
+// sendHead sends the status line of the answer.
+func (r *run) sendHead(status int, contentType string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.head = &wire.Head{ID: r.dispatch.ID, Status: status, ContentType: contentType}
+	r.send(r.head)
+}
+
+// chunk sends the next part of the answer and keeps it for a repetition.
 func (r *run) chunk(data []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seq++
-	_ = r.sink.Send(&wire.Chunk{ID: r.dispatch.ID, Seq: r.seq, Data: data})
+	c := &wire.Chunk{ID: r.dispatch.ID, Seq: r.seq, Data: data}
+	r.replay.add(c, replayLimit)
+	r.send(c)
 }
 
 // done ends the attempt.
 func (r *run) done(o outcome.Outcome, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := &wire.Done{ID: r.dispatch.ID, Chunks: r.seq, Outcome: o}
+	r.phase = ended
+	r.end = &wire.Done{ID: r.dispatch.ID, Chunks: r.seq, Outcome: o}
 	if err != nil {
 		e := fault.As(err)
-		m.Reason, m.Message = e.Kind, e.Error()
+		r.end.Reason, r.end.Message = e.Kind, e.Error()
+	}
+	r.send(r.end)
+}
+
+// send passes a message to the entry, if there is one. The caller holds mu.
+func (r *run) send(m wire.Message) {
+	if r.sink != nil {
+		_ = r.sink.Send(m)
+	}
+}
+
+// attach makes c the sink and repeats the answer after number seq; false means
+// that the run no longer keeps all of it.
+func (r *run) attach(c *wire.Conn, seq uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	chunks, ok := r.replay.after(seq)
+	if !ok {
+		return false
 	}
-	_ = r.sink.Send(m)
+	r.sink = c
+	if r.phase != ended {
+		r.stopTimer()
+	}
+	if r.head != nil {
+		r.send(r.head)
+	}
+	for _, chunk := range chunks {
+		r.send(chunk)
+	}
+	if r.end != nil {
+		r.send(r.end)
+	}
+	return true
+}
+
+// detach takes c away as the sink; false means that it wasn't the sink.
+func (r *run) detach(c *wire.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.sink != c {
+		return false
+	}
+	r.sink = nil
+	return true
+}
+
+// orphaned says whether a run that has not ended has no sink.
+func (r *run) orphaned() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sink == nil && r.phase != ended
+}
+
+// setTimer replaces the run's timer.
+func (r *run) setTimer(clock clockwork.Clock, d time.Duration, f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopTimer()
+	r.timer = clock.AfterFunc(d, f)
+}
+
+// stopTimer stops the run's timer. The caller holds mu.
+func (r *run) stopTimer() {
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+}
+
+// close frees the run's timer and context.
+func (r *run) close() {
+	r.mu.Lock()
+	r.stopTimer()
+	r.mu.Unlock()
+	r.cancel(context.Canceled)
 }
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/kingcupreel/kingcupreel/internal/engineapi"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
@@ -30,17 +32,22 @@
 
 // upstream calls the engine or plain service on this VM.
 type upstream struct {
-	base string
-	http *http.Client
+	base  string
+	http  *http.Client
+	stall time.Duration
+	clock clockwork.Clock
 }
 
-func newUpstream(base string) *upstream {
+// errStalled ends a run whose engine went silent.
+var errStalled = fault.New(fault.Unavailable, "send the request again", "the upstream went silent")
+
+func newUpstream(base string, stall time.Duration, clock clockwork.Clock) *upstream {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
 	}
-	return &upstream{base: base, http: &http.Client{Transport: transport}}
+	return &upstream{base: base, http: &http.Client{Transport: transport}, stall: stall, clock: clock}
 }
 
 // run executes an attempt and reports it through r. It returns when the
@@ -52,30 +59,43 @@
 	}
 	resp, err := u.http.Do(req)
 	if err != nil {
-		return callError(err)
+		return callError(r, err)
 	}
 	defer resp.Body.Close()
 	contentType := resp.Header.Get("Content-Type")
-	r.head(resp.StatusCode, contentType)
+	r.sendHead(resp.StatusCode, contentType)
 	if strings.HasPrefix(contentType, "text/event-stream") {
-		err = relayEvents(r, resp.Body)
+		err = u.relayEvents(r, resp.Body)
 	} else {
 		err = relayBody(r, resp.Body)
 	}
 	if err != nil {
-		return outcome.Failed, fault.Wrap(fault.Crashed, err, "send the request again", "the upstream broke off its answer")
+		return outcome.Failed, breakOff(r, err, "the upstream broke off its answer")
 	}
 	return outcome.Completed, nil
 }
 
+// breakOff names why a call ended early: the agent's own reason, the caller's
+// deadline, or else a crash of the upstream.
+func breakOff(r *run, err error, message string) error {
+	var own *fault.Error
+	switch cause := context.Cause(r.ctx); {
+	case errors.As(cause, &own):
+		return own
+	case cause != nil:
+		return fault.Wrap(fault.Timeout, cause, "allow more time with Request-Timeout", "the call was given up")
+	}
+	return fault.Wrap(fault.Crashed, err, "send the request again", "%s", message)
+}
+
 // callError says what is known of a call without an answer: a refused
 // connection means that the upstream never had it.
-func callError(err error) (outcome.Outcome, error) {
+func callError(r *run, err error) (outcome.Outcome, error) {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return outcome.NotRun, fault.Wrap(fault.Unavailable, err, "send the request again", "the upstream takes no connections")
 	}
-	return outcome.Unknown, fault.Wrap(fault.Crashed, err, "send the request again", "the upstream gave no answer")
+	return outcome.Unknown, breakOff(r, err, "the upstream gave no answer")
 }
 
 func (u *upstream) request(r *run) (*http.Request, error) {
@@ -107,7 +127,7 @@
 	if err := json.Unmarshal(d.Body, &fields); err != nil {
 		return nil, fault.Wrap(fault.Invalid, err, "send a JSON object", "decoding the body")
 	}
-	resume, err := json.Marshal(engineapi.Resume{Tokens: int(d.ResumeFrom), Text: d.ResumeText})
+	resume, err := json.Marshal(engineapi.Resume{Tokens: d.ResumeTokens, Text: d.ResumeText})
 	if err != nil {
 		return nil, err
 	}
@@ -116,24 +136,32 @@
 }
 
 // relayEvents sends each server-sent event as a chunk. A stream that ends
-// without its last event is broken.
-func relayEvents(r *run, body io.Reader) error {
+// without its last event is broken; one that pauses for longer than the stall
+// timeout is given up.
+func (u *upstream) relayEvents(r *run, body io.Reader) error {
+	stalled := u.clock.AfterFunc(u.stall, func() { r.cancel(errStalled) })
+	defer stalled.Stop()
 	br := bufio.NewReaderSize(body, 16<<10)
 	var event []byte
+	partial := false
 	for {
 		line, err := br.ReadSlice('\n')
-		if err != nil {
+		tooLong := errors.Is(err, bufio.ErrBufferFull)
+		if err != nil && !tooLong {
 			return io.ErrUnexpectedEOF
 		}
+		stalled.Reset(u.stall)
 		event = append(event, line...)
 		if len(event) > maxEvent {
 			return fault.New(fault.TooLarge, "send smaller events", "event over %d bytes", maxEvent)
 		}
-		if len(line) > 1 {
+		blank := !partial && len(bytes.TrimSpace(line)) == 0
+		partial = tooLong
+		if !blank {
 			continue
 		}
 		r.chunk(event)
-		if string(event) == engineapi.StreamEnd {
+		if engineapi.IsStreamEnd(event) {
 			return nil
 		}
 		event = nil
@@ -159,6 +187,8 @@
 
 // load asks the engine for its load.
 func (u *upstream) load(ctx context.Context) (wire.Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.base+engineapi.PathLoad, http.NoBody)
 	if err != nil {
 		return wire.Load{}, err
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -28,7 +28,7 @@
 	p.hello.Upstream = s.Upstream
 	a := agent.New(agent.Options{
 		Hello: p.hello, Target: s.Target, Workers: s.Workers, Wire: p.wire, Store: p.store,
-		Events: p.events, Metrics: p.metrics, Log: p.log,
+		StallTimeout: s.StallTimeout, OrphanTimeout: s.OrphanTimeout, Events: p.events, Metrics: p.metrics, Log: p.log,
 	})
 	inner := &innerServer{listener: listeners["inner"], serve: a.Serve}
 	ops := httpServer(listeners["ops"], agentHandler(p))
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/entry"
@@ -46,10 +47,7 @@
 	caller := httpServer(listeners["caller"], e.CallerHandler())
 	ops := httpServer(listeners["ops"], e.OperatorHandler())
 	inner := &innerServer{listener: listeners["inner"], serve: peers.Serve}
-	drain := func(context.Context) error {
-		e.Drain()
-		return nil
-	}
+	drain := func(ctx context.Context) error { return drainEntry(ctx, e, caller, s.DrainNotice) }
 	app := p.newApp(ctx, s.Common, drain, kratos.Server(caller, ops, inner))
 	p.events.Add(timeline.Event{Kind: timeline.Started})
 	p.log.Info("entry started", zap.String("data_centre", s.DataCentre))
@@ -57,6 +55,18 @@
 	return app.Run()
 }
 
+// drainEntry turns the entry's readiness negative, still takes requests for the
+// notice, so that the platform's balancer sees it, and then waits for the
+// requests in flight.
+func drainEntry(ctx context.Context, e *entry.Entry, caller *khttp.Server, notice time.Duration) error {
+	e.Drain()
+	select {
+	case <-time.After(notice):
+	case <-ctx.Done():
+	}
+	return caller.Stop(ctx)
+}
+
 // pollVMs reads the VM list at jittered intervals until ctx is done.
 func pollVMs(ctx context.Context, list platform.VMList, view *membership.View, interval time.Duration) {
 	for ctx.Err() == nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	s := settings.Agent{Common: common("agent-" + u.Name), Upstream: u.Name, Target: target, Workers: 64}
+	s := settings.Agent{Common: common("agent-" + u.Name), Upstream: u.Name, Target: target, Workers: 64, StallTimeout: 10 * time.Second, OrphanTimeout: 10 * time.Second}
 	ready, err := startDaemon(func(out io.Writer) error { return daemon.RunAgent(ctx, s, out) })
 	if err != nil {
 		return err
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -3,7 +3,10 @@
 // it.
 package engineapi
 
-import "strings"
+import (
+	"bytes"
+	"strings"
+)
 
 // Paths of an engine.
 const (
@@ -22,6 +25,12 @@
 // StreamEnd is the last event of a stream.
 const StreamEnd = "data: [DONE]\n\n"
 
+// IsStreamEnd says whether an event is a stream's last.
+func IsStreamEnd(event []byte) bool {
+	data, ok := bytes.CutPrefix(event, []byte("data:"))
+	return ok && string(bytes.TrimSpace(data)) == "[DONE]"
+}
+
 // Message is one message of a chat.
 type Message struct {
 	Role    string `json:"role"`
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
@@ -15,47 +17,63 @@
 // HeaderRequestID names the request in every answer.
 const HeaderRequestID = "Kingcupreel-Request"
 
+// stallTimeout bounds how long a caller may leave a part of a stream unread.
+const stallTimeout = 30 * time.Second
+
 // answer writes one caller's answer: a stream as it comes, anything else whole
-// at the end. Invariant: each chunk number is written once, in order.
+// at the end. The caller of chunk keeps the order.
 type answer struct {
-	w       http.ResponseWriter
-	stream  bool
-	started bool
+	w http.ResponseWriter
+	// wantStream says that the caller asked for a stream, stream that the
+	// answer is one.
+	wantStream, stream bool
+	started            bool
 
 	status      int
 	contentType string
 	chunks      uint64
 	body        []byte
+	transcript  transcript
 }
 
 func newAnswer(w http.ResponseWriter, id string, stream bool) *answer {
 	w.Header().Set(HeaderRequestID, id)
-	return &answer{w: w, stream: stream}
+	return &answer{w: w, wantStream: stream}
 }
 
-// head keeps the status and starts a stream.
+// head keeps the status and starts a stream. A stream that has begun keeps its
+// own.
 func (a *answer) head(status int, contentType string) {
+	if a.started {
+		return
+	}
 	a.status, a.contentType = status, contentType
-	a.stream = a.stream && status == http.StatusOK
+	a.stream = a.wantStream && status == http.StatusOK
 }
 
-// chunk takes the next part. A repeated part is ignored; a gap is an error.
-func (a *answer) chunk(seq uint64, data []byte) error {
-	if seq <= a.chunks {
-		return nil
-	}
-	if seq != a.chunks+1 {
-		return fault.New(fault.Crashed, "send the request again", "part %d of the answer is missing", a.chunks+1)
-	}
-	a.chunks = seq
+// reset forgets an answer of which the caller has nothing.
+func (a *answer) reset() {
+	a.status, a.contentType, a.chunks, a.body = 0, "", 0, nil
+	a.transcript = transcript{}
+}
+
+// chunk takes the next part.
+func (a *answer) chunk(data []byte) error {
+	a.chunks++
 	if !a.stream {
 		return a.keep(data)
 	}
 	a.start()
+	control := http.NewResponseController(a.w)
+	_ = control.SetWriteDeadline(time.Now().Add(stallTimeout))
 	if _, err := a.w.Write(data); err != nil {
-		return fault.Wrap(fault.Unavailable, err, "keep the connection open", "the caller left")
+		return fault.Wrap(fault.Timeout, err, "keep the connection open and read the answer", "the caller left")
+	}
+	a.transcript.add(data)
+	if err := control.Flush(); err != nil {
+		return fault.Wrap(fault.Timeout, err, "keep the connection open and read the answer", "the caller left")
 	}
-	return http.NewResponseController(a.w).Flush()
+	return nil
 }
 
 func (a *answer) keep(data []byte) error {
@@ -80,6 +98,7 @@
 
 // finish writes the end of the answer with its outcome.
 func (a *answer) finish(r result) {
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(stallTimeout))
 	a.w.Header().Set(outcome.Header, string(r.outcome))
 	switch {
 	case a.started && r.outcome != outcome.Completed:
@@ -87,6 +106,9 @@
 	case a.started:
 	case r.outcome == outcome.Completed:
 		a.w.Header().Set("Content-Type", a.contentType)
+		if after := retryAfter(a.status, 0); after > 0 {
+			a.w.Header().Set("Retry-After", fault.RetryAfterSeconds(after))
+		}
 		a.w.WriteHeader(a.status)
 		_, _ = a.w.Write(a.body)
 	default:
@@ -112,9 +134,18 @@
 	h := w.Header()
 	h.Set(outcome.Header, string(o))
 	h.Set("Content-Type", "application/json")
-	if e.RetryAfter > 0 {
-		h.Set("Retry-After", fault.RetryAfterSeconds(e.RetryAfter))
+	if after := retryAfter(e.Status(), e.RetryAfter); after > 0 {
+		h.Set("Retry-After", fault.RetryAfterSeconds(after))
 	}
 	w.WriteHeader(e.Status())
 	_ = json.NewEncoder(w).Encode(errorBody{Error: e, Outcome: o})
 }
+
+// retryAfter returns the given time to wait, or else a jittered one when the
+// status asks the caller to come back.
+func retryAfter(status int, given time.Duration) time.Duration {
+	if given > 0 || status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
+		return given
+	}
+	return unavailableRetry + rand.N(2*unavailableRetry)
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -60,6 +60,9 @@
 func (e *Entry) caller(parse parser) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.count("requests.received")
+		if e.Draining() {
+			w.Header().Set("Connection", "close")
+		}
 		p, cancel, err := e.prepare(&r, w, parse)
 		if err != nil {
 			e.count("requests.rejected")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/membership"
+	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/platform"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
@@ -42,7 +43,10 @@
 	opts     Options
 	links    linkTable
 	draining atomic.Bool
-	gather   gatherTable
+	// dispatches numbers the dispatches of this incarnation.
+	dispatches atomic.Uint64
+	budget     *outcome.Budget
+	gather     gatherTable
 	// peerMux routes the messages of other entries, agentMux those of agents
 	// that belong to no attempt. Both are filled before the entry starts.
 	peerMux  wire.Mux
@@ -55,9 +59,13 @@
 		opts.Picker = lockedPicker{picker: balance.TwoChoices{Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}, mu: new(sync.Mutex)}
 	}
 	e := &Entry{opts: opts, links: linkTable{links: map[string]*link{}}, gather: gatherTable{waits: map[uint64]chan []timeline.Event{}}}
+	e.budget = outcome.NewBudget(outcome.DefaultRetryShare, outcome.DefaultRetryReserve, outcome.DefaultRetryLimit)
 	e.peerMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	e.agentMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	opts.Store.OnChange(func(s *config.Snapshot) { e.configApplied(ctx, s) })
+	if opts.View != nil {
+		opts.View.OnChange(e.viewChanged)
+	}
 	return e
 }
 
@@ -90,9 +98,23 @@
 func (e *Entry) Hello() *wire.Hello {
 	h := e.opts.Hello
 	h.Revision = e.opts.Store.Current().Revision
+	h.Number = e.dispatches.Load()
 	return &h
 }
 
+// viewChanged stops new work to upstreams whose VM the VM list shows as leaving,
+// and drains the entry when its own VM is.
+func (e *Entry) viewChanged() {
+	if e.opts.Peers != nil && e.vmLeaving(e.opts.Peers.Self) {
+		e.Drain()
+	}
+	for _, l := range e.links.all() {
+		l.listed(e.vmLeaving(l.upstream.VM))
+	}
+}
+
+func (e *Entry) vmLeaving(vm string) bool { return e.opts.View != nil && e.opts.View.Leaving(vm) }
+
 func (e *Entry) snapshotMessage() *wire.ConfigSnapshot {
 	s := e.opts.Store.Current()
 	m := &wire.ConfigSnapshot{Revision: s.Revision}
@@ -105,8 +127,9 @@
 // Drain makes the entry answer its readiness check negative; requests in
 // flight go on.
 func (e *Entry) Drain() {
-	e.draining.Store(true)
-	e.event(timeline.Event{Kind: timeline.Stopping})
+	if !e.draining.Swap(true) {
+		e.event(timeline.Event{Kind: timeline.Stopping})
+	}
 }
 
 // Draining says whether Drain was called.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -18,8 +19,13 @@
 	maxAttempts = 3
 	// unavailableRetry is the Retry-After when no upstream can take a request.
 	unavailableRetry = 1 * time.Second
-	// verdictTimeout bounds the wait for an agent's word on an attempt.
-	verdictTimeout = 2 * time.Second
+	// minRetryDelay and maxRetryDelay bound the wait between two attempts.
+	minRetryDelay = 25 * time.Millisecond
+	maxRetryDelay = 1 * time.Second
+	// resumeWait bounds the wait of a request that has run for an upstream that
+	// can go on with it; resumePoll is the interval of looking for one.
+	resumeWait = 5 * time.Second
+	resumePoll = 50 * time.Millisecond
 )
 
 // request is one caller's request on its way through the entry.
@@ -49,25 +55,104 @@
 // run makes attempts until one ends the request, and writes the final answer.
 func (x *exchange) run(ctx context.Context) {
 	last := result{outcome: outcome.NotRun}
+	var earlier outcome.Outcome
 	for n := uint32(1); n <= maxAttempts; n++ {
-		l := x.pick()
+		l := x.choose(ctx, earlier)
 		if l == nil {
 			break
 		}
 		last = x.attempt(ctx, l, n)
-		if last.outcome != outcome.NotRun || ctx.Err() != nil {
-			break
+		if last.outcome != outcome.NotRun {
+			earlier = last.outcome
 		}
 		x.tried[l.upstream.Name] = true
+		if n == maxAttempts || !x.again(ctx, last) {
+			break
+		}
+		x.entry.count("requests.retried")
+		pause(ctx, retryDelay(n))
 	}
+	x.finish(result{outcome.After(earlier, last.outcome), last.err})
+}
+
+func (x *exchange) finish(last result) {
 	if last.err == nil && last.outcome == outcome.NotRun {
 		last.err = fault.New(fault.Unavailable, "send the request again after Retry-After", "no upstream can take the request").After(unavailableRetry)
 	}
+	if last.outcome == outcome.Completed {
+		x.entry.budget.Succeeded()
+	}
 	x.entry.count("requests." + string(last.outcome))
 	x.entry.event(timeline.Event{Kind: timeline.Answered, Request: x.req.id, Detail: string(last.outcome)})
 	x.answer.finish(last)
 }
 
+// choose picks an upstream for the next attempt, or nil. A request that has run
+// waits a while for one, since its caller can't simply send it again; any other
+// is answered at once.
+func (x *exchange) choose(ctx context.Context, earlier outcome.Outcome) *link {
+	l := x.pick()
+	if l != nil || earlier == "" {
+		return l
+	}
+	ctx, cancel := context.WithTimeout(ctx, resumeWait)
+	defer cancel()
+	clear(x.tried)
+	for ; l == nil && ctx.Err() == nil; l = x.pick() {
+		pause(ctx, resumePoll)
+	}
+	return l
+}
+
+// again says whether another attempt may follow, and prepares the answer for
+// it.
+func (x *exchange) again(ctx context.Context, last result) bool {
+	if last.outcome == outcome.Completed || ctx.Err() != nil {
+		return false
+	}
+	kind := fault.KindOf(last.err)
+	if last.outcome == outcome.NotRun {
+		return kind == fault.Unavailable || kind == fault.Stale || kind == fault.Overloaded && x.entry.budget.Spend()
+	}
+	if x.req.dispatch.NonIdempotent || kind != fault.Unavailable && kind != fault.Crashed {
+		return false
+	}
+	if x.answer.started {
+		return x.resumable()
+	}
+	x.answer.reset()
+	return x.entry.budget.Spend()
+}
+
+// resumable prepares the dispatch to go on with a stream that has begun. A
+// resumed stream repeats no work, so it takes nothing from the retry budget.
+func (x *exchange) resumable() bool {
+	text, tokens, ok := x.answer.transcript.text()
+	if !ok || x.req.dispatch.Model == "" {
+		return false
+	}
+	x.req.dispatch.ResumeFrom = x.answer.chunks
+	x.req.dispatch.ResumeText = text
+	x.req.dispatch.ResumeTokens = tokens
+	x.entry.count("requests.resumed")
+	return true
+}
+
+// retryDelay returns the jittered wait after the n-th attempt.
+func retryDelay(n uint32) time.Duration {
+	return rand.N(min(minRetryDelay<<(n-1), maxRetryDelay))
+}
+
+// pause waits for d or until ctx is done.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // pick chooses an upstream that has not been tried, or nil.
 func (x *exchange) pick() *link {
 	snap := x.entry.opts.Store.Current()
@@ -95,86 +180,12 @@
 	}
 	defer l.close(d.ID)
 	x.entry.event(timeline.Event{Kind: timeline.Dispatched, Object: l.upstream.Name, Request: x.req.id, Attempt: n})
-	for {
-		select {
-		case <-ctx.Done():
-			return x.giveUp(l, d.ID, box, fault.Wrap(fault.Timeout, ctx.Err(), "allow more time with Request-Timeout", "the request was given up"))
-		case <-box.notify:
-		}
-		messages, overflow := box.take()
-		for _, m := range messages {
-			if res, ended := x.receive(m); ended {
-				return res
-			}
-		}
-		if overflow {
-			return x.giveUp(l, d.ID, box, fault.New(fault.Overloaded, "read the answer faster", "the caller reads too slowly"))
-		}
-	}
-}
-
-// receive handles one message of the attempt; true means that it has ended.
-func (x *exchange) receive(m wire.Message) (result, bool) {
-	switch m := m.(type) {
-	case *wire.Refused:
-		err := fault.New(m.Reason, "send the request again", "%s", m.Message).After(time.Duration(m.RetryAfterMS) * time.Millisecond)
-		return result{outcome.NotRun, err}, true
-	case *wire.Head:
-		x.answer.head(m.Status, m.ContentType)
-	case *wire.Chunk:
-		if err := x.answer.chunk(m.Seq, m.Data); err != nil {
-			return result{outcome.Unknown, err}, true
-		}
-	case *wire.Done:
-		return x.done(m)
-	case *linkLost:
-		return result{outcome.Unknown, fault.New(fault.Unavailable, "check whether the call took effect", "the connection to the upstream was lost")}, true
-	}
-	return result{}, false
-}
-
-func (x *exchange) done(m *wire.Done) (result, bool) {
-	if m.Outcome != outcome.Completed {
-		return result{m.Outcome, fault.New(m.Reason, "send the request again", "%s", m.Message)}, true
-	}
-	if x.answer.chunks != m.Chunks {
-		err := fault.New(fault.Crashed, "send the request again", "the answer has a gap: %d of %d parts", x.answer.chunks, m.Chunks)
-		return result{outcome.Failed, err}, true
-	}
-	return result{outcome: outcome.Completed}, true
-}
-
-// giveUp cancels the attempt and asks the agent whether it ran.
-func (x *exchange) giveUp(l *link, id wire.AttemptID, box *mailbox, cause error) result {
-	if err := l.send(&wire.Cancel{ID: id}); err != nil {
-		return result{outcome.Unknown, cause}
-	}
-	timer := time.NewTimer(verdictTimeout)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-			return result{outcome.Unknown, cause}
-		case <-box.notify:
-		}
-		messages, _ := box.take()
-		for _, m := range messages {
-			if v, ok := m.(*wire.Verdict); ok {
-				return result{outcomeOf(v.State), cause}
-			}
-		}
-	}
-}
-
-// outcomeOf says what an agent's word means for the caller.
-func outcomeOf(s wire.AttemptState) outcome.Outcome {
-	switch s {
-	case wire.NeverSeen, wire.NeverRun:
-		return outcome.NotRun
-	case wire.Running, wire.Ended:
-		return outcome.Failed
+	a := &attempt{x: x, link: l, id: d.ID, box: box, seq: newSequence(d.ResumeFrom)}
+	res := a.run(ctx)
+	if res.outcome != outcome.Completed && x.answer.transcript.ended() {
+		return result{outcome: outcome.Completed}
 	}
-	return outcome.Unknown
+	return res
 }
 
 // serve runs a request to its end.
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/kingcupreel/kingcupreel/internal/balance"
@@ -26,13 +28,15 @@
 	upstream *config.Upstream
 	stop     context.CancelFunc
 
-	mu       sync.Mutex
-	conn     *wire.Conn
-	hello    wire.Hello
-	load     wire.Load
-	leaving  bool
-	inFlight int
-	boxes    map[wire.AttemptID]*mailbox
+	mu      sync.Mutex
+	conn    *wire.Conn
+	hello   wire.Hello
+	load    wire.Load
+	leaving bool
+	// listLeaving says that the VM list shows the upstream's VM as leaving.
+	listLeaving bool
+	inFlight    int
+	boxes       map[wire.AttemptID]*mailbox
 }
 
 func newLink(e *Entry, u *config.Upstream, stop context.CancelFunc) *link {
@@ -61,6 +65,9 @@
 	d := net.Dialer{Timeout: dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", l.upstream.Address)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			l.tell(&linkDown{})
+		}
 		return false
 	}
 	c := wire.NewConn(nc, l, l.entry.opts.Wire)
@@ -90,46 +97,51 @@
 		l.mu.Unlock()
 	case *wire.EventsReply:
 		l.entry.gathered(m)
+	case *wire.Verdict, *wire.Accepted, *wire.Refused, *wire.Head, *wire.Chunk, *wire.Done:
+		l.deliver(c, m)
 	default:
 		if l.entry.agentMux.Funcs[m.Kind()] != nil {
 			l.entry.agentMux.Receive(c, m)
 			return
 		}
-		l.deliver(m)
+		l.entry.count("frames.unexpected")
 	}
 }
 
 // attemptOf returns the attempt that a message belongs to.
-func attemptOf(m wire.Message) (wire.AttemptID, bool) {
+func attemptOf(m wire.Message) wire.AttemptID {
 	switch m := m.(type) {
 	case *wire.Accepted:
-		return m.ID, true
+		return m.ID
 	case *wire.Refused:
-		return m.ID, true
+		return m.ID
 	case *wire.Head:
-		return m.ID, true
+		return m.ID
 	case *wire.Chunk:
-		return m.ID, true
+		return m.ID
 	case *wire.Done:
-		return m.ID, true
+		return m.ID
 	case *wire.Verdict:
-		return m.ID, true
+		return m.ID
 	}
-	return wire.AttemptID{}, false
+	return wire.AttemptID{}
 }
 
 // deliver puts a message into its attempt's mailbox; late and foreign ones are
 // dropped and counted.
-func (l *link) deliver(m wire.Message) {
-	id, ok := attemptOf(m)
+func (l *link) deliver(c *wire.Conn, m wire.Message) {
 	l.mu.Lock()
-	box := l.boxes[id]
+	box := l.boxes[attemptOf(m)]
+	current := l.conn == c
 	l.mu.Unlock()
-	if !ok || box == nil {
+	switch {
+	case !current:
+		l.entry.count("frames.late")
+	case box == nil:
 		l.entry.count("frames.foreign")
-		return
+	default:
+		box.put(m)
 	}
-	box.put(m)
 }
 
 func (l *link) connected(c *wire.Conn, hello wire.Hello) {
@@ -145,23 +157,31 @@
 	l.mu.Unlock()
 	l.entry.event(timeline.Event{Kind: timeline.Connected, Object: l.upstream.Name})
 	_ = c.Send(l.entry.snapshotMessage())
+	l.tell(&linkBack{incarnation: hello.Incarnation})
 }
 
-func (l *link) disconnected(c *wire.Conn, err error) {
+// tell puts a message into every attempt's mailbox.
+func (l *link) tell(m wire.Message) {
 	l.mu.Lock()
-	known := l.conn == c
-	if known {
-		l.conn = nil
-	}
 	boxes := make([]*mailbox, 0, len(l.boxes))
 	for _, b := range l.boxes {
 		boxes = append(boxes, b)
 	}
 	l.mu.Unlock()
 	for _, b := range boxes {
-		b.put(&linkLost{})
+		b.put(m)
 	}
+}
+
+func (l *link) disconnected(c *wire.Conn, err error) {
+	l.mu.Lock()
+	known := l.conn == c
 	if known {
+		l.conn = nil
+	}
+	l.mu.Unlock()
+	if known {
+		l.tell(&linkLost{})
 		l.entry.event(timeline.Event{Kind: timeline.Disconnected, Object: l.upstream.Name, Detail: err.Error()})
 	}
 }
@@ -172,15 +192,30 @@
 // Kind implements wire.Message.
 func (*linkLost) Kind() wire.Kind { return 0 }
 
+// linkDown tells an attempt that the agent's VM refuses connections. It never
+// travels.
+type linkDown struct{}
+
+// Kind implements wire.Message.
+func (*linkDown) Kind() wire.Kind { return 0 }
+
+// linkBack tells an attempt that its agent's VM is connected again. It never
+// travels.
+type linkBack struct{ incarnation string }
+
+// Kind implements wire.Message.
+func (*linkBack) Kind() wire.Kind { return 0 }
+
 // open starts an attempt: it registers a mailbox and sends the dispatch. An
 // error means that no dispatch was written.
 func (l *link) open(d *wire.Dispatch) (*mailbox, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn == nil || l.leaving {
-		return nil, fault.New(fault.Unavailable, "use another upstream", "upstream %s is not connected", l.upstream.Name)
+	if !l.takesWork() {
+		return nil, fault.New(fault.Unavailable, "use another upstream", "upstream %s takes no work", l.upstream.Name)
 	}
 	d.ID.Incarnation = l.hello.Incarnation
+	d.ID.Number = l.entry.dispatches.Add(1)
 	box := newMailbox()
 	l.boxes[d.ID] = box
 	l.inFlight++
@@ -222,7 +257,22 @@
 		Reported:   float64(l.load.Running + l.load.Queued),
 		Capacity:   l.load.Capacity,
 	}
-	return c, l.conn != nil && !l.leaving
+	return c, l.takesWork()
+}
+
+// takesWork says whether the upstream can be given an attempt. The caller holds
+// mu.
+func (l *link) takesWork() bool { return l.conn != nil && !l.leaving && !l.listLeaving }
+
+// listed notes what the VM list says of the upstream's VM.
+func (l *link) listed(leaving bool) {
+	l.mu.Lock()
+	changed := l.listLeaving != leaving
+	l.listLeaving = leaving
+	l.mu.Unlock()
+	if changed && leaving {
+		l.entry.event(timeline.Event{Kind: timeline.UpstreamLeaving, Object: l.upstream.Name, Detail: "VM list"})
+	}
 }
 
 // linkTable holds the links by upstream name.
@@ -248,6 +298,7 @@
 		linkCtx, stop := context.WithCancel(ctx)
 		l := newLink(e, u, stop)
 		t.links[name] = l
+		l.listed(e.vmLeaving(u.VM))
 		go l.run(linkCtx)
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,7 @@
 	OperatorTokenSHA256 string
 	Seeds               []string
 	VMListInterval      time.Duration
+	DrainNotice         time.Duration
 }
 
 // Agent are the settings of an agent.
@@ -49,6 +50,9 @@
 	Upstream string
 	Target   string
 	Workers  int
+
+	StallTimeout  time.Duration
+	OrphanTimeout time.Duration
 }
 
 // flag declares a flag with its environment variable.
@@ -60,7 +64,7 @@
 	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 }
 
-func (c *Common) declare(cmd *kingpin.CmdClause) {
+func (c *Common) declare(cmd *kingpin.CmdClause, drainTimeout string) {
 	flag(cmd, "process", "Name of this process, unique in the deployment.").StringVar(&c.Process)
 	flag(cmd, "vm", "Id of the VM in the VM list; empty when it is not listed.").StringVar(&c.VM)
 	flag(cmd, "data-centre", "Data centre of the VM.").StringVar(&c.DataCentre)
@@ -69,26 +73,29 @@
 	flag(cmd, "log-level", "Log level: debug, info, warn or error.").Default("info").StringVar(&c.LogLevel)
 	flag(cmd, "heartbeat", "Interval of heartbeats between processes.").Default("1s").DurationVar(&c.Heartbeat)
 	flag(cmd, "silence", "Silence after which a connection is replaced.").Default("3s").DurationVar(&c.Silence)
-	flag(cmd, "drain-timeout", "Time that a planned stop waits for work in flight.").Default("60s").DurationVar(&c.DrainTimeout)
+	flag(cmd, "drain-timeout", "Time that a planned stop waits for work in flight.").Default(drainTimeout).DurationVar(&c.DrainTimeout)
 }
 
 // Declare adds the entry's flags to a command.
 func (e *Entry) Declare(cmd *kingpin.CmdClause) {
-	e.declare(cmd)
+	e.declare(cmd, "1h")
 	flag(cmd, "caller-listen", "Address of the callers' HTTP, IP:port.").Default("127.0.0.1:0").StringVar(&e.CallerListen)
 	flag(cmd, "platform", "Base URL of the platform's key-value service and VM list.").StringVar(&e.Platform)
 	flag(cmd, "platform-timeout", "Bound on a call to the platform.").Default("2s").DurationVar(&e.PlatformTimeout)
 	flag(cmd, "operator-token-sha256", "Hex SHA-256 of a first operator's token, for use before any record exists.").StringVar(&e.OperatorTokenSHA256)
 	flag(cmd, "seed", "Inner address of another entry, IP:port, for a start while the VM list is out; repeatable.").StringsVar(&e.Seeds)
 	flag(cmd, "vm-list-interval", "Interval between two reads of the VM list.").Default("1s").DurationVar(&e.VMListInterval)
+	flag(cmd, "drain-notice", "Time that a stopping entry still takes requests while its readiness is negative.").Default("5s").DurationVar(&e.DrainNotice)
 }
 
 // Declare adds the agent's flags to a command.
 func (a *Agent) Declare(cmd *kingpin.CmdClause) {
-	a.declare(cmd)
+	a.declare(cmd, "60s")
 	flag(cmd, "upstream", "Name of the upstream record that this agent serves.").StringVar(&a.Upstream)
 	flag(cmd, "target", "Base URL of the engine or plain service on this VM.").StringVar(&a.Target)
 	flag(cmd, "workers", "Attempts that run at once; twice as many may wait.").Default("256").IntVar(&a.Workers)
+	flag(cmd, "stall-timeout", "Silence of the engine after which its attempts go on elsewhere.").Default("10s").DurationVar(&a.StallTimeout)
+	flag(cmd, "orphan-timeout", "Time that an attempt goes on without its entry's connection.").Default("10s").DurationVar(&a.OrphanTimeout)
 }
 
 // checker collects the faults of a start.
@@ -139,6 +146,7 @@
 		c.address("seed", seed)
 	}
 	c.require(e.VMListInterval > 0, "vm-list-interval", e.VMListInterval.String(), "give a positive duration such as 1s")
+	c.require(e.DrainNotice >= 0 && e.DrainNotice < e.DrainTimeout, "drain-notice", e.DrainNotice.String(), "give less than the drain timeout")
 	hash := e.OperatorTokenSHA256
 	c.require(hash == "" || len(hash) == 64, "operator-token-sha256", hash, "give 64 hex digits, or leave it out")
 	return errors.Join(c.faults...)
@@ -151,5 +159,7 @@
 	c.require(a.Upstream != "", "upstream", a.Upstream, "name the upstream record")
 	c.url("target", a.Target)
 	c.require(a.Workers > 0 && a.Workers <= 65536, "workers", strconv.Itoa(a.Workers), "give 1 to 65536")
+	c.require(a.StallTimeout > 0, "stall-timeout", a.StallTimeout.String(), "give a positive duration such as 10s")
+	c.require(a.OrphanTimeout > a.Silence, "orphan-timeout", a.OrphanTimeout.String(), "give more than the silence")
 	return errors.Join(c.faults...)
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -32,6 +32,8 @@
 	KindConfigSnapshot
 	KindEventsRequest
 	KindEventsReply
+	KindAttach
+	KindRelease
 )
 
 // Message is a typed message of the inner protocol.
@@ -59,6 +61,8 @@
 	Upstream string
 	// Revision is the configuration revision in force at the sender.
 	Revision int64
+	// Number is the number of the entry's last dispatch, 0 for an agent.
+	Number uint64
 }
 
 // Ping asks the peer for a Pong.
@@ -72,6 +76,9 @@
 	Request     string
 	Attempt     uint32
 	Incarnation string
+	// Number counts the dispatches of the entry's incarnation, from 1. On one
+	// connection dispatches come with rising numbers.
+	Number uint64
 }
 
 // Dispatch hands an attempt to an agent.
@@ -96,6 +103,8 @@
 	ResumeFrom uint64
 	// ResumeText is the text generated so far, for a resumed stream.
 	ResumeText string
+	// ResumeTokens is the number of tokens in ResumeText.
+	ResumeTokens int
 }
 
 // Accepted says that the agent will run the attempt.
@@ -133,7 +142,23 @@
 }
 
 // Cancel stops an attempt, or forbids it when it has not arrived yet.
-type Cancel struct{ ID AttemptID }
+type Cancel struct {
+	ID AttemptID
+	// Waiting limits the Cancel to an attempt that the upstream doesn't have
+	// yet; a running one goes on.
+	Waiting bool
+}
+
+// Attach asks for an attempt's answer on this connection, from the chunk after
+// After. The agent repeats Head, Chunks and Done, or answers with a Verdict when
+// it no longer can; an attempt that it has never seen is fenced.
+type Attach struct {
+	ID    AttemptID
+	After uint64
+}
+
+// Release says that the entry has the attempt's end and needs no repetition.
+type Release struct{ ID AttemptID }
 
 // AttemptState is an agent's word on an attempt.
 type AttemptState string
@@ -153,7 +178,7 @@
 	Forgotten AttemptState = "forgotten"
 )
 
-// Verdict answers a Cancel.
+// Verdict answers a Cancel, or an Attach that can't be served.
 type Verdict struct {
 	ID    AttemptID
 	State AttemptState
@@ -245,6 +270,12 @@
 // Kind implements Message.
 func (*EventsReply) Kind() Kind { return KindEventsReply }
 
+// Kind implements Message.
+func (*Attach) Kind() Kind { return KindAttach }
+
+// Kind implements Message.
+func (*Release) Kind() Kind { return KindRelease }
+
 // factories makes an empty message for each kind.
 var factories = merge(coreFactories, onceFactories, usageFactories, configurationFactories, mapFactories)
 
@@ -277,4 +308,6 @@
 	KindConfigSnapshot: func() Message { return new(ConfigSnapshot) },
 	KindEventsRequest:  func() Message { return new(EventsRequest) },
 	KindEventsReply:    func() Message { return new(EventsReply) },
+	KindAttach:         func() Message { return new(Attach) },
+	KindRelease:        func() Message { return new(Release) },
 }
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -54,6 +54,11 @@
 		"connected": checkConnected,
 		"runs":      checkRuns,
 		"once":      checkOnce,
+		"answer":    checkAnswer,
+		"tokens":    checkTokens,
+		"prompt":    checkPrompt,
+		"idle":      checkIdle,
+		"calls":     checkCalls,
 	}
 	check := checks[os.Args[1]]
 	if check == nil {
