Stamp messages with the sender's logical clock

Events of a request were ordered by wall clocks only: the clock of a ring never saw another process's stamp. Hello, Dispatch, Refused and Done now carry the sender's stamp, set when the message is queued and observed before the receiver handles it, so that causal order holds whatever the VMs' clocks show.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,13 +68,14 @@
 	meter := &wire.Meter{}
 	telemetry.RegisterProcess(reg)
 	telemetry.RegisterMeter(reg, meter)
+	events := timeline.NewRing(s.Process, timeline.DefaultCapacity, clockwork.NewRealClock())
 	return &parts{
 		log:     log,
 		metrics: reg,
-		events:  timeline.NewRing(s.Process, timeline.DefaultCapacity, clockwork.NewRealClock()),
+		events:  events,
 		store:   config.NewStore(codec.Decode),
 		hello:   wire.Hello{Process: s.Process, Incarnation: uuid.NewString(), Role: role, DataCentre: s.DataCentre},
-		wire:    wire.Options{Heartbeat: s.Heartbeat, Silence: s.Silence, Meter: meter},
+		wire:    wire.Options{Heartbeat: s.Heartbeat, Silence: s.Silence, Meter: meter, Clock: events},
 	}, nil
 }
 
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -33,6 +33,8 @@
 	Queue int
 	// Meter counts the connection's traffic; nil counts nothing.
 	Meter *Meter
+	// Clock stamps messages; nil leaves them without a stamp.
+	Clock Clock
 }
 
 func (o Options) withDefaults() Options {
@@ -119,6 +121,7 @@
 		return errClosed
 	default:
 	}
+	stampOut(c.opts.Clock, m)
 	select {
 	case c.queue <- m:
 		return nil
@@ -163,6 +166,7 @@
 			return silenceError(err, c.opts.Silence)
 		}
 		c.opts.Meter.in(m.Kind(), size)
+		stampIn(c.opts.Clock, m)
 		switch m := m.(type) {
 		case *Ping:
 			_ = c.Send(&Pong{Nonce: m.Nonce})
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -59,6 +59,8 @@
 	Upstream string
 	// Revision is the configuration revision in force at the sender.
 	Revision int64
+	// Stamp is the sender's clock; Conn.Send sets it.
+	Stamp timeline.Stamp
 }
 
 // Ping asks the peer for a Pong.
@@ -96,6 +98,8 @@
 	ResumeFrom uint64
 	// ResumeText is the text generated so far, for a resumed stream.
 	ResumeText string
+	// Stamp is the sender's clock; Conn.Send sets it.
+	Stamp timeline.Stamp
 }
 
 // Accepted says that the agent will run the attempt.
@@ -107,6 +111,8 @@
 	Reason       fault.Kind
 	Message      string
 	RetryAfterMS int64
+	// Stamp is the sender's clock; Conn.Send sets it.
+	Stamp timeline.Stamp
 }
 
 // Head carries the status and the content type of the answer.
@@ -130,6 +136,8 @@
 	Outcome outcome.Outcome
 	Reason  fault.Kind
 	Message string
+	// Stamp is the sender's clock; Conn.Send sets it.
+	Stamp timeline.Stamp
 }
 
 // Cancel stops an attempt, or forbids it when it has not arrived yet.
