--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -63,6 +63,8 @@
 	Revision int64
 	// Number is the number of the entry's last dispatch, 0 for an agent.
 	Number uint64
+	// Stamp is the sender's clock; Conn.Send sets it.
+	Stamp timeline.Stamp
 }
 
 // Ping asks the peer for a Pong.
@@ -105,6 +107,8 @@
 	ResumeText string
 	// ResumeTokens is the number of tokens in ResumeText.
 	ResumeTokens int
+	// Stamp is the sender's clock; Conn.Send sets it.
+	Stamp timeline.Stamp
 }
 
 // Accepted says that the agent will run the attempt.
@@ -116,6 +120,8 @@
 	Reason       fault.Kind
 	Message      string
 	RetryAfterMS int64
+	// Stamp is the sender's clock; Conn.Send sets it.
+	Stamp timeline.Stamp
 }
 
 // Head carries the status and the content type of the answer.
@@ -139,6 +145,8 @@
 	Outcome outcome.Outcome
 	Reason  fault.Kind
 	Message string
+	// Stamp is the sender's clock; Conn.Send sets it.
+	Stamp timeline.Stamp
 }
 
 // Cancel stops an attempt, or forbids it when it has not arrived yet.
