Give the engine stand-in priorities, a bounded prefix cache and a lagging load

Cause: overload and balance can't be judged by an engine that queues first come, first served, has no cache and reports its load at once. Change: a batch that grants places by priority and then age, a cache of the prefixes used last with late and lossy events, a load report of a set age, and the program "check flood", whose callers send a refused request again at once.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -36,6 +36,11 @@
 	engineCmd.Flag("capacity", "Requests in the running batch.").Default("32").IntVar(&opts.Capacity)
 	engineCmd.Flag("token-time", "Time between tokens.").Default("10ms").DurationVar(&opts.TokenTime)
 	engineCmd.Flag("prefill-time", "Time to the first token.").Default("20ms").DurationVar(&opts.PrefillTime)
+	engineCmd.Flag("cached-prefill-time", "Time to the first token of a prompt whose prefix is cached; 0 means no difference.").DurationVar(&opts.CachedPrefillTime)
+	engineCmd.Flag("cache-prefixes", "Prefixes that the cache holds; 0 means no cache.").IntVar(&opts.CachePrefixes)
+	engineCmd.Flag("cache-event-delay", "How late cache events come.").DurationVar(&opts.CacheEventDelay)
+	engineCmd.Flag("cache-event-loss", "Share of cache events that never comes.").Float64Var(&opts.CacheEventLoss)
+	engineCmd.Flag("load-lag", "Age of load reports.").DurationVar(&opts.LoadLag)
 	plainCmd := app.Command("plain", "Plain service that records its calls.")
 	delay := plainCmd.Flag("delay", "Time that a call takes after its effect.").Default("0s").Duration()
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -30,6 +30,18 @@
 	TokenTime time.Duration
 	// PrefillTime is the time to the first token.
 	PrefillTime time.Duration
+	// CachedPrefillTime is that time for a prompt whose prefix is cached; 0
+	// means PrefillTime.
+	CachedPrefillTime time.Duration
+	// CachePrefixes is the number of prefixes that the cache holds; 0 means
+	// no cache.
+	CachePrefixes int
+	// CacheEventDelay is how late cache events come, CacheEventLoss the share
+	// of them that never comes.
+	CacheEventDelay time.Duration
+	CacheEventLoss  float64
+	// LoadLag is how old a load report is.
+	LoadLag time.Duration
 }
 
 // Run is the record of one request that the engine ran.
@@ -40,22 +52,34 @@
 	Started time.Time `json:"started"`
 	Tokens  int       `json:"tokens"`
 	Ended   bool      `json:"ended"`
+	// Left is when the request left the batch, ended or not.
+	Left time.Time `json:"left"`
+	// Cached says that the prompt's prefix was in the cache.
+	Cached bool `json:"cached"`
 }
 
 // Engine is the stand-in.
 type Engine struct {
-	opts  Options
-	slots chan struct{}
+	opts   Options
+	batch  *batch
+	cache  *cache
+	lagged *lagged
 
-	mu      sync.Mutex
-	runs    []*Run
-	queued  int
-	running int
+	mu   sync.Mutex
+	runs []*Run
 }
 
 // New returns an engine.
 func New(opts Options) *Engine {
-	return &Engine{opts: opts, slots: make(chan struct{}, opts.Capacity)}
+	if opts.CachedPrefillTime == 0 {
+		opts.CachedPrefillTime = opts.PrefillTime
+	}
+	return &Engine{
+		opts:   opts,
+		batch:  newBatch(opts.Capacity),
+		cache:  newCache(opts.CachePrefixes, opts.CacheEventDelay, opts.CacheEventLoss),
+		lagged: &lagged{lag: opts.LoadLag},
+	}
 }
 
 // Handler returns the engine's HTTP interface.
@@ -65,6 +89,7 @@
 	mux.HandleFunc("POST "+engineapi.PathChat, e.complete)
 	mux.HandleFunc("GET "+engineapi.PathLoad, e.load)
 	mux.HandleFunc("GET /admin/runs", e.showRuns)
+	mux.HandleFunc("GET /cache/events", e.cache.show)
 	return mux
 }
 
@@ -95,8 +120,8 @@
 	if !e.acquire(r) {
 		return
 	}
-	defer e.release()
 	run := e.start(r, call)
+	defer e.release(run)
 	if call.Stream {
 		e.stream(w, r, call, run)
 		return
@@ -106,20 +131,18 @@
 
 // acquire waits for a place in the batch; false means that the caller left.
 func (e *Engine) acquire(r *http.Request) bool {
-	e.count(&e.queued, 1)
-	defer e.count(&e.queued, -1)
-	select {
-	case e.slots <- struct{}{}:
-		e.count(&e.running, 1)
-		return true
-	case <-r.Context().Done():
-		return false
-	}
+	p := e.batch.join(priorityOf(r))
+	e.lagged.keep(e.present())
+	defer func() { e.lagged.keep(e.present()) }()
+	return e.batch.wait(r, p)
 }
 
-func (e *Engine) release() {
-	e.count(&e.running, -1)
-	<-e.slots
+func (e *Engine) release(run *Run) {
+	e.batch.leave()
+	e.lagged.keep(e.present())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run.Left = time.Now()
 }
 
 func (e *Engine) count(n *int, d int) {
@@ -135,6 +158,7 @@
 		Prompt:  call.PromptText(),
 		Started: time.Now(),
 	}
+	run.Cached = e.cache.use(run.Prompt)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs = append(e.runs, run)
@@ -157,7 +181,7 @@
 func (e *Engine) step(r *http.Request, run *Run, first bool) bool {
 	d := e.opts.TokenTime
 	if first {
-		d = e.opts.PrefillTime
+		d = e.prefill(run)
 	}
 	if !pause(r, d) {
 		return false
@@ -166,6 +190,13 @@
 	return true
 }
 
+func (e *Engine) prefill(run *Run) time.Duration {
+	if run.Cached {
+		return e.opts.CachedPrefillTime
+	}
+	return e.opts.PrefillTime
+}
+
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, call engineapi.Call, run *Run) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
@@ -200,13 +231,6 @@
 	run.Ended = true
 }
 
-func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	l := engineapi.Load{Running: e.running, Queued: e.queued, Capacity: e.opts.Capacity}
-	e.mu.Unlock()
-	standin.Answer(w, l, nil)
-}
-
 // Runs returns the record of runs.
 func (e *Engine) Runs() []Run {
 	e.mu.Lock()
--- /dev/null
+++ b/test/scenario/checks_overload_test.go
@@ -0,0 +1,183 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/standin/engine"
+)
+
+const (
+	// floodTimeout is the Request-Timeout of a flood's requests, in seconds.
+	floodTimeout = "3"
+	// resendDelay is the time between a refusal and the same request again.
+	resendDelay = 20 * time.Millisecond
+	// floodTokens is the length of an answer.
+	floodTokens = 10
+)
+
+// floodGroup is the callers of one client account. A refused request is sent
+// again at once. A group with a number of requests ends after them; the flood
+// ends when all such groups have ended.
+type floodGroup struct {
+	account           string
+	callers, requests int
+
+	mu                                     sync.Mutex
+	sent, completed, refused, late, silent int
+	refusedIDs                             map[string]bool
+}
+
+func parseGroup(s string) (*floodGroup, error) {
+	parts := strings.Split(s, ":")
+	g := &floodGroup{account: parts[0], refusedIDs: map[string]bool{}}
+	var err error
+	if g.callers, err = strconv.Atoi(parts[1]); err == nil && len(parts) > 2 {
+		g.requests, err = strconv.Atoi(parts[2])
+	}
+	return g, err
+}
+
+// checkFlood is "check flood ENTRIES ENGINES ACCOUNT:CALLERS[:REQUESTS]...",
+// with comma-separated base URLs. It sends to the entries in turn and prints
+// what each account was told and what the engines recorded of it.
+func checkFlood(args []string) error {
+	entries, engines := strings.Split(args[0], ","), strings.Split(args[1], ",")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var all, bounded sync.WaitGroup
+	var groups []*floodGroup
+	for _, arg := range args[2:] {
+		g, err := parseGroup(arg)
+		if err != nil {
+			return err
+		}
+		groups = append(groups, g)
+		for n := range g.callers {
+			run := func() { g.call(ctx, entries[n%len(entries)], n) }
+			all.Go(run)
+			if g.requests > 0 {
+				bounded.Go(func() { g.awaitSent(ctx) })
+			}
+		}
+	}
+	bounded.Wait()
+	cancel()
+	all.Wait()
+	return reportFlood(groups, engines)
+}
+
+func (g *floodGroup) awaitSent(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.mu.Lock()
+		done := g.completed >= g.requests
+		g.mu.Unlock()
+		if done {
+			return
+		}
+		time.Sleep(conditionPoll)
+	}
+}
+
+// call sends one caller's requests until ctx is done or the group is complete.
+func (g *floodGroup) call(ctx context.Context, entry string, caller int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		body := fmt.Sprintf(`{"model":"m","prompt":"%s %d %d","max_tokens":%d}`, g.account, caller, i, floodTokens)
+		for ctx.Err() == nil && !g.send(entry, body) {
+			time.Sleep(resendDelay)
+		}
+		g.mu.Lock()
+		done := g.requests > 0 && g.completed >= g.requests
+		g.mu.Unlock()
+		if done {
+			return
+		}
+	}
+}
+
+// send makes one call; false means that it was refused. The last calls run to
+// their end, so that no caller leaves a request.
+func (g *floodGroup) send(entry, body string) bool {
+	req, err := http.NewRequest(http.MethodPost, entry+"/v1/completions", strings.NewReader(body))
+	exitOn(err)
+	req.Header.Set("Authorization", "Bearer "+g.account)
+	req.Header.Set("Request-Timeout", floodTimeout)
+	resp, err := http.DefaultClient.Do(req)
+	exitOn(err)
+	resp.Body.Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sent++
+	switch resp.StatusCode {
+	case http.StatusOK:
+		g.completed++
+		return true
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		g.refused++
+		g.refusedIDs[resp.Header.Get("Kingcupreel-Request")] = true
+		if resp.Header.Get("Retry-After") == "" {
+			g.silent++
+		}
+	default:
+		g.late++
+	}
+	return false
+}
+
+// reportFlood prints a line per account and the engines' totals.
+func reportFlood(groups []*floodGroup, engines []string) error {
+	var runs []engine.Run
+	for _, url := range engines {
+		var some []engine.Run
+		if err := fetch(url+"/admin/runs", &some); err != nil {
+			return err
+		}
+		runs = append(runs, some...)
+	}
+	wasted, ranRefused, attempts := 0, 0, map[string]int{}
+	for _, r := range runs {
+		attempts[r.Request]++
+		if !r.Ended {
+			wasted++
+		}
+		for _, g := range groups {
+			if g.refusedIDs[r.Request] {
+				ranRefused++
+			}
+		}
+	}
+	for _, g := range groups {
+		ended, most := recorded(g.account, runs)
+		fmt.Printf("account=%s completed=%d refused=%d late=%d without-retry-after=%d ended=%d share-percent=%d at-once=%d\n",
+			g.account, g.completed, g.refused, g.late, g.silent, ended, 100*ended/max(len(runs)-wasted, 1), most)
+	}
+	fmt.Printf("runs=%d wasted=%d wasted-percent=%d refused-but-ran=%d extra-attempts-percent=%d\n",
+		len(runs), wasted, 100*wasted/max(len(runs), 1), ranRefused, 100*(len(runs)-len(attempts))/max(len(attempts), 1))
+	return nil
+}
+
+// recorded returns how many runs of an account ended and how many were in a
+// batch at once.
+func recorded(account string, runs []engine.Run) (ended, most int) {
+	for _, r := range runs {
+		if !strings.HasPrefix(r.Prompt, account+" ") {
+			continue
+		}
+		if r.Ended {
+			ended++
+		}
+		at := 0
+		for _, o := range runs {
+			if strings.HasPrefix(o.Prompt, account+" ") && !o.Started.After(r.Started) && o.Left.After(r.Started) {
+				at++
+			}
+		}
+		most = max(most, at)
+	}
+	return ended, most
+}
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -54,6 +54,7 @@
 		"connected": checkConnected,
 		"runs":      checkRuns,
 		"once":      checkOnce,
+		"flood":     checkFlood,
 	}
 	check := checks[os.Args[1]]
 	if check == nil {
