--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -59,6 +59,7 @@
 		"prompt":    checkPrompt,
 		"idle":      checkIdle,
 		"calls":     checkCalls,
+		"flood":     checkFlood,
 	}
 	check := checks[os.Args[1]]
 	if check == nil {
