Shrink what an idle connection costs

Heartbeats were answered, load reports repeated unchanged, and each connection held 192 KB of buffers and queue. Ruled out: a longer heartbeat, which would delay the notice of a silent connection; UDP heartbeats, a second transport. Change: a side sends a ping only when it sent nothing else for a heartbeat, and pings aren't answered; the load is reported when it changes and every tenth time otherwise; buffers of 4 KB and a queue that takes memory only for what waits. The silence bound counts from the last bytes, not from the last frame, so that a large frame on a slow path isn't cut. Failed try: the script waited for ever for a program that had refused its settings; it now ends with that program's message.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,10 +20,12 @@
 	// DefaultStallTimeout and DefaultOrphanTimeout are the defaults of Options.
 	DefaultStallTimeout  = 10 * time.Second
 	DefaultOrphanTimeout = 10 * time.Second
-	// loadInterval is how often the agent reports its engine's load, and
+	// loadInterval is how often the agent asks its engine for the load, and
 	// loadTimeout bounds the engine's answer.
 	loadInterval = 500 * time.Millisecond
 	loadTimeout  = 2 * time.Second
+	// loadRepeat is after how many unchanged answers the load is reported again.
+	loadRepeat = 10
 )
 
 // Options are what an agent is built from.
@@ -191,12 +193,15 @@
 	}
 }
 
-// reportLoad sends the engine's load to every entry, and gives up its
-// attempts when the engine stays silent.
+// reportLoad sends the engine's load to every entry when it has changed, and
+// now and then when it hasn't, and gives up its attempts when the engine stays
+// silent.
 func (a *Agent) reportLoad(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	heard := a.opts.Clock.Now()
+	var last wire.Load
+	unchanged := loadRepeat
 	for {
 		select {
 		case <-ctx.Done():
@@ -210,7 +215,11 @@
 		switch {
 		case err == nil:
 			heard = a.opts.Clock.Now()
-			a.broadcast(&load)
+			unchanged++
+			if load != last || unchanged >= loadRepeat {
+				a.broadcast(&load)
+				last, unchanged = load, 0
+			}
 		case a.opts.Clock.Since(heard) >= a.opts.StallTimeout:
 			a.giveUpStalled()
 		}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -19,12 +19,15 @@
 	DefaultQueue     = 4096
 )
 
+// bufferSize is the size of a connection's read and write buffers, in bytes.
+const bufferSize = 4 << 10
+
 // errClosed is returned by Send on a closed connection.
 var errClosed = fault.New(fault.Unavailable, "retry on another connection", "connection closed")
 
 // Options set a connection's limits. Zero values mean the defaults.
 type Options struct {
-	// Heartbeat is the interval between pings.
+	// Heartbeat is the longest time without a frame: an idle side sends a ping.
 	Heartbeat time.Duration
 	// Silence is how long the peer may be silent before the connection is
 	// closed.
@@ -80,7 +83,7 @@
 	nc      net.Conn
 	opts    Options
 	handler Handler
-	queue   chan Message
+	queue   *sendQueue
 	closed  chan struct{}
 	once    sync.Once
 	cause   error
@@ -94,7 +97,7 @@
 		nc:      nc,
 		opts:    opts,
 		handler: handler,
-		queue:   make(chan Message, opts.Queue),
+		queue:   newSendQueue(opts.Queue),
 		closed:  make(chan struct{}),
 	}
 }
@@ -122,14 +125,12 @@
 	default:
 	}
 	stampOut(c.opts.Clock, m)
-	select {
-	case c.queue <- m:
+	if c.queue.put(m) {
 		return nil
-	default:
-		err := fault.New(fault.Overloaded, "retry on another connection", "send queue of %d messages is full", c.opts.Queue)
-		c.close(err)
-		return err
 	}
+	err := fault.New(fault.Overloaded, "retry on another connection", "send queue of %d messages is full", c.opts.Queue)
+	c.close(err)
+	return err
 }
 
 // Close ends the connection.
@@ -156,11 +157,8 @@
 }
 
 func (c *Conn) readLoop() error {
-	r := bufio.NewReaderSize(c.nc, 64<<10)
+	r := bufio.NewReaderSize(silenceReader{c.nc, c.opts.Silence}, bufferSize)
 	for {
-		if err := c.nc.SetReadDeadline(time.Now().Add(c.opts.Silence)); err != nil {
-			return err
-		}
 		m, size, err := readFrame(r)
 		if err != nil {
 			return silenceError(err, c.opts.Silence)
@@ -169,8 +167,6 @@
 		stampIn(c.opts.Clock, m)
 		switch m := m.(type) {
 		case *Ping:
-			_ = c.Send(&Pong{Nonce: m.Nonce})
-		case *Pong:
 		case *Hello:
 			c.peer.Store(m)
 			c.handler.Receive(c, m)
@@ -180,6 +176,21 @@
 	}
 }
 
+// silenceReader bounds the wait for the peer's next bytes, so that a large frame
+// may take longer than the bound as long as it moves.
+type silenceReader struct {
+	nc      net.Conn
+	silence time.Duration
+}
+
+// Read implements io.Reader.
+func (r silenceReader) Read(p []byte) (int, error) {
+	if err := r.nc.SetReadDeadline(time.Now().Add(r.silence)); err != nil {
+		return 0, err
+	}
+	return r.nc.Read(p)
+}
+
 func silenceError(err error, silence time.Duration) error {
 	var ne net.Error
 	if errors.As(err, &ne) && ne.Timeout() {
@@ -188,46 +199,52 @@
 	return err
 }
 
+// writeLoop writes queued messages. It sends a ping when nothing else was sent
+// for a heartbeat: any frame shows the peer that this side is alive.
 func (c *Conn) writeLoop() {
-	w := bufio.NewWriterSize(c.nc, 64<<10)
+	w := bufio.NewWriterSize(c.nc, bufferSize)
 	ticker := time.NewTicker(c.opts.Heartbeat)
 	defer ticker.Stop()
-	var nonce uint64
-	var buf []byte
+	sent := false
+	var batch []Message
 	for {
-		var m Message
 		select {
 		case <-c.closed:
 			return
-		case m = <-c.queue:
+		case <-c.queue.wake:
+			batch = c.queue.take(batch[:0])
+			sent = true
 		case <-ticker.C:
-			nonce++
-			m = &Ping{Nonce: nonce}
+			batch = batch[:0]
+			if !sent {
+				batch = append(batch, &Ping{})
+			}
+			sent = false
 		}
-		var err error
-		if buf, err = c.write(w, buf[:0], m); err != nil {
+		if err := c.write(w, batch); err != nil {
 			c.close(err)
 			return
 		}
+		clear(batch)
 	}
 }
 
-// write encodes m and flushes when no other message waits, so that messages
-// under load share system calls.
-func (c *Conn) write(w *bufio.Writer, buf []byte, m Message) ([]byte, error) {
-	buf, err := AppendFrame(buf, m)
-	if err != nil {
-		return buf, err
-	}
-	c.opts.Meter.out(m.Kind(), len(buf))
-	if err := c.nc.SetWriteDeadline(time.Now().Add(c.opts.Silence)); err != nil {
-		return buf, err
-	}
-	if _, err := w.Write(buf); err != nil {
-		return buf, err
-	}
-	if len(c.queue) > 0 {
-		return buf, nil
+// write encodes a batch and flushes once, so that messages under load share
+// system calls.
+func (c *Conn) write(w *bufio.Writer, batch []Message) error {
+	var buf []byte
+	for _, m := range batch {
+		var err error
+		if buf, err = AppendFrame(buf[:0], m); err != nil {
+			return err
+		}
+		c.opts.Meter.out(m.Kind(), len(buf))
+		if err := c.nc.SetWriteDeadline(time.Now().Add(c.opts.Silence)); err != nil {
+			return err
+		}
+		if _, err := w.Write(buf); err != nil {
+			return err
+		}
 	}
-	return buf, w.Flush()
+	return w.Flush()
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -17,7 +17,6 @@
 const (
 	KindHello Kind = iota + 1
 	KindPing
-	KindPong
 	KindDispatch
 	KindAccepted
 	KindRefused
@@ -67,11 +66,8 @@
 	Stamp timeline.Stamp
 }
 
-// Ping asks the peer for a Pong.
-type Ping struct{ Nonce uint64 }
-
-// Pong answers a Ping.
-type Pong struct{ Nonce uint64 }
+// Ping shows that an idle sender is alive.
+type Ping struct{}
 
 // AttemptID names one attempt of one request at one incarnation of an agent.
 type AttemptID struct {
@@ -233,9 +229,6 @@
 // Kind implements Message.
 func (*Ping) Kind() Kind { return KindPing }
 
-// Kind implements Message.
-func (*Pong) Kind() Kind { return KindPong }
-
 // Kind implements Message.
 func (*Dispatch) Kind() Kind { return KindDispatch }
 
@@ -301,7 +294,6 @@
 var coreFactories = map[Kind]factory{
 	KindHello:          func() Message { return new(Hello) },
 	KindPing:           func() Message { return new(Ping) },
-	KindPong:           func() Message { return new(Pong) },
 	KindDispatch:       func() Message { return new(Dispatch) },
 	KindAccepted:       func() Message { return new(Accepted) },
 	KindRefused:        func() Message { return new(Refused) },
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -14,7 +14,10 @@
   rm -f "$dir/$name.out"
   "$bin/$1" "${@:2}" >"$dir/$name.out" 2>"$dir/$name.log" &
   started+=($!)
-  until [ -s "$dir/$name.out" ]; do sleep 0.05; done
+  until [ -s "$dir/$name.out" ]; do
+    kill -0 "${started[-1]}" 2>/dev/null || { cat "$dir/$name.log" >&2; exit 1; }
+    sleep 0.05
+  done
 }
 # address NAME LISTENER: where a started program listens.
 address() { sed -n "s/.*\"$2\":\"\([^\"]*\)\".*/\1/p" "$dir/$1.out" | head -1; }
@@ -25,7 +28,7 @@
 }
 entry() {
   start "entry$1" kingcupreeld entry --process "entry$1" --vm "vm-entry$1" --data-centre dc1 --platform "$platform" \
-    --drain-timeout 1s --log-level error
+    --drain-notice 0s --drain-timeout 1s --log-level error
 }
 # listed N: puts entry N into the VM list.
 listed() {
@@ -144,6 +147,7 @@
 }
 
 for concern in ${CONCERNS:-links accounts agent_links peers agents_calls tokens claims}; do
-  "$concern"
-done | "$bin/kingcupreel-bench" fit
+  "$concern" >>"$dir/samples"
+done
+"$bin/kingcupreel-bench" fit <"$dir/samples"
 "$bin/kingcupreel-bench" slopes
