Bound what a malformed frame, a silent call and a frozen entry can cost

Causes: the msgpack library allocates a slice of structs by the claimed length (its limit tests the wrong bit), so a frame of 13 bytes ended an agent and an entry with "fatal error: runtime: out of memory". A frame of an unknown kind, as a newer peer may send, ended the connection. A completed answer without a status line, or with its chunks before it, panicked (found by the property test of arbitrary frames, rapid). An engine's calls shared open connections, which may be silent. A second copy of a Done message was written while the first was being encoded.

Change: a frame's shape is checked before it is decoded; unknown kinds are passed over; an attempt takes chunks only after the status line and asks for what is missing; calls to the upstream use connections of their own, and a stream that doesn't begin within three stall timeouts goes on elsewhere; a call to the platform that times out closes the idle connections beside it. The link stand-in no longer passes on a close while it is silent: a silent path carries none. The shape check walks with the library's decoder and builds nothing; checking the library's limit flag instead was ruled out, as it can't be set from outside.

--- /dev/null
+++ b/internal/agent/journal_test.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+func attemptNumber(n uint64) wire.AttemptID {
+	return wire.AttemptID{Request: fmt.Sprint("r", n), Attempt: 1, Number: n}
+}
+
+// TestJournalVouchesOnlyForWhatItCovers runs arbitrary orders of dispatches and
+// cancels, with late and repeated ones, through a journal that holds few of
+// them.
+func TestJournalVouchesOnlyForWhatItCovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := newJournal(rapid.IntRange(1, 6).Draw(t, "limit"))
+		entries := []string{"e1", "e2"}
+		for _, e := range entries {
+			j.connect(e, 0)
+		}
+		begun, vouched := map[journalKey]bool{}, map[journalKey]bool{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			k := journalKey{rapid.SampledFrom(entries).Draw(t, "entry"), wire.AttemptID{}}
+			k.id = attemptNumber(rapid.Uint64Range(1, 20).Draw(t, "number"))
+			k.id.Request += k.entry
+			switch rapid.SampledFrom([]string{"dispatch", "cancel", "reconnect"}).Draw(t, "step") {
+			case "dispatch":
+				if !j.begin(k.entry, k.id) {
+					continue
+				}
+				if begun[k] || vouched[k] {
+					t.Fatalf("%v began again or after the journal vouched for it", k)
+				}
+				begun[k] = true
+			case "cancel":
+				switch state := j.fence(k.entry, k.id); state {
+				case wire.NeverSeen, wire.NeverRun:
+					if begun[k] {
+						t.Fatalf("%v began and is called %s", k, state)
+					}
+					vouched[k] = true
+				}
+			case "reconnect":
+				j.disconnect(k.entry)
+				j.connect(k.entry, 20)
+			}
+		}
+		if len(j.order) > j.limit || len(j.states) > j.limit {
+			t.Fatalf("journal holds %d of %d", len(j.order), j.limit)
+		}
+	})
+}
+
+// TestJournalForgetsEntriesWithoutAttempts bounds the memory over many
+// restarted entries.
+func TestJournalForgetsEntriesWithoutAttempts(t *testing.T) {
+	j := newJournal(4)
+	for n := range 1000 {
+		entry := fmt.Sprint("e", n)
+		j.connect(entry, 0)
+		j.begin(entry, wire.AttemptID{Request: entry, Number: 1})
+		j.disconnect(entry)
+	}
+	if len(j.entries) > 4 {
+		t.Fatalf("journal keeps %d entries", len(j.entries))
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -107,7 +107,8 @@
 		e := fault.As(err)
 		r.end.Reason, r.end.Message = e.Kind, e.Error()
 	}
-	r.send(r.end)
+	end := *r.end
+	r.send(&end)
 }
 
 // send passes a message to the entry, if there is one. The caller holds mu.
@@ -137,7 +138,8 @@
 		r.send(chunk)
 	}
 	if r.end != nil {
-		r.send(r.end)
+		end := *r.end
+		r.send(&end)
 	}
 	return true
 }
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -26,11 +26,14 @@
 	maxEvent = 1 << 20
 	// bodyChunk is the size of a part of an answer that is not a stream.
 	bodyChunk = 64 << 10
+	// firstAnswerStalls is how many stall timeouts a stream may take to begin.
+	firstAnswerStalls = 3
 	// dialTimeout bounds the connection to the engine beside the agent.
 	dialTimeout = 2 * time.Second
 )
 
-// upstream calls the engine or plain service on this VM.
+// upstream calls the engine or plain service on this VM, each call on a
+// connection of its own: an open one may have gone silent unnoticed.
 type upstream struct {
 	base  string
 	http  *http.Client
@@ -43,9 +46,9 @@
 
 func newUpstream(base string, stall time.Duration, clock clockwork.Clock) *upstream {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 256,
-		DisableCompression:  true,
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	}
 	return &upstream{base: base, http: &http.Client{Transport: transport}, stall: stall, clock: clock}
 }
@@ -57,7 +60,9 @@
 	if err != nil {
 		return outcome.NotRun, err
 	}
+	first := u.watchFirst(r)
 	resp, err := u.http.Do(req)
+	first.Stop()
 	if err != nil {
 		return callError(r, err)
 	}
@@ -75,6 +80,16 @@
 	return outcome.Completed, nil
 }
 
+// watchFirst gives up a stream whose engine doesn't begin to answer. Another
+// call answers at its end, so only its deadline bounds it.
+func (u *upstream) watchFirst(r *run) clockwork.Timer {
+	t := u.clock.AfterFunc(firstAnswerStalls*u.stall, func() { r.cancel(errStalled) })
+	if !r.dispatch.Stream {
+		t.Stop()
+	}
+	return t
+}
+
 // breakOff names why a call ended early: the agent's own reason, the caller's
 // deadline, or else a crash of the upstream.
 func breakOff(r *run, err error, message string) error {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
@@ -24,11 +25,16 @@
 	withdrawShare = 10
 )
 
+// sender passes messages to an agent; *link is one.
+type sender interface {
+	send(m wire.Message) error
+}
+
 // attempt relays one attempt of an exchange. It belongs to the request's
 // goroutine.
 type attempt struct {
 	x    *exchange
-	link *link
+	link sender
 	id   wire.AttemptID
 	box  *mailbox
 	seq  *sequence
@@ -111,7 +117,7 @@
 		err := fault.New(m.Reason, "send the request again", "%s", m.Message).After(time.Duration(m.RetryAfterMS) * time.Millisecond)
 		return result{outcome.NotRun, err}, true
 	case *wire.Head:
-		a.head(m)
+		return a.head(m)
 	case *wire.Chunk:
 		return a.chunk(m)
 	case *wire.Done:
@@ -120,17 +126,25 @@
 	return result{}, false
 }
 
-// head takes the answer's status; a repeated one is ignored.
-func (a *attempt) head(m *wire.Head) {
+// head takes the answer's status; a repeated one is ignored. A stream that has
+// begun can go on only with a stream.
+func (a *attempt) head(m *wire.Head) (result, bool) {
 	a.ran = true
 	if a.headed {
-		return
+		return result{}, false
+	}
+	if m.Status < http.StatusOK || a.x.answer.started && m.Status != http.StatusOK {
+		return a.giveUp(fault.New(fault.Crashed, "send the request again", "the upstream answered with status %d", m.Status)), true
 	}
 	a.headed = true
 	a.x.answer.head(m.Status, m.ContentType)
+	return result{}, false
 }
 
 func (a *attempt) chunk(m *wire.Chunk) (result, bool) {
+	if !a.headed {
+		return a.reattach()
+	}
 	ready, arrived := a.seq.add(m.Seq, m.Data)
 	switch arrived {
 	case duplicate:
@@ -149,7 +163,7 @@
 }
 
 func (a *attempt) done(m *wire.Done) (result, bool) {
-	if m.Outcome == outcome.Completed && a.seq.last != m.Chunks {
+	if m.Outcome == outcome.Completed && (!a.headed || a.seq.last != m.Chunks) {
 		return a.reattach()
 	}
 	_ = a.link.send(&wire.Release{ID: a.id})
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -156,7 +156,7 @@
 	prompt := call.PromptText()
 	req := &request{
 		prefix:    prompt[:min(len(prompt), prefixBytes)],
-		dispatch:  wire.Dispatch{Path: r.URL.Path, Model: call.Model},
+		dispatch:  wire.Dispatch{Path: r.URL.Path, Model: call.Model, Stream: call.Stream},
 		upstreams: func(s *config.Snapshot) []*config.Upstream { return s.ModelUpstreams(call.Model) },
 	}
 	return parsed{req: req, stream: call.Stream}, nil
--- a/internal/platform/kvhttp/client.go
+++ b/internal/platform/kvhttp/client.go
@@ -102,12 +102,12 @@
 func (c *Client) do(req *http.Request, path string, out any) error {
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return transportError(err, path)
+		return c.transportError(err, path)
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return transportError(err, path)
+		return c.transportError(err, path)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp.StatusCode, path, answer)
@@ -121,9 +121,12 @@
 	return nil
 }
 
-func transportError(err error, path string) error {
+// transportError names a failed call. After a timeout the idle connections are
+// closed, since they may have gone silent with the one that timed out.
+func (c *Client) transportError(err error, path string) error {
 	var ne net.Error
 	if errors.As(err, &ne) && ne.Timeout() {
+		c.http.CloseIdleConnections()
 		return fault.Wrap(fault.Timeout, err, remedy, "calling %s", path)
 	}
 	return fault.Wrap(fault.Unavailable, err, remedy, "calling %s", path)
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -39,6 +39,9 @@
 	client, server net.Conn
 	mu             sync.Mutex
 	silent         bool
+	// halfClosed says that one end closed while the pair was silent, which the
+	// other end doesn't learn.
+	halfClosed bool
 }
 
 // Link forwards connections to an address.
@@ -129,10 +132,23 @@
 	wg.Wait()
 }
 
+// setSilent changes the pair; one whose end was hidden is closed when it is no
+// longer silent.
 func (p *pair) setSilent(silent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.silent = silent
+	if !silent && p.halfClosed {
+		p.close()
+	}
+}
+
+// hideEnd says whether an end that closed is hidden from the other one.
+func (p *pair) hideEnd() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.halfClosed = p.halfClosed || p.silent
+	return p.silent
 }
 
 func (p *pair) isSilent() bool {
@@ -146,26 +162,26 @@
 	p.server.Close()
 }
 
-// copy forwards one direction. A pair that was ever silent has lost bytes, so
-// it is closed instead of resumed.
+// copy forwards one direction until an end closes. A pair that was ever silent
+// has lost bytes, so it is closed instead of resumed.
 func (p *pair) copy(dst io.Writer, src io.Reader) {
-	defer p.close()
 	buf := make([]byte, 32<<10)
 	lost := false
 	for {
 		n, err := src.Read(buf)
-		if err != nil {
+		if err != nil && p.hideEnd() {
 			return
 		}
-		if p.isSilent() {
+		if err == nil && p.isSilent() {
 			lost = true
 			continue
 		}
-		if lost {
-			return
+		if err != nil || lost {
+			break
 		}
 		if _, err := dst.Write(buf[:n]); err != nil {
-			return
+			break
 		}
 	}
+	p.close()
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -162,6 +162,9 @@
 			return err
 		}
 		m, size, err := readFrame(r)
+		if errors.Is(err, errUnknownKind) {
+			continue
+		}
 		if err != nil {
 			return silenceError(err, c.opts.Silence)
 		}
@@ -216,6 +219,11 @@
 // under load share system calls.
 func (c *Conn) write(w *bufio.Writer, buf []byte, m Message) ([]byte, error) {
 	buf, err := AppendFrame(buf, m)
+	if fault.KindOf(err) == fault.TooLarge {
+		// The others on this connection don't pay for it; its own request ends
+		// by its deadline.
+		return buf, nil
+	}
 	if err != nil {
 		return buf, err
 	}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -81,11 +82,18 @@
 	return buf.Bytes(), err
 }
 
+// errUnknownKind is the cause of an error on a kind that this version doesn't
+// know: a newer peer's, which is passed over.
+var errUnknownKind = errors.New("unknown message kind")
+
 // Decode decodes the body of a frame of the given kind.
 func Decode(kind Kind, body []byte) (Message, error) {
 	factory, ok := factories[kind]
 	if !ok {
-		return nil, fault.New(fault.Invalid, "upgrade the older process", "unknown message kind %d", kind)
+		return nil, fault.Wrap(fault.Invalid, errUnknownKind, "upgrade the older process", "message kind %d", kind)
+	}
+	if err := checkShape(body); err != nil {
+		return nil, fault.Wrap(fault.Invalid, err, "check that the peer speaks this protocol", "message kind %d", kind)
 	}
 	m := factory()
 	if err := msgpack.Unmarshal(body, m); err != nil {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -109,6 +109,8 @@
 	ResumeTokens int
 	// Stamp is the sender's clock; Conn.Send sets it.
 	Stamp timeline.Stamp
+	// Stream says that the caller wants the answer as it comes.
+	Stream bool
 }
 
 // Accepted says that the agent will run the attempt.
--- a/internal/wire/meter.go
+++ b/internal/wire/meter.go
@@ -24,7 +24,9 @@
 }
 
 // isWork says whether a kind belongs to a request rather than to control.
-func isWork(k Kind) bool { return k >= KindDispatch && k <= KindVerdict }
+func isWork(k Kind) bool {
+	return k >= KindDispatch && k <= KindVerdict || k == KindAttach || k == KindRelease
+}
 
 func (m *Meter) in(k Kind, bytes int) {
 	switch {
--- /dev/null
+++ b/internal/wire/shape.go
@@ -0,0 +1,63 @@
+package wire
+
+import (
+	"bytes"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+)
+
+const (
+	// maxDepth bounds the nesting of a message.
+	maxDepth = 32
+	// maxElements bounds the elements of all arrays and maps of a message.
+	maxElements = 1 << 20
+)
+
+// checkShape walks a message without building it: every array and map must
+// really hold the elements that it claims, and nest no deeper than maxDepth.
+// The msgpack library allocates a slice of structs by the claimed length, so
+// that a frame of a few bytes could otherwise take all memory.
+func checkShape(body []byte) error {
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(bytes.NewReader(body))
+	left := []int{1}
+	for total := 0; len(left) > 0; {
+		top := len(left) - 1
+		if left[top] <= 0 {
+			left = left[:top]
+			continue
+		}
+		left[top]--
+		n, err := enter(dec)
+		if err != nil {
+			return err
+		}
+		total += max(n, 0)
+		if len(left) == maxDepth || total > maxElements {
+			return fault.New(fault.TooLarge, "check that the peer speaks this protocol", "message nests deeper than %d or holds over %d elements", maxDepth, maxElements)
+		}
+		left = append(left, n)
+	}
+	return nil
+}
+
+// enter passes over a plain value, or over the head of an array or a map, and
+// returns the number of values inside.
+func enter(dec *msgpack.Decoder) (int, error) {
+	code, err := dec.PeekCode()
+	if err != nil {
+		return 0, err
+	}
+	switch {
+	case msgpcode.IsFixedArray(code), code == msgpcode.Array16, code == msgpcode.Array32:
+		return dec.DecodeArrayLen()
+	case msgpcode.IsFixedMap(code), code == msgpcode.Map16, code == msgpcode.Map32:
+		n, err := dec.DecodeMapLen()
+		return 2 * n, err
+	}
+	return 0, dec.Skip()
+}
--- a/test/scenario/checks_outcomes_test.go
+++ b/test/scenario/checks_outcomes_test.go
@@ -3,13 +3,18 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 
 	"github.com/kingcupreel/kingcupreel/internal/engineapi"
 	"github.com/kingcupreel/kingcupreel/internal/standin/engine"
 	"github.com/kingcupreel/kingcupreel/internal/standin/plain"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
 // checkAnswer is "check answer PROMPT TOKENS FILE": it prints "whole" when the
@@ -123,3 +128,38 @@
 	fmt.Printf("calls=%d\n", n)
 	return nil
 }
+
+// garbage are the first bytes of peers that don't speak the inner protocol:
+// another protocol, a huge frame, a small frame that claims huge contents, a
+// frame cut short, and nothing.
+var garbage = [][]byte{
+	[]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+	{0xff, 0xff, 0xff, 0xff, 1, 1, 1},
+	{0, 0, 0, 8, byte(wire.KindEventsReply), 0x92, 1, 0xdd, 0xff, 0xff, 0xff, 0xff},
+	{0, 0, 1, 0, byte(wire.KindDispatch), 0x91},
+	{},
+}
+
+// checkGarbage sends garbage to each address and prints how many of the
+// connections the other side closed.
+func checkGarbage(addresses []string) error {
+	var closed atomic.Int32
+	var wg sync.WaitGroup
+	for _, address := range addresses {
+		for _, data := range garbage {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				return err
+			}
+			wg.Go(func() {
+				defer c.Close()
+				_, _ = c.Write(data)
+				_, _ = io.Copy(io.Discard, c)
+				closed.Add(1)
+			})
+		}
+	}
+	wg.Wait()
+	fmt.Printf("closed=%d\n", closed.Load())
+	return nil
+}
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -55,6 +55,7 @@
 		"runs":      checkRuns,
 		"once":      checkOnce,
 		"answer":    checkAnswer,
+		"garbage":   checkGarbage,
 		"tokens":    checkTokens,
 		"prompt":    checkPrompt,
 		"idle":      checkIdle,
