Prove whole answers under a seeded flow of faults, and planned stops under load

Cause: the scenarios so far break one stream at a time. The flow sends many requests at once, each with a prompt of its own, and judges every answer against the engines' function of the prompt, and every not-run against their records; the disturbances freeze, cut and silence processes and links by a seed.

Also: the inner server made its context in Start, which raced with Stop (found by go test -race ./test/scenario, leaving-entry); it is made at construction now.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -30,7 +30,7 @@
 		Hello: p.hello, Target: s.Target, Workers: s.Workers, Wire: p.wire, Store: p.store,
 		StallTimeout: s.StallTimeout, OrphanTimeout: s.OrphanTimeout, Events: p.events, Metrics: p.metrics, Log: p.log,
 	})
-	inner := &innerServer{listener: listeners["inner"], serve: a.Serve}
+	inner := newInnerServer(listeners["inner"], a.Serve)
 	ops := httpServer(listeners["ops"], agentHandler(p))
 	app := p.newApp(ctx, s.Common, a.Leave, kratos.Server(inner, ops))
 	p.events.Add(timeline.Event{Kind: timeline.Started})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,14 +110,19 @@
 type innerServer struct {
 	listener net.Listener
 	serve    func(ctx context.Context, l net.Listener) error
+	ctx      context.Context
 	cancel   context.CancelFunc
 }
 
+func newInnerServer(l net.Listener, serve func(ctx context.Context, l net.Listener) error) *innerServer {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &innerServer{listener: l, serve: serve, ctx: ctx, cancel: cancel}
+}
+
 // Start implements transport.Server.
-func (s *innerServer) Start(ctx context.Context) error {
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	err := s.serve(ctx, s.listener)
-	if ctx.Err() != nil {
+func (s *innerServer) Start(context.Context) error {
+	err := s.serve(s.ctx, s.listener)
+	if s.ctx.Err() != nil {
 		return nil
 	}
 	return err
@@ -125,9 +130,7 @@
 
 // Stop implements transport.Server.
 func (s *innerServer) Stop(context.Context) error {
-	if s.cancel != nil {
-		s.cancel()
-	}
+	s.cancel()
 	return nil
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -46,7 +46,7 @@
 	go watcher.Run(work)
 	caller := httpServer(listeners["caller"], e.CallerHandler())
 	ops := httpServer(listeners["ops"], e.OperatorHandler())
-	inner := &innerServer{listener: listeners["inner"], serve: peers.Serve}
+	inner := newInnerServer(listeners["inner"], peers.Serve)
 	drain := func(ctx context.Context) error { return drainEntry(ctx, e, caller, s.DrainNotice) }
 	app := p.newApp(ctx, s.Common, drain, kratos.Server(caller, ops, inner))
 	p.events.Add(timeline.Event{Kind: timeline.Started})
--- /dev/null
+++ b/test/scenario/flow_test.go
@@ -0,0 +1,191 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/kingcupreel/kingcupreel/internal/engineapi"
+	"github.com/kingcupreel/kingcupreel/internal/standin/engine"
+)
+
+const (
+	// flowTokens is the length of a flow's answers.
+	flowTokens = 40
+	// flowTimeout is the Request-Timeout of a flow's requests, in seconds.
+	flowTimeout = "60"
+	// disturbPause is the mean time between two disturbances.
+	disturbPause = 700 * time.Millisecond
+)
+
+// flowCounts are what a flow's callers were told.
+type flowCounts struct {
+	mu       sync.Mutex
+	outcomes map[string]int
+	notRun   map[string]bool
+	wrong    []string
+}
+
+// checkFlow is "check flow CALLERS REQUESTS ENGINES CALLER=OPS...": each caller
+// sends its streaming requests one after the other to an entry whose readiness
+// is positive, as the platform's balancer does. It prints the outcomes, and
+// fails when an answer is wrong or when an engine ran what was called not-run.
+func checkFlow(args []string) error {
+	callers, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	requests, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	f := &flowCounts{outcomes: map[string]int{}, notRun: map[string]bool{}}
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() {
+			for n := range requests {
+				f.request(args[3:], fmt.Sprintf("flow-%d-%d", c, n), c+n)
+			}
+		})
+	}
+	wg.Wait()
+	if err := f.judgeNotRun(strings.Split(args[2], ",")); err != nil {
+		return err
+	}
+	fmt.Printf("requests=%d outcomes=%v wrong=%v\n", callers*requests, f.outcomes, f.wrong)
+	if len(f.wrong) > 0 {
+		return fmt.Errorf("%d wrong answers", len(f.wrong))
+	}
+	return nil
+}
+
+// request sends one request and judges its answer.
+func (f *flowCounts) request(entries []string, prompt string, first int) {
+	body, _ := json.Marshal(engineapi.Call{Model: "m", Prompt: prompt, Stream: true, MaxTokens: flowTokens})
+	req, err := http.NewRequest(http.MethodPost, "http://"+readyEntry(entries, first)+engineapi.PathCompletions, strings.NewReader(string(body)))
+	if err != nil {
+		f.count(prompt, "none", err.Error())
+		return
+	}
+	req.Header.Set("Authorization", "Bearer account-1")
+	req.Header.Set("Request-Timeout", flowTimeout)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.count(prompt, "none", err.Error())
+		return
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	outcome := resp.Header.Get("Kingcupreel-Outcome") + resp.Trailer.Get("Kingcupreel-Outcome")
+	if err != nil {
+		f.count(prompt, "none", err.Error())
+		return
+	}
+	f.count(prompt, outcome, faultOf(prompt, outcome, string(data)))
+}
+
+// readyEntry returns the caller address of an entry that is ready, from the
+// given one on.
+func readyEntry(entries []string, first int) string {
+	for i := first; ; i++ {
+		caller, ops, _ := strings.Cut(entries[i%len(entries)], "=")
+		resp, err := http.Get("http://" + ops + "/readyz")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return caller
+		}
+	}
+}
+
+// faultOf says what is wrong with an answer, if anything.
+func faultOf(prompt, outcome, data string) string {
+	stream, _, _ := strings.Cut(data, "event: error")
+	text, ends, err := streamText(stream)
+	want := engine.Text(prompt, flowTokens)
+	switch {
+	case outcome == "completed" && (err != nil || text != want || ends != 1):
+		return fmt.Sprintf("completed with %d of %d bytes and %d ends", len(text), len(want), ends)
+	case outcome != "completed" && !strings.HasPrefix(want, text):
+		return "another text"
+	}
+	return ""
+}
+
+func (f *flowCounts) count(prompt, outcome, fault string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outcomes[outcome]++
+	f.notRun[prompt] = outcome == "not-run"
+	if fault != "" {
+		f.wrong = append(f.wrong, prompt+": "+fault)
+	}
+}
+
+// judgeNotRun compares what was called not-run with the engines' records.
+func (f *flowCounts) judgeNotRun(engines []string) error {
+	for _, url := range engines {
+		var runs []engine.Run
+		if err := fetch("http://"+url+"/admin/runs", &runs); err != nil {
+			return err
+		}
+		for _, r := range runs {
+			if f.notRun[r.Prompt] {
+				f.wrong = append(f.wrong, r.Prompt+": called not-run and ran")
+			}
+		}
+	}
+	return nil
+}
+
+// cmdDisturb is "disturb SEED STEPS NAME...": it disturbs one process after the
+// other, in an order and with pauses that the seed gives. A link drops, goes
+// silent, or silences what is open; any other process freezes and continues.
+// At the end all are well again.
+func cmdDisturb(ts *testscript.TestScript, neg bool, args []string) {
+	seed, err := strconv.ParseUint(args[0], 10, 64)
+	ts.Check(err)
+	steps, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	random := rand.New(rand.NewPCG(seed, seed))
+	for range steps {
+		name := args[2+random.IntN(len(args)-2)]
+		mend := disturb(ts, random, name)
+		time.Sleep(disturbPause/2 + time.Duration(random.Int64N(int64(disturbPause))))
+		if random.IntN(4) == 0 {
+			time.Sleep(5 * disturbPause)
+		}
+		mend()
+	}
+}
+
+// disturb begins a disturbance and returns the function that ends it.
+func disturb(ts *testscript.TestScript, random *rand.Rand, name string) func() {
+	if !strings.HasPrefix(name, "link-") {
+		proc := table(ts).get(ts, name).cmd.Process
+		ts.Logf("disturb: freeze %s", name)
+		ts.Check(proc.Signal(syscall.SIGSTOP))
+		return func() { ts.Check(proc.Signal(syscall.SIGCONT)) }
+	}
+	mode := []string{"drop", "silence", "silence-open"}[random.IntN(3)]
+	ts.Logf("disturb: %s %s", mode, name)
+	setLink(ts, name, mode)
+	return func() { setLink(ts, name, "pass") }
+}
+
+func setLink(ts *testscript.TestScript, name, mode string) {
+	resp, err := http.Post("http://"+ts.Getenv(name+"_http")+"/admin/mode", "application/json", strings.NewReader(`{"mode":"`+mode+`"}`))
+	ts.Check(err)
+	resp.Body.Close()
+}
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -56,6 +56,7 @@
 		"once":      checkOnce,
 		"answer":    checkAnswer,
 		"garbage":   checkGarbage,
+		"flow":      checkFlow,
 		"tokens":    checkTokens,
 		"prompt":    checkPrompt,
 		"idle":      checkIdle,
