Bound what a slow caller holds

A caller that trickles its body held a request for ever, since the read had no deadline; one that stops reading held its answer's goroutine in a write past the request's own deadline. A body now has 30 s, and each part of an answer 30 s; an answer that isn't a stream is written in parts of 64 KiB, so that a slow but reading caller isn't cut. The write deadline is cleared at the start of a request, since a connection is used again.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
@@ -17,8 +19,13 @@
 // HeaderRequestID names the request in every answer.
 const HeaderRequestID = "Kingcupreel-Request"
 
-// stallTimeout bounds how long a caller may leave a part of a stream unread.
-const stallTimeout = 30 * time.Second
+const (
+	// stallTimeout bounds how long a caller may take for a part of an answer.
+	stallTimeout = 30 * time.Second
+	// writePart is the size of a part of an answer that isn't a stream, in
+	// bytes.
+	writePart = 64 << 10
+)
 
 // answer writes one caller's answer: a stream as it comes, anything else whole
 // at the end. The caller of chunk keeps the order.
@@ -64,13 +71,19 @@
 		return a.keep(data)
 	}
 	a.start()
+	a.transcript.add(data)
+	return a.write(data)
+}
+
+// write passes a part to the caller, who has stallTimeout to take it.
+func (a *answer) write(data []byte) error {
 	control := http.NewResponseController(a.w)
 	_ = control.SetWriteDeadline(time.Now().Add(stallTimeout))
-	if _, err := a.w.Write(data); err != nil {
-		return fault.Wrap(fault.Timeout, err, "keep the connection open and read the answer", "the caller left")
+	_, err := a.w.Write(data)
+	if err == nil {
+		err = control.Flush()
 	}
-	a.transcript.add(data)
-	if err := control.Flush(); err != nil {
+	if err != nil {
 		return fault.Wrap(fault.Timeout, err, "keep the connection open and read the answer", "the caller left")
 	}
 	return nil
@@ -109,13 +122,25 @@
 		if after := retryAfter(a.status, 0); after > 0 {
 			a.w.Header().Set("Retry-After", fault.RetryAfterSeconds(after))
 		}
+		if len(a.body) > 0 {
+			a.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		}
 		a.w.WriteHeader(a.status)
-		_, _ = a.w.Write(a.body)
+		a.writeBody()
 	default:
 		writeError(a.w, r.outcome, r.err)
 	}
 }
 
+// writeBody passes the kept answer to the caller in parts.
+func (a *answer) writeBody() {
+	for part := range slices.Chunk(a.body, writePart) {
+		if a.write(part) != nil {
+			return
+		}
+	}
+}
+
 // errorBody is the JSON of an error answer.
 type errorBody struct {
 	Error   *fault.Error    `json:"error"`
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -27,8 +27,10 @@
 	// defaultTimeout and maxTimeout bound a request.
 	defaultTimeout = 120 * time.Second
 	maxTimeout     = 3600 * time.Second
-	maxKey         = 255
-	servicePrefix  = "/v1/services/"
+	// bodyTimeout bounds the time that a caller may take to send a body.
+	bodyTimeout   = 30 * time.Second
+	maxKey        = 255
+	servicePrefix = "/v1/services/"
 
 	headerTimeout = "Request-Timeout"
 	headerKey     = "Idempotency-Key"
@@ -60,6 +62,8 @@
 func (e *Entry) caller(parse parser) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.count("requests.received")
+		// An earlier request of the connection may have left a deadline.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		if e.Draining() {
 			w.Header().Set("Connection", "close")
 		}
@@ -131,7 +135,10 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, fault.New(fault.TooLarge, "send a smaller body", "body over %d bytes", maxBody)
