--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -160,6 +160,9 @@
 	r := bufio.NewReaderSize(silenceReader{c.nc, c.opts.Silence}, bufferSize)
 	for {
 		m, size, err := readFrame(r)
+		if errors.Is(err, errUnknownKind) {
+			continue
+		}
 		if err != nil {
 			return silenceError(err, c.opts.Silence)
 		}
@@ -235,7 +238,13 @@
 	var buf []byte
 	for _, m := range batch {
 		var err error
-		if buf, err = AppendFrame(buf[:0], m); err != nil {
+		buf, err = AppendFrame(buf[:0], m)
+		if fault.KindOf(err) == fault.TooLarge {
+			// The others on this connection don't pay for it; its own request
+			// ends by its deadline.
+			continue
+		}
+		if err != nil {
 			return err
 		}
 		c.opts.Meter.out(m.Kind(), len(buf))
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -55,6 +55,8 @@
 		"runs":      checkRuns,
 		"once":      checkOnce,
 		"answer":    checkAnswer,
+		"garbage":   checkGarbage,
+		"flow":      checkFlow,
 		"tokens":    checkTokens,
 		"prompt":    checkPrompt,
 		"idle":      checkIdle,
