--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/provider"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -66,6 +67,7 @@
 type Agent struct {
 	opts     Options
 	upstream *upstream
+	config   *provider.Learner
 	journal  *journal
 	queue    chan *run
 
@@ -83,6 +85,7 @@
 		opts:     opts,
 		upstream: newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
 		journal:  newJournal(journalLimit),
+		config:   provider.NewLearner(opts.Store, opts.Hello.Upstream, opts.Clock),
 		queue:    make(chan *run, 2*opts.Workers),
 		conns:    map[*wire.Conn]wire.Hello{},
 		runs:     map[wire.AttemptID]*run{},
@@ -142,12 +145,12 @@
 		a.dispatch(c, m)
 	case *wire.Cancel:
 		a.cancel(c, m)
+	case *wire.ConfigState, *wire.ConfigUpdate:
+		a.config.Receive(c, m)
 	case *wire.Attach:
 		a.attach(c, m)
 	case *wire.Release:
 		a.release(m)
-	case *wire.ConfigSnapshot:
-		a.opts.Store.Apply(m.Revision, recordsOf(m))
 	case *wire.EventsRequest:
 		_ = c.Send(&wire.EventsReply{Nonce: m.Nonce, Events: a.opts.Events.Events()})
 	default:
@@ -155,14 +158,6 @@
 	}
 }
 
-func recordsOf(m *wire.ConfigSnapshot) []config.Record {
-	records := make([]config.Record, 0, len(m.Records))
-	for _, r := range m.Records {
-		records = append(records, config.Record(r))
-	}
-	return records
-}
-
 // connected takes a connection's Hello; a second one ends the connection.
 func (a *Agent) connected(c *wire.Conn, hello wire.Hello) {
 	a.mu.Lock()
--- a/internal/config/codec/codec.go
+++ b/internal/config/codec/codec.go
@@ -18,6 +18,12 @@
 // to a megabyte.
 const MaxRecord = 1 << 20
 
+// OldVersion is the schema version of the old form, NewVersion that of ours.
+const (
+	OldVersion = v1.SchemaVersion
+	NewVersion = v2.SchemaVersion
+)
+
 // version finds the schema version; the two forms name it differently.
 type version struct {
 	SchemaVersion int `json:"schemaVersion"`
@@ -86,3 +92,30 @@
 	}
 	return docs
 }
+
+// Written returns the record to store for a write over the present record: a
+// record of the old form keeps the present object's fields that it can't
+// express, and becomes one of the new form for it. present is empty for none;
+// one that can't be decoded keeps nothing.
+func Written(present, record []byte) ([]byte, error) {
+	version, err := Version(record)
+	if err != nil {
+		return nil, err
+	}
+	if version == v2.SchemaVersion || len(present) == 0 {
+		return record, nil
+	}
+	before, err := DecodeAny(present)
+	if err != nil {
+		return record, nil
+	}
+	obj, err := v1.Decode(record)
+	if err != nil {
+		return nil, err
+	}
+	merged := v1.Merge(before, obj)
+	if _, err := v1.Encode(merged); err == nil {
+		return record, nil
+	}
+	return v2.Encode(merged)
+}
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -71,6 +71,16 @@
 	Service string `json:"service,omitempty"`
 	// ChecksFencing says that the engine itself refuses old fencing numbers.
 	ChecksFencing bool `json:"checksFencing,omitempty"`
+	// Drain says that it gets no new work; work in flight goes on.
+	Drain bool `json:"drain,omitempty"`
+}
+
+// SameEndpoint says whether a connection to u serves v too: they differ at most
+// in whether they drain.
+func (u *Upstream) SameEndpoint(v *Upstream) bool {
+	a, b := *u, *v
+	a.Drain, b.Drain = false, false
+	return a == b
 }
 
 // ClientAccount is a caller with its priority and limits.
--- /dev/null
+++ b/internal/config/scope.go
@@ -0,0 +1,48 @@
+package config
+
+// scope selects the records that an upstream's agent needs: its own, its model
+// group, the group's other ranks and expert plan, or its plain service.
+type scope struct {
+	snapshot *Snapshot
+	upstream *Upstream
+}
+
+// has says whether the agent needs the record of a key.
+func (c scope) has(path string) bool {
+	key, err := ParseKey(path)
+	if c.upstream == nil || err != nil {
+		return false
+	}
+	switch key.Kind {
+	case KindUpstream:
+		u := c.snapshot.Upstreams[key.Name]
+		return u != nil && (u.Name == c.upstream.Name || (u.Group != "" && u.Group == c.upstream.Group))
+	case KindModelGroup, KindExpertPlan:
+		return key.Name == c.upstream.Group
+	case KindPlainService:
+		return key.Name == c.upstream.Service
+	}
+	return false
+}
+
+// narrow keeps what the agent of an upstream needs. Other upstreams' keys stay
+// as removals, since the agent may hold them from before they left its group.
+// A change of the agent's own record may change its scope: it gets a whole one.
+func (u Update) narrow(s *Snapshot, upstream string) Update {
+	c := scope{s, s.Upstreams[upstream]}
+	own := Key{KindUpstream, upstream}.Path()
+	out := Update{Base: u.Base, From: u.From, To: u.To, Whole: u.Whole, Partial: true, Removed: u.Removed}
+	for _, r := range u.Records {
+		if r.Key == own && !u.Whole {
+			return Update{Base: s.Base, To: s.Revision, Whole: true, Records: s.Records}.narrow(s, upstream)
+		}
+		key, err := ParseKey(r.Key)
+		switch {
+		case c.has(r.Key):
+			out.Records = append(out.Records, r)
+		case err == nil && key.Kind == KindUpstream && !u.Whole:
+			out.Removed = append(out.Removed, r.Key)
+		}
+	}
+	return out
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -1,58 +1,28 @@
 package config
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"net/netip"
+	"encoding/json"
 	"slices"
 	"strings"
-	"sync"
-
-	"github.com/kingcupreel/kingcupreel/internal/fault"
 )
 
-func validAddress(s string) bool {
-	_, err := netip.ParseAddrPort(s)
-	return err == nil
-}
-
-// ParseKey parses a key of the key-value service.
-func ParseKey(path string) (Key, error) {
-	rest, ok := strings.CutPrefix(path, Prefix)
-	kind, name, found := strings.Cut(rest, "/")
-	if !ok || !found || !slices.Contains(Kinds, Kind(kind)) {
-		return Key{}, fault.New(fault.Invalid, "use config/<kind>/<name>", "key %q", path)
-	}
-	return Key{Kind: Kind(kind), Name: name}, nil
-}
-
-// HashToken returns the hex SHA-256 of a bearer token, as records hold it.
-func HashToken(token string) string {
-	sum := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(sum[:])
-}
-
-// Record is one stored record: the service's key, its bytes and revision.
-type Record struct {
-	Key      string
-	Value    []byte
-	Revision int64
-}
-
-// Decoder decodes a record of either form.
-type Decoder func(key Key, data []byte) (Object, error)
-
 // Rejected is a record that is not in force, with the reason.
 type Rejected struct {
 	Key      string `json:"key"`
 	Revision int64  `json:"revision"`
 	Reason   string `json:"reason"`
+	// InForce is the revision of the last valid record, which stays in force;
+	// 0 means that there is none.
+	InForce int64 `json:"in_force,omitempty"`
 }
 
 // Snapshot is the whole configuration at a revision. It is immutable; the
 // zero value is the empty configuration at revision 0.
 type Snapshot struct {
+	// Revision orders snapshots: see RevisionOf. Base is the part of it that
+	// is added to the service's revisions.
 	Revision int64
+	Base     int64
 	Records  []Record
 	Rejected []Rejected
 
@@ -67,7 +37,18 @@
 	operatorByHash map[string]*Operator
 	byModel        map[string][]*Upstream
 	byService      map[string][]*Upstream
-	objects        map[string]Object
+	held           map[string]held
+	lastValid      map[string]LastValid
+}
+
+// held is a key's present record and what is in force for it.
+type held struct {
+	record Record
+	// object is in force and was decoded from valid; nil means none.
+	object Object
+	valid  Record
+	// err says why the present record is not in force.
+	err error
 }
 
 // AccountByToken returns the client account of a bearer token, or nil.
@@ -80,12 +61,26 @@
 	return s.operatorByHash[HashToken(token)]
 }
 
-// ModelUpstreams returns the upstreams that serve a model, by name.
+// ModelUpstreams returns the upstreams that serve a model and don't drain, by
+// name.
 func (s *Snapshot) ModelUpstreams(model string) []*Upstream { return s.byModel[model] }
 
-// ServiceUpstreams returns the upstreams of a plain service, by name.
+// ServiceUpstreams returns the upstreams of a plain service that don't drain,
+// by name.
 func (s *Snapshot) ServiceUpstreams(service string) []*Upstream { return s.byService[service] }
 
+// Record returns the stored record of a key; false means that there is none.
+func (s *Snapshot) Record(path string) (Record, bool) {
+	h, ok := s.held[path]
+	return h.record, ok
+}
+
+// Object returns the object in force under a key, or nil.
+func (s *Snapshot) Object(path string) Object { return s.held[path].object }
+
+// ServiceRevision is the highest revision of any record at the service.
+func (s *Snapshot) ServiceRevision() int64 { return s.Revision - s.Base }
+
 // IsNonIdempotent says whether a call of the service must not run twice.
 func (s *PlainService) IsNonIdempotent(method, path string) bool {
 	for _, c := range s.NonIdempotent {
@@ -96,33 +91,71 @@
 	return false
 }
 
-// build makes a snapshot. A record that can't be decoded is rejected and the
-// last valid object of that key, from prev, stays in force.
-func build(prev *Snapshot, revision int64, records []Record, decode Decoder) *Snapshot {
+// build makes a snapshot. Records that prev holds are not decoded again. Where
+// a record is invalid, the newest valid one of that key stays in force: the one
+// that the service keeps, or the one that prev had.
+func build(prev *Snapshot, revision, base int64, records []Record, decode Decoder) *Snapshot {
 	s := &Snapshot{
-		Revision: revision,
-		Records:  records,
-		Groups:   map[string]*ModelGroup{}, Upstreams: map[string]*Upstream{},
+		Revision: revision, Base: base,
+		Records: records,
+		Groups:  map[string]*ModelGroup{}, Upstreams: map[string]*Upstream{},
 		Accounts: map[string]*ClientAccount{}, Services: map[string]*PlainService{},
 		Plans: map[string]*ExpertPlan{}, Operators: map[string]*Operator{},
 		accountByHash: map[string]*ClientAccount{}, operatorByHash: map[string]*Operator{},
 		byModel: map[string][]*Upstream{}, byService: map[string][]*Upstream{},
-		objects: map[string]Object{},
+		held: make(map[string]held, len(records)), lastValid: lastValidOf(records),
 	}
 	for _, r := range records {
-		obj, err := decodeRecord(r, decode)
-		if err != nil {
-			s.Rejected = append(s.Rejected, Rejected{Key: r.Key, Revision: r.Revision, Reason: err.Error()})
-			obj = prev.objects[r.Key]
+		if IsInternal(r.Key) {
+			s.held[r.Key] = held{record: r}
+			continue
 		}
-		if obj != nil {
-			s.add(r.Key, obj)
+		h := s.hold(prev, r, decode)
+		s.held[r.Key] = h
+		if h.err != nil {
+			s.Rejected = append(s.Rejected, Rejected{Key: r.Key, Revision: r.Revision, Reason: h.err.Error(), InForce: h.valid.Revision})
 		}
+		s.add(h.object)
 	}
 	s.index()
 	return s
 }
 
+func lastValidOf(records []Record) map[string]LastValid {
+	kept := map[string]LastValid{}
+	for _, r := range records {
+		path, ok := strings.CutPrefix(r.Key, LastValidPrefix)
+		var v LastValid
+		if ok && json.Unmarshal(r.Value, &v) == nil {
+			kept[Prefix+path] = v
+		}
+	}
+	return kept
+}
+
+// hold decides what is in force for a record.
+func (s *Snapshot) hold(prev *Snapshot, r Record, decode Decoder) held {
+	before, known := prev.held[r.Key]
+	if known && before.err == nil && before.record.Revision == r.Revision && prev.Base == s.Base {
+		before.record = r
+		return before
+	}
+	obj, err := decodeRecord(r, decode)
+	if err == nil {
+		return held{record: r, object: obj, valid: r}
+	}
+	h := held{record: r, object: before.object, valid: before.valid, err: err}
+	kept := s.lastValid[r.Key]
+	if len(kept.Record) == 0 || (h.object != nil && kept.Revision <= h.valid.Revision) {
+		return h
+	}
+	valid := Record{Key: r.Key, Value: kept.Record, Revision: kept.Revision}
+	if obj, err := decodeRecord(valid, decode); err == nil {
+		h.object, h.valid = obj, valid
+	}
+	return h
+}
+
 func decodeRecord(r Record, decode Decoder) (Object, error) {
 	key, err := ParseKey(r.Key)
 	if err != nil {
@@ -131,8 +164,7 @@
 	return decode(key, r.Value)
 }
 
-func (s *Snapshot) add(path string, obj Object) {
-	s.objects[path] = obj
+func (s *Snapshot) add(obj Object) {
 	switch o := obj.(type) {
 	case *ModelGroup:
 		s.Groups[o.Name] = o
@@ -161,6 +193,9 @@
 		}
 	}
 	for _, u := range s.Upstreams {
+		if u.Drain {
+			continue
+		}
 		if g := s.Groups[u.Group]; g != nil {
 			s.byModel[g.Model] = append(s.byModel[g.Model], u)
 		}
@@ -174,55 +209,3 @@
 		}
 	}
 }
-
-// Store keeps the newest snapshot in force. It never goes to a lower
-// revision.
-type Store struct {
-	decode Decoder
-
-	mu       sync.Mutex // leaf lock; listeners are called without it
-	current  *Snapshot
-	onChange []func(*Snapshot)
-}
-
-// NewStore returns a store at revision 0.
-func NewStore(decode Decoder) *Store {
-	return &Store{decode: decode, current: &Snapshot{}}
-}
-
-// Current returns the snapshot in force.
-func (s *Store) Current() *Snapshot {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.current
-}
-
-// OnChange registers a function that is called after each newer snapshot.
-func (s *Store) OnChange(f func(*Snapshot)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.onChange = append(s.onChange, f)
-}
-
-// Apply puts a snapshot into force if its revision is higher than the present
-// one, and says whether it did.
-func (s *Store) Apply(revision int64, records []Record) bool {
-	snap, listeners := s.replace(revision, records)
-	if snap == nil {
-		return false
-	}
-	for _, f := range listeners {
-		f(snap)
-	}
-	return true
-}
-
-func (s *Store) replace(revision int64, records []Record) (*Snapshot, []func(*Snapshot)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if revision <= s.current.Revision {
-		return nil, nil
-	}
-	s.current = build(s.current, revision, records, s.decode)
-	return s.current, slices.Clone(s.onChange)
-}
--- /dev/null
+++ b/internal/config/v1/encode.go
@@ -0,0 +1,92 @@
+package v1
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+)
+
+// Encode encodes an object in the old form. An object with a field or value
+// that the old form can't express gives an error of kind Mismatch.
+func Encode(obj config.Object) ([]byte, error) {
+	r, err := recordOf(obj)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(r)
+}
+
+func recordOf(obj config.Object) (*Record, error) {
+	r := &Record{Version: SchemaVersion, ID: obj.Key().Name}
+	switch o := obj.(type) {
+	case *config.ModelGroup:
+		r.Type = typePool
+		r.Model, r.Size, r.Experts, r.Slots = o.Model, o.Ranks, o.Experts, o.SlotsPerRank
+	case *config.Upstream:
+		r.Type = typeBackend
+		r.Machine, r.Zone, r.Addr = o.VM, o.DataCentre, o.Address
+		r.Pool, r.Index, r.App, r.Fenced = o.Group, o.Rank, o.Service, o.ChecksFencing
+		return r, inexpressible(o.Drain, obj, "drain")
+	case *config.ClientAccount:
+		r.Type = typeTenant
+		r.TokenHashes = strings.Join(o.TokenSHA256, ",")
+		r.Class, r.Weight, r.Concurrency = o.Priority, o.Share, o.MaxInFlight
+	case *config.PlainService:
+		r.Type = typeApp
+		return r, encodeCalls(r, o)
+	case *config.ExpertPlan:
+		r.Type = typePlacement
+		r.Profile, r.Frozen = o.Preset, o.Stopped
+		extra := o.SkewWeight != 0 || o.BudgetBytes != 0 || len(o.QuietWindows) > 0 || len(o.Pinned) > 0
+		return r, inexpressible(extra, obj, "skewWeight, budgetBytes, quietWindows or pinned")
+	case *config.Operator:
+		r.Type = typeAdmin
+		r.TokenHashes = strings.Join(o.TokenSHA256, ",")
+	}
+	return r, nil
+}
+
+func inexpressible(is bool, obj config.Object, field string) error {
+	if !is {
+		return nil
+	}
+	k := obj.Key()
+	return fault.New(fault.Mismatch, "keep the record in schema version 2", "%s %q: the old form has no %s", k.Kind, k.Name, field)
+}
+
+func encodeCalls(r *Record, s *config.PlainService) error {
+	items := make([]string, 0, len(s.NonIdempotent))
+	for _, c := range s.NonIdempotent {
+		item := c.Method + " " + c.PathPrefix
+		bad := strings.ContainsAny(c.Method, " ,") || strings.Contains(c.PathPrefix, ",") || strings.TrimSpace(item) != item
+		if err := inexpressible(bad, s, "method with a space or path prefix with a comma or space at its end"); err != nil {
+			return err
+		}
+		items = append(items, item)
+	}
+	r.OnceOnly = strings.Join(items, ",")
+	return nil
+}
+
+// Merge returns what an old-form write makes of the present object: the fields
+// that the old form has are those of written, the others those of present.
+// present may be nil.
+func Merge(present, written config.Object) config.Object {
+	switch w := written.(type) {
+	case *config.Upstream:
+		if p, ok := present.(*config.Upstream); ok && p != nil {
+			merged := *w
+			merged.Drain = p.Drain
+			return &merged
+		}
+	case *config.ExpertPlan:
+		if p, ok := present.(*config.ExpertPlan); ok && p != nil {
+			merged := *p
+			merged.Name, merged.Preset, merged.Stopped = w.Name, w.Preset, w.Stopped
+			return &merged
+		}
+	}
+	return written
+}
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -5,54 +5,60 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/kingcupreel/kingcupreel/internal/config"
-	"github.com/kingcupreel/kingcupreel/internal/config/codec"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
-	"github.com/kingcupreel/kingcupreel/internal/opapi"
 )
 
 // Exit codes of the tool.
 const (
-	ExitOK       = 0
-	ExitFailure  = 1
-	ExitUsage    = 2
+	ExitOK      = 0
+	ExitFailure = 1
+	// ExitUsage is a wrong argument or an invalid record.
+	ExitUsage = 2
+	// ExitConflict is a record that changed under the operator.
 	ExitConflict = 3
+	// ExitDiffers is a diff that found differences.
+	ExitDiffers = 4
+	// ExitNotInForce is a revision that is not in force everywhere in time.
+	ExitNotInForce = 5
 )
 
+// exitError ends the command with a code of its own.
+type exitError struct {
+	code    int
+	message string
+}
+
+// Error implements the error interface.
+func (e *exitError) Error() string { return e.message }
+
 // tool is one run of the command line.
 type tool struct {
 	client Client
 	out    io.Writer
+	errOut io.Writer
 	output string
+
+	files       []string
+	kind, name  string
+	old         bool
+	wait        bool
+	waitTimeout time.Duration
+	undo        bool
+	toVersion   int
+	stored      bool
+	filter      eventFilter
 }
 
 // Main parses the arguments and runs the command. It returns the exit code.
 func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
 	app := kingpin.New("kingcupreelctl", "Operate kingcupreel.")
 	app.UsageWriter(out).ErrorWriter(errOut)
-	t := &tool{out: out}
-	app.Flag("entry", "Base URL of an entry's operator interface.").Envar("KINGCUPREEL_ENTRY").StringVar(&t.client.Base)
-	app.Flag("token", "Operator's bearer token.").Envar("KINGCUPREEL_TOKEN").StringVar(&t.client.Token)
-	app.Flag("output", "Output form: text or json.").Short('o').Default("text").EnumVar(&t.output, "text", "json")
-
-	commands := map[string]func(context.Context) error{}
-	command := func(name, help string, run func(context.Context) error) *kingpin.CmdClause {
-		commands[name] = run
-		return app.Command(name, help)
-	}
-	var files []string
-	command("validate", "Check record files without an entry.", func(context.Context) error { return t.validate(files) }).
-		Arg("file", "YAML or JSON files.").Required().ExistingFilesVar(&files)
-	command("apply", "Write record files.", func(ctx context.Context) error { return t.apply(ctx, files) }).
-		Arg("file", "YAML or JSON files.").Required().ExistingFilesVar(&files)
-	command("get", "Show the configuration in force.", t.get)
-	command("status", "Show an entry's state.", t.status)
-	command("timeline", "Show the events of all processes in order.", t.timeline)
-
+	t := &tool{out: out, errOut: errOut}
+	commands := t.declare(app)
 	cmd, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(errOut, "%v; see kingcupreelctl --help\n", err)
@@ -65,119 +71,66 @@
 	return ExitOK
 }
 
-func exitCode(err error) int {
-	switch fault.KindOf(err) {
-	case fault.Conflict:
-		return ExitConflict
-	case fault.Invalid:
-		return ExitUsage
-	}
-	return ExitFailure
-}
-
-// document is one record read from a file.
-type document struct {
-	file   string
-	object config.Object
-	json   []byte
-}
-
-func load(files []string) ([]document, error) {
-	var docs []document
-	for _, file := range files {
-		data, err := os.ReadFile(file)
-		if err != nil {
-			return nil, fault.Wrap(fault.Invalid, err, "name a readable file", "reading records")
-		}
-		for _, part := range codec.SplitYAML(data) {
-			record, err := codec.FromYAML(part)
-			if err != nil {
-				return nil, err
-			}
-			obj, err := codec.DecodeAny(record)
-			if err != nil {
-				return nil, fault.Wrap(fault.Invalid, err, "correct the file", "%s", file)
-			}
-			docs = append(docs, document{file, obj, record})
-		}
-	}
-	return docs, nil
-}
-
-func (t *tool) validate(files []string) error {
-	docs, err := load(files)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(t.out, "%d records are valid\n", len(docs))
-	return nil
-}
-
-func (t *tool) apply(ctx context.Context, files []string) error {
-	docs, err := load(files)
-	if err != nil {
-		return err
-	}
-	present, err := t.client.Config(ctx)
-	if err != nil {
-		return err
-	}
-	revisions := map[string]int64{}
-	for _, r := range present.Records {
-		revisions[r.Key] = r.Revision
+// declare adds the flags and commands, and returns what each command runs.
+func (t *tool) declare(app *kingpin.Application) map[string]func(context.Context) error {
+	app.Flag("entry", "Base URL of an entry's operator interface, such as http://10.0.0.5:8081.").Envar("KINGCUPREEL_ENTRY").StringVar(&t.client.Base)
+	app.Flag("token", "Operator's bearer token.").Envar("KINGCUPREEL_TOKEN").StringVar(&t.client.Token)
+	app.Flag("output", "Output form: text or json.").Short('o').Envar("KINGCUPREEL_OUTPUT").Default("text").EnumVar(&t.output, "text", "json")
+	commands := map[string]func(context.Context) error{}
+	command := func(name, help string, run func(context.Context) error) *kingpin.CmdClause {
+		commands[name] = run
+		return app.Command(name, help)
 	}
-	for _, d := range docs {
-		key := d.object.Key()
-		written, err := t.client.Put(ctx, key, d.json, revisions[key.Path()])
-		if err != nil {
-			return err
-		}
-		fmt.Fprintf(t.out, "%s %s written at revision %d\n", key.Kind, key.Name, written.Revision)
+	files := func(cmd *kingpin.CmdClause) {
+		cmd.Arg("file", "YAML or JSON files.").Required().ExistingFilesVar(&t.files)
 	}
-	return nil
+	files(command("validate", "Check record files without an entry.", t.validate))
+	apply := command("apply", "Write record files; an old-form record keeps the fields that only the new form has.", t.apply)
+	t.waitFlags(apply)
+	files(apply)
+	files(command("diff", "Show what apply would change. Exit code 4 when anything would.", t.diff))
+	get := command("get", "Show the records, or one record as a file for apply.", t.get)
+	get.Flag("old", "Only records still in the old form.").BoolVar(&t.old)
+	get.Arg("kind", "Kind, such as upstream.").StringVar(&t.kind)
+	get.Arg("name", "Name.").StringVar(&t.name)
+	remove := command("delete", "Remove a record.", t.delete)
+	t.waitFlags(remove)
+	remove.Arg("kind", "Kind, such as upstream.").Required().StringVar(&t.kind)
+	remove.Arg("name", "Name.").Required().StringVar(&t.name)
+	drain := command("drain", "Give an upstream no new work; work in flight goes on.", t.drain)
+	t.waitFlags(drain)
+	drain.Flag("undo", "Give it work again.").BoolVar(&t.undo)
+	drain.Arg("upstream", "Name of the upstream.").Required().StringVar(&t.name)
+	convert := command("convert", "Print record files in the other form, or rewrite stored old-form records in the new one.", t.convert)
+	convert.Flag("to", "Schema version: 1 or 2.").Default("2").IntVar(&t.toVersion)
+	convert.Flag("stored", "Rewrite the stored old-form records.").BoolVar(&t.stored)
+	convert.Arg("file", "YAML or JSON files.").ExistingFilesVar(&t.files)
+	command("status", "Show revision, staleness, load and drains of every process.", t.status)
+	command("plan", "Show the state of the expert plans.", t.plan)
+	command("adopt", "Put into force what a key-value service restored from an older copy holds.", t.adopt)
+	events := command("timeline", "Show the events of all processes in causal order.", t.timeline)
+	events.Flag("request", "Only events of this request.").StringVar(&t.filter.request)
+	events.Flag("upstream", "Only events of this upstream, its agent and its attempts.").StringVar(&t.filter.upstream)
+	events.Flag("group", "Only events of this model group, its upstreams and their attempts.").StringVar(&t.filter.group)
+	return commands
 }
 
-func (t *tool) get(ctx context.Context) error {
-	list, err := t.client.Config(ctx)
-	if err != nil {
-		return err
-	}
-	return t.print(list, func() {
-		fmt.Fprintf(t.out, "revision %d\n", list.Revision)
-		for _, r := range list.Records {
-			fmt.Fprintf(t.out, "%s @%d %s\n", r.Key, r.Revision, r.Record)
-		}
-	})
+func (t *tool) waitFlags(cmd *kingpin.CmdClause) {
+	cmd.Flag("wait", "Return when the change is in force everywhere, or name who lacks it.").BoolVar(&t.wait)
+	cmd.Flag("wait-timeout", "Time that --wait waits.").Default("10s").DurationVar(&t.waitTimeout)
 }
 
-func (t *tool) status(ctx context.Context) error {
-	s, err := t.client.Status(ctx)
-	if err != nil {
-		return err
+func exitCode(err error) int {
+	if e, ok := err.(*exitError); ok {
+		return e.code
 	}
-	return t.print(s, func() {
-		fmt.Fprintf(t.out, "%s in %s: revision %d, draining %v\n", s.Process, s.DataCentre, s.Revision, s.Draining)
-		for _, u := range s.Upstreams {
-			fmt.Fprintln(t.out, upstreamLine(u))
-		}
-	})
-}
-
-func upstreamLine(u opapi.UpstreamStatus) string {
-	return fmt.Sprintf("  %s in %s: connected %v, leaving %v, revision %d, in flight %d, running %d/%d, queued %d",
-		u.Name, u.DataCentre, u.Connected, u.Leaving, u.Revision, u.InFlight, u.Running, u.Capacity, u.Queued)
-}
-
-func (t *tool) timeline(ctx context.Context) error {
-	events, err := t.client.Events(ctx)
-	if err != nil {
-		return err
+	switch fault.KindOf(err) {
+	case fault.Conflict:
+		return ExitConflict
+	case fault.Invalid:
+		return ExitUsage
 	}
-	return t.print(events, func() {
-		for _, e := range events {
-			fmt.Fprintf(t.out, "%d.%d %s %s %s rev=%d req=%s/%d %s\n", e.At.WallUS, e.At.Count, e.Process, e.Kind, e.Object, e.Revision, e.Request, e.Attempt, e.Detail)
-		}
-	})
+	return ExitFailure
 }
 
 // print writes v as JSON, or runs text.
--- /dev/null
+++ b/internal/ctl/diff.go
@@ -0,0 +1,143 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/config/codec"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/opapi"
+)
+
+// change is one field that differs. An absent side is empty.
+type change struct {
+	Field string `json:"field"`
+	From  string `json:"from,omitempty"`
+	To    string `json:"to,omitempty"`
+}
+
+// recordDiff is what a file would change in a record.
+type recordDiff struct {
+	Kind    config.Kind `json:"kind"`
+	Name    string      `json:"name"`
+	Changes []change    `json:"changes"`
+}
+
+// compare lists the fields that differ between two objects, whichever forms
+// they were written in; either may be nil.
+func compare(from, to config.Object) []change {
+	a, b := flatten(from), flatten(to)
+	fields := map[string]bool{}
+	for f := range a {
+		fields[f] = true
+	}
+	for f := range b {
+		fields[f] = true
+	}
+	var changes []change
+	for f := range fields {
+		if a[f] != b[f] {
+			changes = append(changes, change{Field: f, From: a[f], To: b[f]})
+		}
+	}
+	slices.SortFunc(changes, func(x, y change) int { return strings.Compare(x.Field, y.Field) })
+	return changes
+}
+
+// flatten returns an object's fields as JSON.
+func flatten(obj config.Object) map[string]string {
+	fields := map[string]string{}
+	if obj == nil {
+		return fields
+	}
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return fields
+	}
+	var raw map[string]json.RawMessage
+	if json.Unmarshal(data, &raw) != nil {
+		return fields
+	}
+	for f, v := range raw {
+		fields[f] = string(v)
+	}
+	return fields
+}
+
+func printChanges(out io.Writer, changes []change) {
+	for _, c := range changes {
+		if c.From != "" {
+			fmt.Fprintf(out, "  - %s: %s\n", c.Field, c.From)
+		}
+		if c.To != "" {
+			fmt.Fprintf(out, "  + %s: %s\n", c.Field, c.To)
+		}
+	}
+}
+
+// present reads the stored record of a document; a missing one is empty.
+func (t *tool) present(ctx context.Context, key config.Key) (opapi.ConfigRecord, error) {
+	r, err := t.client.Record(ctx, key)
+	if fault.KindOf(err) == fault.NotFound {
+		return opapi.ConfigRecord{Key: key.Path()}, nil
+	}
+	return r, err
+}
+
+// decodeStored decodes a stored record; an absent or invalid one is nil.
+func decodeStored(record []byte) config.Object {
+	if len(record) == 0 {
+		return nil
+	}
+	obj, err := codec.DecodeAny(record)
+	if err != nil {
+		return nil
+	}
+	return obj
+}
+
+// outcomeOf returns the object that a write of the document over the stored
+// record makes.
+func (d *document) outcomeOf(stored []byte) (config.Object, error) {
+	written, err := codec.Written(stored, d.json)
+	if err != nil {
+		return nil, err
+	}
+	return codec.DecodeAny(written)
+}
+
+func (t *tool) diff(ctx context.Context) error {
+	docs, err := load(t.files)
+	if err != nil {
+		return err
+	}
+	diffs := []recordDiff{}
+	for _, d := range docs {
+		stored, err := t.present(ctx, d.object.Key())
+		if err != nil {
+			return err
+		}
+		after, err := d.outcomeOf(stored.Record)
+		if err != nil {
+			return err
+		}
+		if changes := compare(decodeStored(stored.Record), after); len(changes) > 0 {
+			diffs = append(diffs, recordDiff{d.object.Key().Kind, d.object.Key().Name, changes})
+		}
+	}
+	err = t.print(diffs, func() {
+		for _, d := range diffs {
+			fmt.Fprintf(t.out, "%s %s\n", d.Kind, d.Name)
+			printChanges(t.out, d.Changes)
+		}
+	})
+	if err == nil && len(diffs) > 0 {
+		return &exitError{ExitDiffers, fmt.Sprintf("%d records differ", len(diffs))}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/ctl/records.go
@@ -0,0 +1,167 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"sigs.k8s.io/yaml"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/config/codec"
+	v1 "github.com/kingcupreel/kingcupreel/internal/config/v1"
+	v2 "github.com/kingcupreel/kingcupreel/internal/config/v2"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+)
+
+// revisionField is the field of a file that says which revision of the record
+// the operator changed. It is no part of the record.
+const revisionField = "revision"
+
+// document is one record read from a file.
+type document struct {
+	file   string
+	object config.Object
+	json   []byte
+	// base is the revision that the file is based on; -1 when it names none.
+	base int64
+}
+
+const noBase = -1
+
+func load(files []string) ([]document, error) {
+	var docs []document
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, fault.Wrap(fault.Invalid, err, "name a readable file", "reading records")
+		}
+		for _, part := range codec.SplitYAML(data) {
+			doc, err := parse(part)
+			if err != nil {
+				return nil, fault.Wrap(fault.Invalid, err, "correct the file", "%s", file)
+			}
+			doc.file = file
+			docs = append(docs, doc)
+		}
+	}
+	if len(docs) == 0 {
+		return nil, fault.New(fault.Invalid, "write at least one record into the files", "no record found")
+	}
+	return docs, nil
+}
+
+func parse(part []byte) (document, error) {
+	record, err := codec.FromYAML(part)
+	if err != nil {
+		return document{}, err
+	}
+	record, base, err := takeBase(record)
+	if err != nil {
+		return document{}, err
+	}
+	obj, err := codec.DecodeAny(record)
+	return document{object: obj, json: record, base: base}, err
+}
+
+// takeBase cuts the revision out of a record of a file.
+func takeBase(record []byte) ([]byte, int64, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(record, &fields); err != nil {
+		return nil, 0, fault.Wrap(fault.Invalid, err, "write the record as an object", "record")
+	}
+	raw, ok := fields[revisionField]
+	if !ok {
+		return record, noBase, nil
+	}
+	var base int64
+	if err := json.Unmarshal(raw, &base); err != nil || base < 0 {
+		return nil, 0, fault.New(fault.Invalid, "give the revision that get showed, or leave it out", "field revision: %s", raw)
+	}
+	delete(fields, revisionField)
+	record, err := json.Marshal(fields)
+	return record, base, err
+}
+
+func (t *tool) validate(context.Context) error {
+	docs, err := load(t.files)
+	if err != nil {
+		return err
+	}
+	return t.print(map[string]int{"valid": len(docs)}, func() { fmt.Fprintf(t.out, "%d records are valid\n", len(docs)) })
+}
+
+// toYAML turns a JSON record into a file for apply.
+func toYAML(record []byte, revision int64) (string, error) {
+	var fields map[string]any
+	if err := json.Unmarshal(record, &fields); err != nil {
+		return "", fault.Wrap(fault.Invalid, err, "correct the stored record", "record")
+	}
+	if revision > 0 {
+		fields[revisionField] = revision
+	}
+	out, err := yaml.Marshal(fields)
+	return string(out), err
+}
+
+// encode writes an object in a schema version.
+func encode(obj config.Object, version int) ([]byte, error) {
+	switch version {
+	case codec.OldVersion:
+		return v1.Encode(obj)
+	case codec.NewVersion:
+		return v2.Encode(obj)
+	}
+	return nil, fault.New(fault.Invalid, "use --to 1 or --to 2", "no schema version %d", version)
+}
+
+// convert prints files in another form, or rewrites the stored old records.
+func (t *tool) convert(ctx context.Context) error {
+	if t.stored {
+		return t.convertStored(ctx)
+	}
+	docs, err := load(t.files)
+	if err != nil {
+		return err
+	}
+	for i, d := range docs {
+		record, err := encode(d.object, t.toVersion)
+		if err != nil {
+			return err
+		}
+		text, err := toYAML(record, max(d.base, 0))
+		if err != nil {
+			return err
+		}
+		if i > 0 {
+			fmt.Fprintln(t.out, "---")
+		}
+		fmt.Fprint(t.out, text)
+	}
+	return nil
+}
+
+func (t *tool) convertStored(ctx context.Context) error {
+	list, err := t.client.Config(ctx)
+	if err != nil {
+		return err
+	}
+	var results []result
+	for _, r := range oldRecords(list.Records) {
+		obj, err := codec.DecodeAny(r.Record)
+		if err != nil {
+			return err
+		}
+		record, err := v2.Encode(obj)
+		if err != nil {
+			return err
+		}
+		written, err := t.client.Put(ctx, obj.Key(), record, r.Revision)
+		if err != nil {
+			return err
+		}
+		results = append(results, result{Kind: obj.Key().Kind, Name: obj.Key().Name, Revision: written.Revision, Changed: true})
+	}
+	return t.report(results)
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/entry"
 	"github.com/kingcupreel/kingcupreel/internal/membership"
-	"github.com/kingcupreel/kingcupreel/internal/platform"
 	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
 	"github.com/kingcupreel/kingcupreel/internal/provider"
 	"github.com/kingcupreel/kingcupreel/internal/settings"
@@ -34,16 +33,21 @@
 	defer cancel()
 	kv := kvhttp.New(s.Platform, s.PlatformTimeout)
 	view := &membership.View{}
+	exchange := provider.NewExchange(p.store, view, clockwork.NewRealClock())
 	peers := &membership.Peers{Self: s.VM, DataCentre: s.DataCentre, Seeds: s.Seeds, View: view, Wire: p.wire}
 	e := entry.New(work, entry.Options{
 		Hello: p.hello, Wire: p.wire, Store: p.store, KV: kv, Peers: peers, View: view, Events: p.events,
-		Metrics: p.metrics, Log: p.log, OperatorTokenSHA256: s.OperatorTokenSHA256,
+		Metrics: p.metrics, Log: p.log, OperatorTokenSHA256: s.OperatorTokenSHA256, Staleness: exchange.Staleness,
 	})
 	peers.Hello, peers.Handler = e.Hello, e.PeerHandler()
+	exchange.Conns, exchange.Agents = peers.Conns, e.AnnounceConfig
+	exchange.Register(e.Muxes())
+	watcher := func() bool { return membership.IsWatcher(view.Entries(), s.VM, s.DataCentre) }
+	source := provider.Source{KV: kv, Exchange: exchange, IsWatcher: watcher, Log: p.log}
 	go peers.Run(work)
-	go pollVMs(work, kv, view, s.VMListInterval)
-	watcher := provider.Watcher{KV: kv, Store: p.store, Log: p.log}
-	go watcher.Run(work)
+	go exchange.Run(work)
+	go exchange.VMs.Run(work, kv, s.VMListInterval, watcher)
+	go source.Run(work)
 	caller := httpServer(listeners["caller"], e.CallerHandler())
 	ops := httpServer(listeners["ops"], e.OperatorHandler())
 	inner := &innerServer{listener: listeners["inner"], serve: peers.Serve}
@@ -66,16 +70,3 @@
 	}
 	return caller.Stop(ctx)
 }
-
-// pollVMs reads the VM list at jittered intervals until ctx is done.
-func pollVMs(ctx context.Context, list platform.VMList, view *membership.View, interval time.Duration) {
-	for ctx.Err() == nil {
-		if vms, err := list.VMs(ctx); err == nil {
-			view.Set(vms)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(interval/2 + rand.N(interval)):
-		}
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -33,6 +34,9 @@
 	// Peers are the other entries; View is the VM list.
 	Peers *membership.Peers
 	View  *membership.View
+	// Staleness is how long ago the configuration in force was known to be the
+	// newest; nil means that nothing knows it.
+	Staleness func() (time.Duration, bool)
 	// OperatorTokenSHA256 admits a first operator before any record exists;
 	// empty admits none.
 	OperatorTokenSHA256 string
@@ -51,6 +55,8 @@
 	// that belong to no attempt. Both are filled before the entry starts.
 	peerMux  wire.Mux
 	agentMux wire.Mux
+	// inquiryMux routes the answers on connections opened for one question.
+	inquiryMux wire.Mux
 }
 
 // New returns an entry. It dials upstreams until ctx is done.
@@ -58,10 +64,11 @@
 	if opts.Picker == nil {
 		opts.Picker = lockedPicker{picker: balance.TwoChoices{Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}, mu: new(sync.Mutex)}
 	}
-	e := &Entry{opts: opts, links: linkTable{links: map[string]*link{}}, gather: gatherTable{waits: map[uint64]chan []timeline.Event{}}}
+	e := &Entry{opts: opts, links: linkTable{links: map[string]*link{}}, gather: gatherTable{waits: map[uint64]chan wire.Message{}}}
 	e.budget = outcome.NewBudget(outcome.DefaultRetryShare, outcome.DefaultRetryReserve, outcome.DefaultRetryLimit)
 	e.peerMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	e.agentMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
+	e.registerInquiries()
 	opts.Store.OnChange(func(s *config.Snapshot) { e.configApplied(ctx, s) })
 	if opts.View != nil {
 		opts.View.OnChange(e.viewChanged)
@@ -85,13 +92,23 @@
 // PeerHandler returns the handler of the other entries' messages.
 func (e *Entry) PeerHandler() wire.Handler { return &e.peerMux }
 
+// Muxes return the routes of the other entries' messages and of agents', for
+// concerns that live in other packages.
+func (e *Entry) Muxes() (peers, agents *wire.Mux) { return &e.peerMux, &e.agentMux }
+
+// AnnounceConfig sends a new state message to each connected agent whose
+// revision is lower.
+func (e *Entry) AnnounceConfig(revision int64, state func() wire.Message) {
+	for _, l := range e.links.all() {
+		if l.behind(revision) {
+			_ = l.send(state())
+		}
+	}
+}
+
 func (e *Entry) configApplied(ctx context.Context, s *config.Snapshot) {
 	e.event(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision})
 	e.links.reconcile(ctx, e, s)
-	m := e.snapshotMessage()
-	for _, l := range e.links.all() {
-		_ = l.send(m)
-	}
 }
 
 // Hello returns what the entry says of itself now.
@@ -115,15 +132,6 @@
 
 func (e *Entry) vmLeaving(vm string) bool { return e.opts.View != nil && e.opts.View.Leaving(vm) }
 
-func (e *Entry) snapshotMessage() *wire.ConfigSnapshot {
-	s := e.opts.Store.Current()
-	m := &wire.ConfigSnapshot{Revision: s.Revision}
-	for _, r := range s.Records {
-		m.Records = append(m.Records, wire.ConfigRecord(r))
-	}
-	return m
-}
-
 // Drain makes the entry answer its readiness check negative; requests in
 // flight go on.
 func (e *Entry) Drain() {
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -96,7 +96,7 @@
 		l.hello.Revision = m.Revision
 		l.mu.Unlock()
 	case *wire.EventsReply:
-		l.entry.gathered(m)
+		l.entry.gathered(m.Nonce, m)
 	case *wire.Verdict, *wire.Accepted, *wire.Refused, *wire.Head, *wire.Chunk, *wire.Done:
 		l.deliver(c, m)
 	default:
@@ -156,10 +156,16 @@
 	l.leaving = false
 	l.mu.Unlock()
 	l.entry.event(timeline.Event{Kind: timeline.Connected, Object: l.upstream.Name})
-	_ = c.Send(l.entry.snapshotMessage())
 	l.tell(&linkBack{incarnation: hello.Incarnation})
 }
 
+// behind says whether the connected agent has a lower revision in force.
+func (l *link) behind(revision int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil && l.hello.Revision < revision
+}
+
 // tell puts a message into every attempt's mailbox.
 func (l *link) tell(m wire.Message) {
 	l.mu.Lock()
@@ -286,7 +292,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, l := range t.links {
-		if u := s.Upstreams[name]; u == nil || *u != *l.upstream {
+		if u := s.Upstreams[name]; u == nil || !u.SameEndpoint(l.upstream) {
 			l.stop()
 			delete(t.links, name)
 		}
--- /dev/null
+++ b/internal/entry/operators_config.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/config/codec"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/opapi"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/provider"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+// listConfig shows the records that the entry holds.
+func (e *Entry) listConfig(*http.Request) (any, error) {
+	snap := e.opts.Store.Current()
+	list := opapi.ConfigList{Revision: snap.Revision}
+	for _, r := range snap.Records {
+		if !config.IsInternal(r.Key) {
+			list.Records = append(list.Records, configRecord(r))
+		}
+	}
+	return list, nil
+}
+
+// configRecord shows a record; one that is no JSON is shown as a string.
+func configRecord(r config.Record) opapi.ConfigRecord {
+	raw := json.RawMessage(r.Value)
+	if !json.Valid(raw) {
+		raw, _ = json.Marshal(string(r.Value))
+	}
+	return opapi.ConfigRecord{Key: r.Key, Revision: r.Revision, Record: raw}
+}
+
+func keyOf(r *http.Request) (config.Key, error) {
+	key := config.Key{Kind: config.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+	if _, err := config.ParseKey(key.Path()); err != nil {
+		return key, fault.Wrap(fault.NotFound, err, "use one of the documented kinds", "no kind %q", key.Kind)
+	}
+	return key, nil
+}
+
+// getConfig reads one record from the service, which may be newer than what is
+// in force here.
+func (e *Entry) getConfig(r *http.Request) (any, error) {
+	key, err := keyOf(r)
+	if err != nil {
+		return nil, err
+	}
+	item, err := e.opts.KV.Get(r.Context(), key.Path())
+	if fault.KindOf(err) == fault.NotFound {
+		return nil, fault.New(fault.NotFound, "check kind and name with kingcupreelctl get", "no record %s %q", key.Kind, key.Name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return configRecord(config.Record{Key: item.Key, Value: item.Value, Revision: item.ModRevision}), nil
+}
+
+func expectOf(r *http.Request) (int64, error) {
+	expect, err := strconv.ParseInt(r.URL.Query().Get("expect"), 10, 64)
+	if err != nil || expect < 0 {
+		return 0, fault.New(fault.Invalid, "give expect: the record's revision, or 0 for a new one", "parameter expect: %q", r.URL.Query().Get("expect"))
+	}
+	return expect, nil
+}
+
+// putConfig writes a record if the stored one has the expected revision.
+func (e *Entry) putConfig(w http.ResponseWriter, r *http.Request) (any, error) {
+	key, err := keyOf(r)
+	if err != nil {
+		return nil, err
+	}
+	expect, err := expectOf(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := e.readRecord(w, r, key)
+	if err != nil {
+		return nil, err
+	}
+	value, err := e.merged(r, key, body, expect)
+	if err != nil {
+		return nil, err
+	}
+	revision, err := provider.Put(r.Context(), e.opts.KV, platform.Put{Key: key.Path(), Value: value, Expect: expect})
+	return e.written(revision), writeConflict(err, key, expect)
+}
+
+// refuseRestored refuses writes that could not come into force.
+func (e *Entry) refuseRestored() error {
+	err := e.opts.Store.Restored()
+	if err == nil {
+		return nil
+	}
+	return fault.New(fault.Unavailable, fault.As(err).Remedy, "%s", fault.As(err).Message)
+}
+
+// readRecord reads and checks the record of a write.
+func (e *Entry) readRecord(w http.ResponseWriter, r *http.Request, key config.Key) ([]byte, error) {
+	if err := e.refuseRestored(); err != nil {
+		return nil, err
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, codec.MaxRecord)
+	body, err := readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	_, err = codec.Decode(key, body)
+	return body, err
+}
+
+// merged returns the record to store: an old-form record keeps the fields of
+// the present one that it can't express.
+func (e *Entry) merged(r *http.Request, key config.Key, body []byte, expect int64) ([]byte, error) {
+	version, err := codec.Version(body)
+	if err != nil || version != codec.OldVersion || expect == 0 {
+		return body, err
+	}
+	item, err := e.opts.KV.Get(r.Context(), key.Path())
+	if err != nil && fault.KindOf(err) != fault.NotFound {
+		return nil, err
+	}
+	return codec.Written(item.Value, body)
+}
+
+func (e *Entry) written(revision int64) opapi.Written {
+	return opapi.Written{Revision: e.opts.Store.Current().Base + revision, RecordRevision: revision}
+}
+
+// writeConflict words a lost race for the operator.
+func writeConflict(err error, key config.Key, expect int64) error {
+	if fault.KindOf(err) != fault.Conflict {
+		return err
+	}
+	return fault.New(fault.Conflict, "read the record again and apply your change to it", "%s %q is no longer at revision %d", key.Kind, key.Name, expect)
+}
+
+// deleteConfig removes a record and writes the epoch, which gives the removal a
+// revision.
+func (e *Entry) deleteConfig(r *http.Request) (any, error) {
+	key, err := keyOf(r)
+	if err != nil {
+		return nil, err
+	}
+	expect, err := expectOf(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.refuseRestored(); err != nil {
+		return nil, err
+	}
+	if err := provider.Delete(r.Context(), e.opts.KV, key.Path(), expect); err != nil {
+		return nil, writeConflict(err, key, expect)
+	}
+	revision, err := provider.Touch(r.Context(), e.opts.KV)
+	return e.written(revision), err
+}
+
+// adopt puts what the restored service holds into force everywhere.
+func (e *Entry) adopt(r *http.Request) (any, error) {
+	highest := e.opts.Store.Current().Revision
+	replies, _ := e.ask(r.Context(), e.entryTargets(), func(nonce uint64) wire.Message { return &wire.StatusRequest{Nonce: nonce} })
+	for _, reply := range replies {
+		for _, p := range decodeProcesses(reply.message) {
+			highest = max(highest, p.Revision)
+		}
+	}
+	revision, err := provider.Adopt(r.Context(), e.opts.KV, highest)
+	return opapi.Written{Revision: highest + revision, RecordRevision: revision}, err
+}
--- /dev/null
+++ b/internal/entry/operators_status.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/opapi"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+func (e *Entry) status(*http.Request) (any, error) {
+	snap := e.opts.Store.Current()
+	s := opapi.Status{Process: e.opts.Hello.Process, DataCentre: e.opts.Hello.DataCentre, Revision: snap.Revision, Rejected: snap.Rejected, Draining: e.Draining()}
+	for _, l := range e.links.all() {
+		u := l.status()
+		if record := snap.Upstreams[u.Name]; record != nil {
+			u.Drain = record.Drain
+		}
+		s.Upstreams = append(s.Upstreams, u)
+	}
+	slices.SortFunc(s.Upstreams, func(a, b opapi.UpstreamStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return s, nil
+}
+
+func (l *link) status() opapi.UpstreamStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return opapi.UpstreamStatus{
+		Name: l.upstream.Name, DataCentre: l.upstream.DataCentre,
+		Connected: l.conn != nil, Leaving: l.leaving, Revision: l.hello.Revision,
+		InFlight: l.inFlight, Running: l.load.Running, Queued: l.load.Queued, Capacity: l.load.Capacity,
+	}
+}
+
+// processStatus returns the link's agent as a process; false means that it is
+// not connected.
+func (l *link) processStatus() (opapi.ProcessStatus, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return opapi.ProcessStatus{
+		Process: l.hello.Process, Role: string(wire.RoleAgent), DataCentre: l.upstream.DataCentre, Upstream: l.upstream.Name,
+		Revision: l.hello.Revision, StalenessMS: unknownStaleness, Draining: l.leaving,
+		InFlight: l.inFlight, Running: l.load.Running, Queued: l.load.Queued, Capacity: l.load.Capacity,
+	}, l.conn != nil
+}
+
+// unknownStaleness is the staleness of a process that doesn't report it.
+const unknownStaleness = -1
+
+// processes returns the states of this entry and the agents that it is
+// connected to, without those whose revision is below or higher unless below
+// is 0.
+func (e *Entry) processes(below int64) []opapi.ProcessStatus {
+	snap := e.opts.Store.Current()
+	own := opapi.ProcessStatus{
+		Process: e.opts.Hello.Process, Role: string(wire.RoleEntry), DataCentre: e.opts.Hello.DataCentre,
+		Revision: snap.Revision, StalenessMS: unknownStaleness, Draining: e.Draining(), Rejected: snap.Rejected,
+	}
+	if err := e.opts.Store.Restored(); err != nil {
+		own.Restored = err.Error()
+	}
+	if e.opts.Staleness != nil {
+		if age, known := e.opts.Staleness(); known {
+			own.StalenessMS = age.Milliseconds()
+		}
+	}
+	list := []opapi.ProcessStatus{own}
+	for _, l := range e.links.all() {
+		p, connected := l.processStatus()
+		own.InFlight += p.InFlight
+		if u := snap.Upstreams[p.Upstream]; u != nil {
+			p.Drain = u.Drain
+		}
+		if connected {
+			list = append(list, p)
+		}
+	}
+	list[0].InFlight = own.InFlight
+	return slices.DeleteFunc(list, func(p opapi.ProcessStatus) bool { return below > 0 && p.Revision >= below })
+}
+
+// answerStatus answers another entry's question.
+func (e *Entry) answerStatus(c *wire.Conn, m wire.Message) {
+	request := m.(*wire.StatusRequest)
+	answer := &wire.StatusReply{Nonce: request.Nonce}
+	for _, p := range e.processes(request.Below) {
+		if data, err := json.Marshal(p); err == nil {
+			answer.Processes = append(answer.Processes, data)
+		}
+	}
+	_ = c.Send(answer)
+}
+
+// deployment gathers the states of all processes through the other entries.
+func (e *Entry) deployment(r *http.Request) (any, error) {
+	below, err := belowOf(r)
+	if err != nil {
+		return nil, err
+	}
+	list := e.processes(below)
+	replies, missing := e.ask(r.Context(), e.entryTargets(), func(nonce uint64) wire.Message {
+		return &wire.StatusRequest{Nonce: nonce, Below: below}
+	})
+	for _, reply := range replies {
+		list = append(list, decodeProcesses(reply.message)...)
+	}
+	d := opapi.Deployment{Revision: e.opts.Store.Current().Revision, Processes: mergeProcesses(list), Missing: missing}
+	if below == 0 {
+		d.Missing = append(d.Missing, e.unreached(d.Processes)...)
+	}
+	slices.SortFunc(d.Missing, func(a, b opapi.Missing) int { return cmp.Compare(a.Process, b.Process) })
+	return d, nil
+}
+
+func belowOf(r *http.Request) (int64, error) {
+	value := r.URL.Query().Get("below")
+	if value == "" {
+		return 0, nil
+	}
+	below, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || below < 0 {
+		return 0, fault.New(fault.Invalid, "give below as a revision", "parameter below: %q", value)
+	}
+	return below, nil
+}
+
+func decodeProcesses(m wire.Message) []opapi.ProcessStatus {
+	var list []opapi.ProcessStatus
+	for _, data := range m.(*wire.StatusReply).Processes {
+		var p opapi.ProcessStatus
+		if json.Unmarshal(data, &p) == nil {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// mergeProcesses makes one state of what several entries say of a process:
+// revisions only rise, so the highest is the latest.
+func mergeProcesses(list []opapi.ProcessStatus) []opapi.ProcessStatus {
+	byName := map[string]opapi.ProcessStatus{}
+	for _, p := range list {
+		known, ok := byName[p.Process]
+		if !ok {
+			byName[p.Process] = p
+			continue
+		}
+		inFlight := known.InFlight + p.InFlight
+		if p.Revision > known.Revision {
+			known = p
+		}
+		known.InFlight = inFlight
+		byName[p.Process] = known
+	}
+	merged := make([]opapi.ProcessStatus, 0, len(byName))
+	for _, p := range byName {
+		merged = append(merged, p)
+	}
+	slices.SortFunc(merged, func(a, b opapi.ProcessStatus) int {
+		return cmp.Or(-cmp.Compare(a.Role, b.Role), cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Process, b.Process))
+	})
+	return merged
+}
+
+// unreached names the upstreams whose agent no entry is connected to.
+func (e *Entry) unreached(list []opapi.ProcessStatus) []opapi.Missing {
+	connected := map[string]bool{}
+	for _, p := range list {
+		connected[p.Upstream] = true
+	}
+	var missing []opapi.Missing
+	for name := range e.opts.Store.Current().Upstreams {
+		if !connected[name] {
+			missing = append(missing, opapi.Missing{Process: "agent of " + name, Reason: "no entry is connected to it; check the VM, the path to it and the record's address"})
+		}
+	}
+	return missing
+}
+
+// events merges the rings of all processes.
+func (e *Entry) events(r *http.Request) (any, error) {
+	targets := append(e.entryTargets(), e.agentTargets()...)
+	replies, missing := e.ask(r.Context(), targets, func(nonce uint64) wire.Message {
+		return &wire.EventsRequest{Nonce: nonce}
+	})
+	t := opapi.Timeline{Upstreams: map[string]string{}, Missing: missing}
+	rings := [][]timeline.Event{e.opts.Events.Events()}
+	for _, reply := range replies {
+		ring := reply.message.(*wire.EventsReply).Events
+		rings = append(rings, ring)
+		if len(ring) > 0 && reply.target.upstream != "" {
+			t.Upstreams[ring[0].Process] = reply.target.upstream
+		}
+	}
+	t.Events = timeline.Merge(rings...)
+	return t, nil
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -20,6 +20,8 @@
 type View struct {
 	mu       sync.Mutex
 	vms      map[string]platform.VM
+	hash     uint64
+	changes  []Change // the latest changes, oldest first
 	onChange []func()
 }
 
@@ -42,7 +44,12 @@
 	if !changed {
 		return nil
 	}
-	v.vms = next
+	change := difference(v.vms, next)
+	v.vms, v.hash = next, change.To
+	v.changes = append(v.changes, change)
+	if over := len(v.changes) - changeLimit; over > 0 {
+		v.changes = slices.Clone(v.changes[over:])
+	}
 	return slices.Clone(v.onChange)
 }
 
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -6,13 +6,21 @@
 	"encoding/json"
 
 	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
 )
 
 // Paths of the operators' interface.
 const (
-	PathStatus = "/v1/status"
-	PathEvents = "/v1/events"
-	PathConfig = "/v1/config"
+	// PathStatus is the entry's own state, PathDeployment that of every
+	// process that it can reach.
+	PathStatus     = "/v1/status"
+	PathDeployment = "/v1/deployment"
+	PathEvents     = "/v1/events"
+	PathConfig     = "/v1/config"
+	// PathAdopt puts what a restored service holds into force.
+	PathAdopt = "/v1/adopt"
+	// PathPlan is the state of the expert plans.
+	PathPlan = "/v1/plan"
 )
 
 // UpstreamStatus is an entry's view of one upstream.
@@ -21,6 +29,7 @@
 	DataCentre string `json:"data_centre"`
 	Connected  bool   `json:"connected"`
 	Leaving    bool   `json:"leaving"`
+	Drain      bool   `json:"drain"`
 	Revision   int64  `json:"revision"`
 	InFlight   int    `json:"in_flight"`
 	Running    int    `json:"running"`
@@ -38,9 +47,59 @@
 	Upstreams  []UpstreamStatus  `json:"upstreams"`
 }
 
+// ProcessStatus is the state of one process of the deployment.
+type ProcessStatus struct {
+	Process    string `json:"process"`
+	Role       string `json:"role"`
+	DataCentre string `json:"data_centre"`
+	// Upstream is set for an agent.
+	Upstream string `json:"upstream,omitempty"`
+	Revision int64  `json:"revision"`
+	// StalenessMS is how long ago the revision was known to be the newest;
+	// -1 means not known. Agents don't report it.
+	StalenessMS int64 `json:"staleness_ms"`
+	// Draining is set for a process that is stopping, Drain for an upstream
+	// whose record says so.
+	Draining bool `json:"draining"`
+	Drain    bool `json:"drain"`
+	// Load of an agent's upstream. InFlight adds up all entries.
+	InFlight int `json:"in_flight"`
+	Running  int `json:"running"`
+	Queued   int `json:"queued"`
+	Capacity int `json:"capacity"`
+	// Rejected are the records that are not in force at an entry.
+	Rejected []config.Rejected `json:"rejected,omitempty"`
+	// Restored says why an entry takes no changes: the key-value service went
+	// back to an older copy.
+	Restored string `json:"restored,omitempty"`
+}
+
+// Missing is a process that could not be asked.
+type Missing struct {
+	Process string `json:"process"`
+	Reason  string `json:"reason"`
+}
+
+// Deployment is the state of all processes.
+type Deployment struct {
+	// Revision is that of the entry that was asked.
+	Revision  int64           `json:"revision"`
+	Processes []ProcessStatus `json:"processes"`
+	Missing   []Missing       `json:"missing,omitempty"`
+}
+
+// Timeline is the merged event rings of all processes, in causal order.
+type Timeline struct {
+	Events []timeline.Event `json:"events"`
+	// Upstreams names the upstream of each agent's process.
+	Upstreams map[string]string `json:"upstreams"`
+	Missing   []Missing         `json:"missing,omitempty"`
+}
+
 // ConfigRecord is one record as stored.
 type ConfigRecord struct {
-	Key      string          `json:"key"`
+	Key string `json:"key"`
+	// Revision is what a write of the record has to expect.
 	Revision int64           `json:"revision"`
 	Record   json.RawMessage `json:"record"`
 }
@@ -53,5 +112,8 @@
 
 // Written answers a write.
 type Written struct {
+	// Revision is the configuration's revision that has the write.
 	Revision int64 `json:"revision"`
+	// RecordRevision is what the next write of the record has to expect.
+	RecordRevision int64 `json:"record_revision"`
 }
--- /dev/null
+++ b/internal/provider/exchange.go
@@ -0,0 +1,140 @@
+package provider
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/membership"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// stateInterval is how often an entry announces its state to its peers.
+	stateInterval = 1 * time.Second
+	// agentJitter spreads the announcements of several entries to one agent,
+	// so that the agent has mostly learned from the first.
+	agentJitter = 100 * time.Millisecond
+)
+
+// Exchange passes the configuration and the VM list between entries, and the
+// configuration on to agents. Who has news announces the revision; who is
+// behind pulls the change, once.
+type Exchange struct {
+	*Learner
+	// Own is the age of the configuration as the service itself told it.
+	Own *Age
+	VMs *VMs
+	// Conns returns the connections to the other entries.
+	Conns func() []*wire.Conn
+	// Agents announces to each agent that is behind the revision.
+	Agents func(revision int64, state func() wire.Message)
+
+	changed chan struct{}
+}
+
+// NewExchange returns an exchange.
+func NewExchange(store *config.Store, view *membership.View, clock clockwork.Clock) *Exchange {
+	x := &Exchange{
+		Learner: NewLearner(store, "", clock),
+		Own:     NewAge(clock),
+		VMs:     NewVMs(view, clock),
+		changed: make(chan struct{}, 1),
+	}
+	store.OnChange(func(*config.Snapshot) { x.signal() })
+	view.OnChange(x.signal)
+	return x
+}
+
+func (x *Exchange) signal() {
+	select {
+	case x.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Staleness is how long ago the configuration in force was known to be the
+// newest; false means never.
+func (x *Exchange) Staleness() (time.Duration, bool) {
+	own, ownKnown := x.Own.Get()
+	heard, heardKnown := x.Heard.Get()
+	switch {
+	case ownKnown && heardKnown:
+		return min(own, heard), true
+	case ownKnown:
+		return own, true
+	}
+	return heard, heardKnown
+}
+
+// Register puts the handlers of entries' messages into peers, and those of
+// agents' into agents.
+func (x *Exchange) Register(peers, agents *wire.Mux) {
+	peers.Funcs[wire.KindHello] = func(c *wire.Conn, _ wire.Message) { _ = c.Send(x.state()) }
+	peers.Funcs[wire.KindConfigState] = func(c *wire.Conn, m wire.Message) {
+		x.Receive(c, m)
+		x.VMs.state(c, m.(*wire.ConfigState))
+	}
+	peers.Funcs[wire.KindConfigUpdate] = x.Receive
+	peers.Funcs[wire.KindConfigPull] = x.answer
+	peers.Funcs[wire.KindVMsPull] = x.VMs.answer
+	peers.Funcs[wire.KindVMsUpdate] = x.VMs.update
+	agents.Funcs[wire.KindConfigPull] = x.answer
+}
+
+// answer sends what the peer lacks.
+func (x *Exchange) answer(c *wire.Conn, m wire.Message) {
+	pull := m.(*wire.ConfigPull)
+	if pull.Upstream != "" {
+		sendUpdate(c, x.Store.SinceFor(pull.Upstream, pull.Revision, pull.Base))
+		return
+	}
+	sendUpdate(c, x.Store.Since(pull.Revision, pull.Base))
+}
+
+// state returns a new announcement.
+func (x *Exchange) state() wire.Message {
+	s := x.Store.Current()
+	m := &wire.ConfigState{
+		Revision: s.Revision, Base: s.Base, AgeMS: unknownAge, Restored: x.Store.Restored() != nil,
+		VMs: x.VMs.view.Hash(), VMsAgeMS: x.VMs.Age.wire(),
+	}
+	if age, known := x.Staleness(); known {
+		m.AgeMS = age.Milliseconds()
+	}
+	return m
+}
+
+// Run announces changes at once, and the state periodically, until ctx is done.
+func (x *Exchange) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, c := range x.Conns() {
+			_ = c.Send(x.state())
+		}
+		if !sleep(ctx, rand.N(agentJitter)) {
+			return
+		}
+		x.Agents(x.Store.Current().Revision, x.state)
+		select {
+		case <-ctx.Done():
+		case <-x.changed:
+		case <-time.After(jittered(stateInterval)):
+		}
+	}
+}
+
+// jittered returns a time from half of d to one and a half.
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// sleep waits; false means that ctx is done.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/provider/learner.go
@@ -0,0 +1,185 @@
+package provider
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// pullTimeout is how long an unanswered pull keeps others from starting.
+	pullTimeout = 1 * time.Second
+	// refusedDelay is how long a peer whose update contradicts what is in
+	// force is not asked again.
+	refusedDelay = 10 * time.Second
+	// partBytes bounds the records of one part of an update, in bytes.
+	partBytes = 256 << 10
+	// assembledBytes bounds the records of a whole update, in bytes.
+	assembledBytes = 64 << 20
+)
+
+// Learner takes the configuration from peers: a peer that announces a higher
+// revision is asked for what lies between. One pull runs at a time.
+type Learner struct {
+	// Store takes the updates.
+	Store *config.Store
+	// Upstream is set for an agent, which learns its own part only.
+	Upstream string
+	// Heard is the age of the configuration as peers know it.
+	Heard *Age
+
+	clock clockwork.Clock
+	mu    sync.Mutex // before Store's lock; Conn.Send may be called under it
+	pull  pull
+}
+
+// pull is the pull in flight. The zero value is none.
+type pull struct {
+	conn    *wire.Conn
+	started time.Time
+	parts   int
+	bytes   int
+	update  config.Update
+	// refusedUntil holds off pulls after a contradiction.
+	refusedUntil time.Time
+}
+
+// NewLearner returns a learner.
+func NewLearner(store *config.Store, upstream string, clock clockwork.Clock) *Learner {
+	return &Learner{Store: store, Upstream: upstream, Heard: NewAge(clock), clock: clock}
+}
+
+// Receive implements wire.Handler for the messages ConfigState and
+// ConfigUpdate.
+func (l *Learner) Receive(c *wire.Conn, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.ConfigState:
+		l.state(c, m)
+	case *wire.ConfigUpdate:
+		l.part(c, m)
+	}
+}
+
+// state compares a peer's state with the own one.
+func (l *Learner) state(c *wire.Conn, m *wire.ConfigState) {
+	if m.Restored {
+		l.Store.MarkRestored(m.Base)
+	}
+	current := l.Store.Current()
+	switch {
+	case m.Base == current.Base && m.Revision == current.Revision:
+		l.Heard.Observe(fromWire(m.AgeMS))
+	case m.Revision > current.Revision && m.Base >= current.Base:
+		l.ask(c, current.Revision, current.Base)
+	}
+}
+
+// ask pulls from a peer unless a pull is in flight.
+func (l *Learner) ask(c *wire.Conn, revision, base int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	if now.Before(l.pull.refusedUntil) || l.busy(now) {
+		return
+	}
+	l.pull = pull{conn: c, started: now}
+	_ = c.Send(&wire.ConfigPull{Revision: revision, Base: base, Upstream: l.Upstream})
+}
+
+// busy says whether a pull is in flight. The caller holds mu.
+func (l *Learner) busy(now time.Time) bool {
+	if l.pull.conn == nil || now.Sub(l.pull.started) >= pullTimeout {
+		return false
+	}
+	select {
+	case <-l.pull.conn.Closed():
+		return false
+	default:
+		return true
+	}
+}
+
+// part adds a part to the pull's update and applies it after the last one.
+func (l *Learner) part(c *wire.Conn, m *wire.ConfigUpdate) {
+	update, complete := l.assemble(c, m)
+	if !complete {
+		return
+	}
+	switch fault.KindOf(l.Store.Update(update)) {
+	case fault.Invalid:
+		l.ask(c, 0, 0)
+	case fault.Conflict:
+		l.mu.Lock()
+		l.pull.refusedUntil = l.clock.Now().Add(refusedDelay)
+		l.mu.Unlock()
+	}
+}
+
+func (l *Learner) assemble(c *wire.Conn, m *wire.ConfigUpdate) (config.Update, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := &l.pull
+	if p.conn != c || m.Part != p.parts+1 {
+		return config.Update{}, false
+	}
+	if p.parts == 0 {
+		p.update = config.Update{Base: m.Base, From: m.From, To: m.To, Whole: m.Whole, Partial: m.Partial}
+	}
+	p.parts++
+	p.started = l.clock.Now()
+	for _, r := range m.Records {
+		p.bytes += len(r.Key) + len(r.Value)
+		p.update.Records = append(p.update.Records, config.Record(r))
+	}
+	p.update.Removed = append(p.update.Removed, m.Removed...)
+	if p.bytes > assembledBytes {
+		l.pull = pull{refusedUntil: l.clock.Now().Add(refusedDelay)}
+		return config.Update{}, false
+	}
+	if m.Part < m.Parts {
+		return config.Update{}, false
+	}
+	update := p.update
+	l.pull = pull{}
+	return update, true
+}
+
+// sendUpdate sends an update in parts that each fit well into a frame.
+func sendUpdate(c *wire.Conn, u config.Update) {
+	groups := split(u.Records)
+	for i, records := range groups {
+		m := &wire.ConfigUpdate{
+			Base: u.Base, From: u.From, To: u.To, Whole: u.Whole, Partial: u.Partial,
+			Part: i + 1, Parts: len(groups), Records: records,
+		}
+		if i == 0 {
+			m.Removed = u.Removed
+		}
+		if c.Send(m) != nil {
+			return
+		}
+	}
+}
+
+// split groups records so that a group holds at most partBytes, or one record.
+// There is at least one group.
+func split(records []config.Record) [][]wire.ConfigRecord {
+	groups := [][]wire.ConfigRecord{nil}
+	size := 0
+	for _, r := range records {
+		n := len(r.Key) + len(r.Value)
+		if last := len(groups) - 1; size+n > partBytes && len(groups[last]) > 0 {
+			groups = append(groups, nil)
+			size = 0
+		}
+		last := len(groups) - 1
+		groups[last] = append(groups[last], wire.ConfigRecord(r))
+		size += n
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/provider/source.go
@@ -0,0 +1,253 @@
+// Package provider brings the configuration from the key-value service into
+// the stores of all processes.
+//
+// A few entries of each data centre follow the service with a watch. Every
+// entry announces its revision to a bounded set of other entries and to the
+// agents that are behind; who is behind pulls the change. An entry that hears
+// nothing for a bounded time follows the service itself.
+package provider
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+)
+
+const (
+	// watchWait bounds a waiting watch, so that a silent connection is noticed
+	// and the age of the configuration stays low.
+	watchWait = 2 * time.Second
+	// staleAfter is the age of the configuration at which an entry that does
+	// not watch asks the service itself, after a jitter of up to staleJitter.
+	staleAfter  = 4 * time.Second
+	staleJitter = 1 * time.Second
+	// startAfter is staleAfter for an entry without a configuration.
+	startAfter = 1 * time.Second
+	// followPoll is how often an entry checks whether it has to ask.
+	followPoll = 100 * time.Millisecond
+
+	// minRetry and maxRetry bound the delay after a failed call of a watcher.
+	minRetry = 200 * time.Millisecond
+	maxRetry = 2 * time.Second
+	// otherRetry is the delay for the others, which leaves the service to the
+	// watchers when it comes back.
+	otherRetry = 4 * time.Second
+	// writeJitter spreads writes that several watchers owe at once.
+	writeJitter = 100 * time.Millisecond
+)
+
+// Source follows the configuration in the key-value service.
+type Source struct {
+	KV       platform.KV
+	Exchange *Exchange
+	// IsWatcher says whether this entry is one of its data centre's watchers.
+	IsWatcher func() bool
+	Log       *zap.Logger
+
+	// after is the service's revision up to which events were seen; 0 means
+	// that the configuration has to be listed.
+	after int64
+	// mustList says that the epoch's base has changed.
+	mustList bool
+	// deleted holds the keys whose deletion no revision shows yet, with the
+	// service's revision of the deletion.
+	deleted map[string]int64
+	down    bool
+}
+
+// Run follows the service, while this entry has to, until ctx is done.
+func (s *Source) Run(ctx context.Context) {
+	retry := minRetry
+	s.deleted = map[string]int64{}
+	patience := s.patience()
+	for ctx.Err() == nil {
+		if !s.mustFollow(patience) {
+			s.after = 0
+			clear(s.deleted)
+			sleep(ctx, followPoll)
+			continue
+		}
+		err := s.step(ctx)
+		patience = s.patience()
+		if ctx.Err() != nil {
+			return
+		}
+		s.stateChanged(err)
+		if err == nil || fault.KindOf(err) == fault.Stale {
+			retry = minRetry
+			continue
+		}
+		sleep(ctx, s.delay(retry))
+		retry = min(2*retry, maxRetry)
+	}
+}
+
+func (s *Source) delay(retry time.Duration) time.Duration {
+	if s.IsWatcher() {
+		return jittered(retry)
+	}
+	return jittered(otherRetry)
+}
+
+// patience is how old the configuration may get before this entry asks itself.
+func (s *Source) patience() time.Duration {
+	if s.store().Current().Revision == 0 {
+		return startAfter + rand.N(staleJitter)
+	}
+	return staleAfter + rand.N(staleJitter)
+}
+
+func (s *Source) mustFollow(patience time.Duration) bool {
+	if s.IsWatcher() {
+		return true
+	}
+	age, _ := s.Exchange.Heard.Get()
+	return age > patience
+}
+
+func (s *Source) store() *config.Store { return s.Exchange.Store }
+
+// stateChanged logs when the service goes out of reach or comes back.
+func (s *Source) stateChanged(err error) {
+	down := err != nil && fault.KindOf(err) != fault.Stale
+	if down == s.down {
+		return
+	}
+	s.down = down
+	if down {
+		s.Log.Warn("key-value service out of reach", zap.Error(err))
+		return
+	}
+	s.Log.Info("key-value service back")
+}
+
+// step makes one call that reads the configuration, and the writes owed.
+func (s *Source) step(ctx context.Context) error {
+	if s.after == 0 {
+		s.after = s.store().Current().ServiceRevision()
+	}
+	if s.after == 0 || s.mustList {
+		return s.list(ctx)
+	}
+	batch, err := s.KV.Watch(ctx, config.Prefix, s.after, watchWait)
+	if fault.KindOf(err) == fault.Stale {
+		return s.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	s.after = batch.Revision
+	s.apply(batch)
+	s.Exchange.Own.Observe(0)
+	s.write(ctx)
+	return nil
+}
+
+// list reads the whole configuration: at a start, or when the service no
+// longer has the events since the revision in force.
+func (s *Source) list(ctx context.Context) error {
+	l, err := s.KV.List(ctx, config.Prefix)
+	if err != nil {
+		return err
+	}
+	before := s.store().Current()
+	records := make([]config.Record, 0, len(l.Items))
+	for _, i := range l.Items {
+		records = append(records, config.Record{Key: i.Key, Value: i.Value, Revision: i.ModRevision})
+	}
+	s.after, s.mustList = l.Revision, false
+	update := config.WholeUpdate(records)
+	if update.Base == before.Base && update.Base+l.Revision < before.Revision {
+		s.store().MarkRestored(before.Base)
+		return nil
+	}
+	s.take(update)
+	s.noteMissing(before, records, l.Revision)
+	s.Exchange.Own.Observe(0)
+	return nil
+}
+
+// take applies an update that came from the service.
+func (s *Source) take(u config.Update) {
+	err := s.store().Update(u)
+	if fault.KindOf(err) == fault.Conflict && s.store().Restored() == nil {
+		s.store().MarkRestored(u.Base)
+		s.Log.Error("key-value service restored from an older copy", zap.Error(err))
+	}
+}
+
+// noteMissing finds keys that were deleted unseen: unless the epoch moved
+// since, no revision shows that.
+func (s *Source) noteMissing(before *config.Snapshot, records []config.Record, revision int64) {
+	present := make(map[string]int64, len(records))
+	for _, r := range records {
+		present[r.Key] = r.Revision
+	}
+	epoch, _ := before.Record(config.EpochKey)
+	if present[config.EpochKey] > epoch.Revision {
+		return
+	}
+	for _, r := range before.Records {
+		if _, ok := present[r.Key]; !ok {
+			s.deleted[r.Key] = revision
+		}
+	}
+}
+
+// apply turns a batch's events into an update.
+func (s *Source) apply(batch platform.Batch) {
+	current := s.store().Current()
+	changed := map[string]config.Record{}
+	update := config.Update{Base: current.Base, From: current.Revision, To: current.Revision}
+	for _, e := range batch.Events {
+		r := config.Record{Key: e.Item.Key, Value: e.Item.Value, Revision: e.Item.ModRevision}
+		if e.Deleted {
+			delete(changed, r.Key)
+			s.deleted[r.Key] = r.Revision
+			continue
+		}
+		delete(s.deleted, r.Key)
+		changed[r.Key] = r
+		update.To = max(update.To, update.Base+r.Revision)
+	}
+	epoch, touched := changed[config.EpochKey]
+	if _, base := config.RevisionOf([]config.Record{epoch}); touched && base != current.Base {
+		s.mustList = true
+		return
+	}
+	for key, revision := range s.deleted {
+		if touched && revision < epoch.Revision {
+			update.Removed = append(update.Removed, key)
+			delete(s.deleted, key)
+		}
+	}
+	if update.To == current.Revision {
+		return
+	}
+	for _, r := range changed {
+		update.Records = append(update.Records, r)
+	}
+	s.take(update)
+}
+
+// write makes the writes that this entry owes the service. A lost race is
+// fine: another watcher has written the same.
+func (s *Source) write(ctx context.Context) {
+	current := s.store().Current()
+	owed := current.Repairs()
+	if len(s.deleted) > 0 {
+		owed = append(owed, current.Touch())
+	}
+	if len(owed) == 0 || s.store().Restored() != nil || !sleep(ctx, rand.N(writeJitter)) {
+		return
+	}
+	for _, w := range owed {
+		_, _ = s.KV.Put(ctx, platform.Put{Key: w.Key, Value: w.Value, Expect: w.Expect})
+	}
+}
--- /dev/null
+++ b/internal/provider/vms.go
@@ -0,0 +1,93 @@
+package provider
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupreel/kingcupreel/internal/membership"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// vmsStaleAfter is the age of the VM list at which an entry that does not
+	// watch reads it itself, after a jitter of up to vmsStaleJitter.
+	vmsStaleAfter  = 2500 * time.Millisecond
+	vmsStaleJitter = 1 * time.Second
+	// vmsPoll is how often an entry checks whether it has to read the list.
+	vmsPoll = 250 * time.Millisecond
+)
+
+// VMs keeps the view of the VM list current: watchers read the platform's
+// list, the others take it from them.
+type VMs struct {
+	// Age is the age of the list in the view.
+	Age  *Age
+	view *membership.View
+}
+
+// NewVMs returns the keeper of a view.
+func NewVMs(view *membership.View, clock clockwork.Clock) *VMs {
+	return &VMs{Age: NewAge(clock), view: view}
+}
+
+// Run reads the list at jittered intervals while this entry is a watcher or
+// hears nothing from others, until ctx is done.
+func (v *VMs) Run(ctx context.Context, list platform.VMList, interval time.Duration, watcher func() bool) {
+	for patience := vmsStaleAfter + rand.N(vmsStaleJitter); ctx.Err() == nil; {
+		if age, known := v.Age.Get(); known && !watcher() && age < patience {
+			sleep(ctx, vmsPoll)
+			continue
+		}
+		if vms, err := list.VMs(ctx); err == nil {
+			v.view.Set(vms)
+			v.Age.Observe(0)
+		}
+		patience = vmsStaleAfter + rand.N(vmsStaleJitter)
+		sleep(ctx, jittered(interval))
+	}
+}
+
+// state compares a peer's list with the own one; the fresher counts.
+func (v *VMs) state(c *wire.Conn, m *wire.ConfigState) {
+	if m.VMsAgeMS < 0 {
+		return
+	}
+	age, known := v.Age.Get()
+	fresher := !known || fromWire(m.VMsAgeMS) < age
+	switch {
+	case m.VMs == v.view.Hash():
+		v.Age.Observe(fromWire(m.VMsAgeMS))
+	case fresher:
+		_ = c.Send(&wire.VMsPull{Hash: v.view.Hash()})
+	}
+}
+
+// answer sends the changes since the asked list, or the whole list.
+func (v *VMs) answer(c *wire.Conn, m wire.Message) {
+	change := v.view.Since(m.(*wire.VMsPull).Hash)
+	u := &wire.VMsUpdate{From: change.From, To: change.To, Whole: change.Whole, AgeMS: v.Age.wire(), Removed: change.Removed}
+	for _, vm := range change.Changed {
+		u.Changed = append(u.Changed, wire.VM{ID: vm.ID, DataCentre: vm.DataCentre, Role: vm.Role, Address: vm.Address, State: string(vm.State)})
+	}
+	_ = c.Send(u)
+}
+
+// update takes a peer's list if it is fresher than the own one.
+func (v *VMs) update(_ *wire.Conn, m wire.Message) {
+	u := m.(*wire.VMsUpdate)
+	age, known := v.Age.Get()
+	if u.AgeMS < 0 || (known && fromWire(u.AgeMS) >= age) {
+		return
+	}
+	change := membership.Change{From: u.From, To: u.To, Whole: u.Whole, Removed: u.Removed}
+	for _, vm := range u.Changed {
+		change.Changed = append(change.Changed, platform.VM{ID: vm.ID, DataCentre: vm.DataCentre, Role: vm.Role, Address: vm.Address, State: platform.VMState(vm.State)})
+	}
+	if v.view.Apply(change) {
+		v.Age.Observe(fromWire(u.AgeMS))
+	}
+}
--- /dev/null
+++ b/internal/provider/write.go
@@ -0,0 +1,107 @@
+package provider
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+)
+
+const (
+	// writeAttempts bounds the tries of one write.
+	writeAttempts = 3
+	writeDelay    = 100 * time.Millisecond
+)
+
+// Put writes a record under its condition and returns the revision of the
+// write. When no answer comes it reads the record back and recognises its own
+// write by the content; a repeated try is safe, since the condition fails if
+// the first took effect after all. An error of kind Unavailable means that it
+// may have taken effect.
+func Put(ctx context.Context, kv platform.KV, p platform.Put) (int64, error) {
+	var err error
+	for range writeAttempts {
+		var revision int64
+		if revision, err = kv.Put(ctx, p); err == nil {
+			return revision, nil
+		}
+		item, readErr := kv.Get(ctx, p.Key)
+		if readErr == nil && bytes.Equal(item.Value, p.Value) && item.ModRevision > p.Expect {
+			return item.ModRevision, nil
+		}
+		if !ambiguous(err) {
+			return 0, err
+		}
+		if !sleep(ctx, jittered(writeDelay)) {
+			break
+		}
+	}
+	return 0, fault.Wrap(fault.Unavailable, err, "apply it again when the key-value service answers: a write that took effect is recognised", "the write of %s has no answer and may have taken effect", p.Key)
+}
+
+// Delete removes a record under its condition.
+func Delete(ctx context.Context, kv platform.KV, key string, expect int64) error {
+	var err error
+	for range writeAttempts {
+		if _, err = kv.Delete(ctx, key, expect); err == nil {
+			return nil
+		}
+		if _, readErr := kv.Get(ctx, key); fault.KindOf(readErr) == fault.NotFound && ambiguous(err) {
+			return nil
+		}
+		if !ambiguous(err) {
+			return err
+		}
+		if !sleep(ctx, jittered(writeDelay)) {
+			break
+		}
+	}
+	return err
+}
+
+// ambiguous says whether a write with this error may have taken effect.
+func ambiguous(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.Timeout, fault.Unavailable, fault.Overloaded:
+		return true
+	}
+	return false
+}
+
+// Touch writes the epoch with its present base, so that a deletion before it
+// has a revision, and returns the service's revision of the write.
+func Touch(ctx context.Context, kv platform.KV) (int64, error) {
+	return writeEpoch(ctx, kv, func(base int64) int64 { return base })
+}
+
+// Adopt raises the epoch's base to highest, so that what the service holds is
+// newer than every revision up to it.
+func Adopt(ctx context.Context, kv platform.KV, highest int64) (int64, error) {
+	return writeEpoch(ctx, kv, func(base int64) int64 { return max(base, highest) })
+}
+
+// writeEpoch changes the epoch's base. A lost race is tried again, since the
+// winner may have written before the deletion that is to be shown.
+func writeEpoch(ctx context.Context, kv platform.KV, base func(int64) int64) (int64, error) {
+	var err error
+	for range writeAttempts {
+		var item platform.Item
+		if item, err = kv.Get(ctx, config.EpochKey); err != nil && fault.KindOf(err) != fault.NotFound {
+			return 0, err
+		}
+		_, present := config.RevisionOf([]config.Record{{Key: config.EpochKey, Value: item.Value}})
+		value := config.EncodeEpoch(base(present))
+		var revision int64
+		revision, err = kv.Put(ctx, platform.Put{Key: config.EpochKey, Value: value, Expect: item.ModRevision})
+		if err == nil {
+			return revision, nil
+		}
+		if !sleep(ctx, jittered(writeDelay)) {
+			break
+		}
+	}
+	return 0, err
+}
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -28,6 +28,8 @@
 	Writes  int64 `json:"writes"`
 	Watches int64 `json:"watches"`
 	Refused int64 `json:"refused"`
+	// VMLists counts reads of the VM list, which is not the key-value service.
+	VMLists int64 `json:"vm_lists"`
 }
 
 // Server serves a Store over HTTP, and the VM list beside it.
@@ -57,14 +59,24 @@
 	mux.HandleFunc(kvhttp.PathGrant, s.write(s.grant))
 	mux.HandleFunc(kvhttp.PathKeepAlive, s.write(s.keepAlive))
 	mux.HandleFunc(kvhttp.PathRevoke, s.write(s.revoke))
-	mux.HandleFunc(kvhttp.PathVMs, s.read(s.listVMs))
+	mux.HandleFunc(kvhttp.PathVMs, s.countVMs(s.listVMs))
 	mux.HandleFunc("POST /admin/faults", s.setFaults)
 	mux.HandleFunc("GET /admin/stats", s.showStats)
+	mux.HandleFunc("POST /admin/save", order(s.store.Save))
+	mux.HandleFunc("POST /admin/restore", order(s.store.Restore))
 	mux.HandleFunc("POST /admin/vms", s.setVM)
 	mux.HandleFunc("DELETE /admin/vms/{id}", s.deleteVM)
 	return mux
 }
 
+// order runs f and answers with an empty object.
+func order(f func()) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		f()
+		standin.Answer(w, struct{}{}, nil)
+	}
+}
+
 // call runs one call of the service and returns its answer.
 type call func(r *http.Request) (any, error)
 
@@ -78,6 +90,16 @@
 	}
 }
 
+func (s *Server) countVMs(f call) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.enter(w, func(st *Stats) { st.VMLists++ }) {
+			return
+		}
+		answer, err := f(r)
+		standin.Answer(w, answer, err)
+	}
+}
+
 func (s *Server) write(f call) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !s.enter(w, func(st *Stats) { st.Writes++ }) {
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -4,6 +4,7 @@
 package kv
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -24,6 +25,12 @@
 	expires time.Time
 }
 
+// backup is a saved copy of the items.
+type backup struct {
+	revision int64
+	items    map[string]platform.Item
+}
+
 // Store is the service's state. Invariant: history holds the events of all
 // revisions above oldest, in order.
 type Store struct {
@@ -36,6 +43,7 @@
 	history  []platform.Event
 	leases   map[int64]*lease
 	nextID   int64
+	saved    backup
 	changed  chan struct{} // closed and replaced at each change
 }
 
@@ -132,6 +140,26 @@
 	return b, s.changed, nil
 }
 
+// Save keeps a copy of the items, as a backup of the service would.
+func (s *Store) Save() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved = backup{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// Restore goes back to the saved copy, revision included, and forgets the
+// history.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = s.saved.revision
+	s.oldest = s.saved.revision
+	s.items = maps.Clone(s.saved.items)
+	s.history = nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Grant makes a lease.
 func (s *Store) Grant(ttl time.Duration) int64 {
 	s.mu.Lock()
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -65,6 +65,8 @@
 	Number uint64
 	// Stamp is the sender's clock; Conn.Send sets it.
 	Stamp timeline.Stamp
+	// VM is the sender's id in the VM list; empty when it is not listed.
+	VM string
 }
 
 // Ping asks the peer for a Pong.
--- /dev/null
+++ b/test/scenario/checks_config_test.go
@@ -0,0 +1,236 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/config/codec"
+	v2 "github.com/kingcupreel/kingcupreel/internal/config/v2"
+	"github.com/kingcupreel/kingcupreel/internal/ctl"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/opapi"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
+	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
+)
+
+// checkAgree is "check agree OPS_URL...": it prints each entry's revision and
+// a hash of its records, and fails unless all are the same.
+func checkAgree(urls []string) error {
+	seen := map[string]bool{}
+	for _, url := range urls {
+		client := ctl.Client{Base: url, Token: operatorToken}
+		list, err := client.Config(context.Background())
+		if err != nil {
+			return err
+		}
+		h := sha256.New()
+		for _, r := range list.Records {
+			fmt.Fprintf(h, "%s %d %s\n", r.Key, r.Revision, r.Record)
+		}
+		line := fmt.Sprintf("revision=%d records=%d hash=%.12x", list.Revision, len(list.Records), h.Sum(nil))
+		fmt.Println(line)
+		seen[line] = true
+	}
+	if len(seen) != 1 {
+		return fmt.Errorf("the entries differ")
+	}
+	return nil
+}
+
+// checkStore is "check store KV_URL KEY VALUE [EXPECT]": it writes a key
+// straight to the key-value stand-in, as another tool would.
+func checkStore(args []string) error {
+	p := platform.Put{Key: args[1], Value: []byte(args[2]), Expect: platform.AnyRevision}
+	if len(args) > 3 {
+		expect, err := strconv.ParseInt(args[3], 10, 64)
+		if err != nil {
+			return err
+		}
+		p.Expect = expect
+	}
+	data, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post(args[0]+kvhttp.PathPut, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// checkStats is "check stats KV_URL": it prints the calls that the key-value
+// stand-in counted.
+func checkStats(args []string) error {
+	var s kv.Stats
+	if err := fetch(args[0]+"/admin/stats", &s); err != nil {
+		return err
+	}
+	fmt.Printf("reads=%d writes=%d watches=%d vm_lists=%d\n", s.Reads, s.Writes, s.Watches, s.VMLists)
+	return nil
+}
+
+// checkConfigCalls is "check config-calls KV_URL CHANGES OPS_URL...": it writes a record
+// that many times, each time waiting until it is in force at every entry, and
+// prints the key-value calls per change.
+func checkConfigCalls(args []string) error {
+	changes, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	var before, after kv.Stats
+	if err := fetch(args[0]+"/admin/stats", &before); err != nil {
+		return err
+	}
+	for n := range changes {
+		value := fmt.Sprintf(`{"schemaVersion":2,"kind":"plain-service","name":"s","spec":{"nonIdempotent":[{"method":"POST","pathPrefix":"/%d"}]}}`, n)
+		if err := checkStore([]string{args[0], "config/plain-service/s", value}); err != nil {
+			return err
+		}
+		if err := awaitRecord(args[2:], "config/plain-service/s", value); err != nil {
+			return err
+		}
+	}
+	if err := fetch(args[0]+"/admin/stats", &after); err != nil {
+		return err
+	}
+	calls := after.Reads + after.Watches + after.Writes - before.Reads - before.Watches - before.Writes
+	fmt.Printf("calls_per_change=%.1f reads=%d watches=%d writes=%d\n", float64(calls)/float64(changes),
+		after.Reads-before.Reads, after.Watches-before.Watches, after.Writes-before.Writes)
+	return nil
+}
+
+// awaitRecord waits until every entry has the value in force.
+func awaitRecord(urls []string, key, value string) error {
+	for _, url := range urls {
+		for deadline := time.Now().Add(conditionLimit); !hasRecord(url, key, value); time.Sleep(conditionPoll) {
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s never had the record", url)
+			}
+		}
+	}
+	return nil
+}
+
+func hasRecord(url, key, value string) bool {
+	client := ctl.Client{Base: url, Token: operatorToken}
+	list, err := client.Config(context.Background())
+	return err == nil && slices.ContainsFunc(list.Records, func(r opapi.ConfigRecord) bool {
+		return r.Key == key && string(r.Record) == value
+	})
+}
+
+// checkRace is "check race OPS_URL OPS_URL": two operators write the expert plan
+// "g" 20 times each, one in the old form and one in the new form, each adding 1
+// to a field that only the new form has. It prints the writes that were lost.
+func checkRace(urls []string) error {
+	const writes = 20
+	key := config.Key{Kind: config.KindExpertPlan, Name: "g"}
+	var wg sync.WaitGroup
+	errs := make([]error, len(urls))
+	for i, url := range urls {
+		client := ctl.Client{Base: url, Token: operatorToken}
+		wg.Go(func() {
+			for n := 0; n < writes && errs[i] == nil; n++ {
+				errs[i] = raceOnce(client, key, i == 0, n)
+			}
+		})
+	}
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	client := ctl.Client{Base: urls[0], Token: operatorToken}
+	plan, _, err := readPlan(client, key)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("writes=%d lost=%d\n", 2*writes, writes-int(plan.BudgetBytes))
+	return nil
+}
+
+// raceOnce reads the plan and writes it back changed, until its write wins.
+func raceOnce(client ctl.Client, key config.Key, old bool, n int) error {
+	for {
+		plan, revision, err := readPlan(client, key)
+		if err != nil {
+			return err
+		}
+		record := []byte(fmt.Sprintf(`{"version":1,"type":"placement","id":"g","profile":%q}`, []string{"teranga", "tocka"}[n%2]))
+		if !old {
+			plan.BudgetBytes++
+			if record, err = v2.Encode(plan); err != nil {
+				return err
+			}
+		}
+		_, err = client.Put(context.Background(), key, record, revision)
+		if fault.KindOf(err) != fault.Conflict {
+			return err
+		}
+	}
+}
+
+func readPlan(client ctl.Client, key config.Key) (*config.ExpertPlan, int64, error) {
+	r, err := client.Record(context.Background(), key)
+	if err != nil {
+		return nil, 0, err
+	}
+	obj, err := codec.DecodeAny(r.Record)
+	if err != nil {
+		return nil, 0, err
+	}
+	return obj.(*config.ExpertPlan), r.Revision, nil
+}
+
+// checkReplace is "check replace FILE OLD NEW": it edits a file.
+func checkReplace(args []string) error {
+	data, err := os.ReadFile(args[0])
+	if err != nil {
+		return err
+	}
+	if !bytes.Contains(data, []byte(args[1])) {
+		return fmt.Errorf("%s does not contain %q", args[0], args[1])
+	}
+	return os.WriteFile(args[0], bytes.ReplaceAll(data, []byte(args[1]), []byte(args[2])), 0o644)
+}
+
+// checkCausal is "check causal OPS_URL": it fails unless the time line shows
+// each request's admission, dispatch, start, end and answer in that order.
+func checkCausal(urls []string) error {
+	client := ctl.Client{Base: urls[0], Token: operatorToken}
+	line, err := client.Timeline(context.Background())
+	if err != nil {
+		return err
+	}
+	order := []timeline.Kind{timeline.Admitted, timeline.Dispatched, timeline.AttemptStarted, timeline.AttemptEnded, timeline.Answered}
+	seen := map[string]int{}
+	for _, e := range line.Events {
+		at := slices.Index(order, e.Kind)
+		if e.Request == "" || at < 0 {
+			continue
+		}
+		if seen[e.Request] != at {
+			return fmt.Errorf("request %s: %s after %d earlier events", e.Request, e.Kind, seen[e.Request])
+		}
+		seen[e.Request]++
+	}
+	fmt.Printf("requests=%d ordered\n", len(seen))
+	return nil
+}
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -51,15 +51,22 @@
 // stand-ins recorded.
 func checkMain() {
 	checks := map[string]func(urls []string) error{
-		"connected": checkConnected,
-		"runs":      checkRuns,
-		"once":      checkOnce,
-		"answer":    checkAnswer,
-		"tokens":    checkTokens,
-		"prompt":    checkPrompt,
-		"idle":      checkIdle,
-		"calls":     checkCalls,
-		"flood":     checkFlood,
+		"connected":    checkConnected,
+		"runs":         checkRuns,
+		"once":         checkOnce,
+		"agree":        checkAgree,
+		"store":        checkStore,
+		"stats":        checkStats,
+		"config-calls": checkConfigCalls,
+		"replace":      checkReplace,
+		"causal":       checkCausal,
+		"race":         checkRace,
+		"answer":       checkAnswer,
+		"tokens":       checkTokens,
+		"prompt":       checkPrompt,
+		"idle":         checkIdle,
+		"calls":        checkCalls,
+		"flood":        checkFlood,
 	}
 	check := checks[os.Args[1]]
 	if check == nil {
