--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -17,10 +17,14 @@
 
 // Store keeps the newest snapshot in force. It never goes to a lower
 // revision, and it takes nothing that contradicts what it has held.
+//
+// Lock order: updating before mu. Listeners run under updating, so that they see
+// snapshots in order; they must not call Update.
 type Store struct {
-	decode Decoder
+	decode   Decoder
+	updating sync.Mutex
 
-	mu       sync.Mutex // leaf lock; listeners are called without it
+	mu       sync.Mutex // leaf lock
 	current  *Snapshot
 	onChange []func(*Snapshot)
 	// removals covers the deletions after revision covered, oldest first.
@@ -59,6 +63,8 @@
 // not newer, Invalid that changes before it are missing, Conflict that the
 // service has been restored from an older copy.
 func (s *Store) Update(u Update) error {
+	s.updating.Lock()
+	defer s.updating.Unlock()
 	snap, listeners, err := s.replace(u)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/config/store_test.go
@@ -0,0 +1,211 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/config/codec"
+	v2 "github.com/kingcupreel/kingcupreel/internal/config/v2"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
+)
+
+func TestConfig(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "config")
+}
+
+// account returns a client account's record with a priority.
+func account(name string, priority int) config.Record {
+	o := &config.ClientAccount{Name: name, TokenSHA256: []string{config.HashToken(name)}, Priority: priority}
+	value, err := v2.Encode(o)
+	Expect(err).NotTo(HaveOccurred())
+	return config.Record{Key: o.Key().Path(), Value: value}
+}
+
+func at(r config.Record, revision int64) config.Record {
+	r.Revision = revision
+	return r
+}
+
+var _ = Describe("the store", func() {
+	var store *config.Store
+	BeforeEach(func() { store = config.NewStore(codec.Decode) })
+
+	It("never goes to a lower revision", func() {
+		Expect(store.Update(config.WholeUpdate([]config.Record{at(account("a", 2), 5)}))).To(Succeed())
+		err := store.Update(config.WholeUpdate([]config.Record{at(account("a", 1), 4)}))
+		Expect(fault.KindOf(err)).To(Equal(fault.Stale))
+		Expect(store.Current().Accounts["a"].Priority).To(Equal(2))
+	})
+
+	It("takes no record back to an older revision under a higher one", func() {
+		Expect(store.Update(config.WholeUpdate([]config.Record{at(account("a", 2), 5)}))).To(Succeed())
+		restored := []config.Record{at(account("a", 1), 3), at(account("b", 1), 6)}
+		Expect(fault.KindOf(store.Update(config.WholeUpdate(restored)))).To(Equal(fault.Conflict))
+		Expect(store.Current().Accounts["a"].Priority).To(Equal(2))
+	})
+
+	It("takes an adopted older copy by its higher base", func() {
+		Expect(store.Update(config.WholeUpdate([]config.Record{at(account("a", 2), 5)}))).To(Succeed())
+		store.MarkRestored(0)
+		epoch := config.Record{Key: config.EpochKey, Value: config.EncodeEpoch(5), Revision: 4}
+		Expect(store.Update(config.WholeUpdate([]config.Record{at(account("a", 1), 3), epoch}))).To(Succeed())
+		Expect(store.Current().Revision).To(Equal(int64(9)))
+		Expect(store.Current().Accounts["a"].Priority).To(Equal(1))
+		Expect(store.Restored()).To(BeNil())
+	})
+
+	It("asks for the whole when changes between are missing", func() {
+		Expect(store.Update(config.WholeUpdate([]config.Record{at(account("a", 2), 5)}))).To(Succeed())
+		gap := config.Update{From: 7, To: 8, Records: []config.Record{at(account("b", 1), 8)}}
+		Expect(fault.KindOf(store.Update(gap))).To(Equal(fault.Invalid))
+	})
+
+	It("keeps the last valid record in force and owes it to the service", func() {
+		valid := at(account("a", 2), 5)
+		invalid := at(account("a", 99), 6)
+		Expect(store.Update(config.WholeUpdate([]config.Record{valid}))).To(Succeed())
+		Expect(store.Update(config.WholeUpdate([]config.Record{invalid}))).To(Succeed())
+		Expect(store.Current().Accounts["a"].Priority).To(Equal(2))
+		Expect(store.Current().Rejected).To(HaveLen(1))
+		Expect(store.Current().Rejected[0].Reason).To(ContainSubstring(`client-account "a": field priority; give 0 (lowest) to 9`))
+		owed := store.Current().Repairs()
+		Expect(owed).To(HaveLen(1))
+
+		By("having it in force in a store that starts from the service")
+		kept := config.Record{Key: owed[0].Key, Value: owed[0].Value, Revision: 7}
+		fresh := config.NewStore(codec.Decode)
+		Expect(fresh.Update(config.WholeUpdate([]config.Record{invalid, kept}))).To(Succeed())
+		Expect(fresh.Current().Accounts["a"].Priority).To(Equal(2))
+		Expect(fresh.Current().Repairs()).To(BeEmpty())
+
+		By("ending it when a valid record comes")
+		Expect(fresh.Update(config.WholeUpdate([]config.Record{at(account("a", 3), 8), kept}))).To(Succeed())
+		Expect(fresh.Current().Rejected).To(BeEmpty())
+		Expect(fresh.Current().Repairs()).To(HaveLen(1))
+		var ended config.LastValid
+		Expect(json.Unmarshal(fresh.Current().Repairs()[0].Value, &ended)).To(Succeed())
+		Expect(ended.Record).To(BeEmpty())
+	})
+
+	It("gives an agent its own part and the revision of the whole", func() {
+		whole := []config.Record{at(account("a", 2), 1)}
+		for n, group := range []string{"g", "g", "h"} {
+			u := &config.Upstream{Name: fmt.Sprintf("u%d", n), DataCentre: "d", Address: "10.0.0.1:1", Group: group, Rank: n}
+			value, err := v2.Encode(u)
+			Expect(err).NotTo(HaveOccurred())
+			whole = append(whole, config.Record{Key: u.Key().Path(), Value: value, Revision: int64(2 + n)})
+		}
+		Expect(store.Update(config.WholeUpdate(whole))).To(Succeed())
+		agent := config.NewStore(codec.Decode)
+		Expect(agent.Update(store.SinceFor("u0", 0, 0))).To(Succeed())
+		Expect(agent.Current().Revision).To(Equal(int64(4)))
+		Expect(agent.Current().Upstreams).To(HaveLen(2))
+		Expect(agent.Current().Accounts).To(BeEmpty())
+
+		By("sending no record for a change that is not its own")
+		change := config.Update{From: 4, To: 5, Records: []config.Record{at(account("a", 3), 5)}}
+		Expect(store.Update(change)).To(Succeed())
+		update := store.SinceFor("u0", 4, 0)
+		Expect(update.Records).To(BeEmpty())
+		Expect(agent.Update(update)).To(Succeed())
+		Expect(agent.Current().Revision).To(Equal(int64(5)))
+		Expect(agent.Current().Upstreams).To(HaveLen(2))
+	})
+})
+
+// Stores that take listings and each other's updates in any order, late and
+// repeated, never revert, and agree once they have heard of the last change.
+func TestStoresAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		service := kv.NewStore(clockwork.NewFakeClock())
+		stores := make([]*config.Store, 4)
+		for i := range stores {
+			stores[i] = config.NewStore(codec.Decode)
+		}
+		saved := []config.Update{config.WholeUpdate(nil)}
+		highest := make([]int64, len(stores))
+		one := rapid.IntRange(0, len(stores)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) { write(t, service) },
+			"delete": func(t *rapid.T) {
+				key := config.Key{Kind: config.KindPlainService, Name: accountName.Draw(t, "name")}.Path()
+				if _, err := service.Delete(key, platform.AnyRevision); err == nil {
+					touch(t, service)
+				}
+			},
+			"elsewhere": func(t *rapid.T) { _, _ = service.Put(platform.Put{Key: "claim/x", Expect: platform.AnyRevision}) },
+			"read":      func(*rapid.T) { saved = append(saved, config.WholeUpdate(list(service))) },
+			"apply": func(t *rapid.T) {
+				take(t, stores[one.Draw(t, "store")], saved[rapid.IntRange(0, len(saved)-1).Draw(t, "update")])
+			},
+			"announce": func(t *rapid.T) {
+				to, from := stores[one.Draw(t, "to")], stores[one.Draw(t, "from")]
+				update := from.Since(to.Current().Revision, to.Current().Base)
+				saved = append(saved, update)
+				take(t, to, update)
+			},
+			"": func(t *rapid.T) {
+				for i, s := range stores {
+					if s.Current().Revision < highest[i] {
+						t.Fatalf("store %d went from %d to %d", i, highest[i], s.Current().Revision)
+					}
+					highest[i] = s.Current().Revision
+				}
+			},
+		})
+		last := config.WholeUpdate(list(service))
+		_ = stores[0].Update(last)
+		for _, s := range stores[1:] {
+			_ = s.Update(stores[0].Since(s.Current().Revision, s.Current().Base))
+			if !reflect.DeepEqual(s.Current().Records, stores[0].Current().Records) {
+				t.Fatalf("at revisions %d and %d:\n%v\n%v", s.Current().Revision, stores[0].Current().Revision, s.Current().Records, stores[0].Current().Records)
+			}
+		}
+	})
+}
+
+// take updates a store. The service was never restored, so nothing may look as
+// if it were.
+func take(t *rapid.T, s *config.Store, u config.Update) {
+	if err := s.Update(u); fault.KindOf(err) == fault.Conflict {
+		t.Fatalf("%v", err)
+	}
+}
+
+var accountName = rapid.SampledFrom([]string{"a", "b", "c"})
+
+func write(t *rapid.T, service *kv.Store) {
+	o := &config.PlainService{Name: accountName.Draw(t, "name")}
+	value, err := v2.Encode(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := service.Put(platform.Put{Key: o.Key().Path(), Value: value, Expect: platform.AnyRevision}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func touch(t *rapid.T, service *kv.Store) {
+	if _, err := service.Put(platform.Put{Key: config.EpochKey, Value: config.EncodeEpoch(0), Expect: platform.AnyRevision}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func list(service *kv.Store) []config.Record {
+	var records []config.Record
+	for _, i := range service.List(config.Prefix).Items {
+		records = append(records, config.Record{Key: i.Key, Value: i.Value, Revision: i.ModRevision})
+	}
+	return records
+}
--- a/internal/entry/operators_status.go
+++ b/internal/entry/operators_status.go
@@ -32,7 +32,7 @@
 	defer l.mu.Unlock()
 	return opapi.UpstreamStatus{
 		Name: l.upstream.Name, DataCentre: l.upstream.DataCentre,
-		Connected: l.conn != nil, Leaving: l.leaving, Revision: l.hello.Revision,
+		Connected: l.conn != nil, Leaving: l.leaving || l.listLeaving, Revision: l.hello.Revision,
 		InFlight: l.inFlight, Running: l.load.Running, Queued: l.load.Queued, Capacity: l.load.Capacity,
 	}
 }
@@ -44,7 +44,7 @@
 	defer l.mu.Unlock()
 	return opapi.ProcessStatus{
 		Process: l.hello.Process, Role: string(wire.RoleAgent), DataCentre: l.upstream.DataCentre, Upstream: l.upstream.Name,
-		Revision: l.hello.Revision, StalenessMS: unknownStaleness, Draining: l.leaving,
+		Revision: l.hello.Revision, StalenessMS: unknownStaleness, Draining: l.leaving || l.listLeaving,
 		InFlight: l.inFlight, Running: l.load.Running, Queued: l.load.Queued, Capacity: l.load.Capacity,
 	}, l.conn != nil
 }
@@ -150,11 +150,11 @@
 			byName[p.Process] = p
 			continue
 		}
-		inFlight := known.InFlight + p.InFlight
+		inFlight, draining := known.InFlight+p.InFlight, known.Draining || p.Draining
 		if p.Revision > known.Revision {
 			known = p
 		}
-		known.InFlight = inFlight
+		known.InFlight, known.Draining = inFlight, draining
 		byName[p.Process] = known
 	}
 	merged := make([]opapi.ProcessStatus, 0, len(byName))
--- /dev/null
+++ b/internal/provider/provider_test.go
@@ -0,0 +1,219 @@
+package provider
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/config/codec"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/membership"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+func TestProvider(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "provider")
+}
+
+// service is the key-value stand-in without a network. A fault is returned by
+// the next Put: before or after it takes effect.
+type service struct {
+	platform.KV
+	store         *kv.Store
+	before, after error
+	// meanwhile runs before the answer of a Put.
+	meanwhile func()
+}
+
+func (s *service) Get(_ context.Context, key string) (platform.Item, error) { return s.store.Get(key) }
+
+func (s *service) List(_ context.Context, prefix string) (platform.Listing, error) {
+	return s.store.List(prefix), nil
+}
+
+func (s *service) Put(_ context.Context, p platform.Put) (int64, error) {
+	if err := s.before; err != nil {
+		s.before = nil
+		return 0, err
+	}
+	revision, err := s.store.Put(p)
+	if s.meanwhile != nil {
+		s.meanwhile()
+		s.meanwhile = nil
+	}
+	if s.after != nil && err == nil {
+		err, s.after = s.after, nil
+		return 0, err
+	}
+	return revision, err
+}
+
+func (s *service) Watch(_ context.Context, prefix string, after int64, _ time.Duration) (platform.Batch, error) {
+	b, _, err := s.store.Changes(prefix, after)
+	return b, err
+}
+
+var _ = Describe("a write", func() {
+	var s *service
+	lost := fault.New(fault.Timeout, "", "no answer")
+	put := func(value string, expect int64) (int64, error) {
+		return Put(context.Background(), s, platform.Put{Key: "config/k", Value: []byte(value), Expect: expect})
+	}
+	BeforeEach(func() { s = &service{store: kv.NewStore(clockwork.NewFakeClock())} })
+
+	It("is recognised when it took effect and the answer was lost", func() {
+		s.after = lost
+		Expect(put("a", 0)).To(Equal(int64(1)))
+	})
+	It("is tried again when it was lost before it took effect", func() {
+		s.before = lost
+		Expect(put("a", 0)).To(Equal(int64(1)))
+	})
+	It("is a conflict when another write won", func() {
+		Expect(put("a", 0)).To(Equal(int64(1)))
+		_, err := put("b", 0)
+		Expect(fault.KindOf(err)).To(Equal(fault.Conflict))
+	})
+	It("is a conflict when another write followed the one without an answer", func() {
+		s.after = lost
+		s.meanwhile = func() { _, _ = s.store.Put(platform.Put{Key: "config/k", Value: []byte("b"), Expect: 1}) }
+		_, err := put("a", 0)
+		Expect(fault.KindOf(err)).To(Equal(fault.Conflict))
+	})
+})
+
+// connect returns the peer's end of a connection to the learner, and what the
+// peer receives.
+func connect(l *Learner) (*wire.Conn, chan wire.Message) {
+	_, c, sent := dial(l)
+	return c, sent
+}
+
+// dial returns the learner's end, the peer's end, and what the peer receives.
+func dial(l *Learner) (own, peer *wire.Conn, received chan wire.Message) {
+	near, far := net.Pipe()
+	sent := make(chan wire.Message, 16)
+	toLearner := wire.NewConn(near, l, wire.Options{})
+	fromLearner := wire.NewConn(far, &wire.Mux{Default: func(_ *wire.Conn, m wire.Message) { sent <- m }}, wire.Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go func() { _ = toLearner.Run(ctx) }()
+	go func() { _ = fromLearner.Run(ctx) }()
+	return toLearner, fromLearner, sent
+}
+
+func record(name string, revision int64) config.Record {
+	value := fmt.Sprintf(`{"schemaVersion":2,"kind":"plain-service","name":%q,"spec":{}}`, name)
+	return config.Record{Key: "config/plain-service/" + name, Value: []byte(value), Revision: revision}
+}
+
+var _ = Describe("a learner", func() {
+	var l *Learner
+	var clock *clockwork.FakeClock
+	revision := func() int64 { return l.Store.Current().Revision }
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		l = NewLearner(config.NewStore(codec.Decode), "", clock)
+	})
+
+	It("pulls once from a peer that is ahead", func() {
+		c, sent := connect(l)
+		Expect(c.Send(&wire.ConfigState{Revision: 5})).To(Succeed())
+		Expect(c.Send(&wire.ConfigState{Revision: 5})).To(Succeed())
+		Eventually(sent).Should(Receive(Equal(&wire.ConfigPull{})))
+		sendUpdate(c, config.WholeUpdate([]config.Record{record("a", 5)}))
+		Eventually(revision).Should(Equal(int64(5)))
+		Expect(sent).To(BeEmpty())
+	})
+
+	It("applies parts whole or not at all", func() {
+		own, _, _ := dial(l)
+		l.Receive(own, &wire.ConfigState{Revision: 6})
+		first := wire.ConfigRecord(record("a", 5))
+		second := wire.ConfigRecord(record("b", 6))
+		l.Receive(own, &wire.ConfigUpdate{To: 6, Whole: true, Part: 1, Parts: 2, Records: []wire.ConfigRecord{first}})
+		Expect(revision()).To(BeZero())
+		l.Receive(own, &wire.ConfigUpdate{To: 6, Whole: true, Part: 2, Parts: 2, Records: []wire.ConfigRecord{second}})
+		Expect(revision()).To(Equal(int64(6)))
+		Expect(l.Store.Current().Services).To(HaveLen(2))
+	})
+
+	It("takes no older snapshot from a peer", func() {
+		Expect(l.Store.Update(config.WholeUpdate([]config.Record{record("a", 5)}))).To(Succeed())
+		c, sent := connect(l)
+		Expect(c.Send(&wire.ConfigState{Revision: 7})).To(Succeed())
+		Eventually(sent).Should(Receive())
+		sendUpdate(c, config.WholeUpdate([]config.Record{record("a", 4)}))
+		Expect(c.Send(&wire.ConfigState{Revision: 4})).To(Succeed())
+		Expect(c.Send(&wire.ConfigState{Revision: 8})).To(Succeed())
+		Eventually(sent).Should(Receive(Equal(&wire.ConfigPull{Revision: 5})))
+		Expect(revision()).To(Equal(int64(5)))
+	})
+
+	It("asks another peer when one gives no answer", func() {
+		mute, _ := connect(l)
+		Expect(mute.Send(&wire.ConfigState{Revision: 5})).To(Succeed())
+		c, sent := connect(l)
+		Eventually(func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.pull.conn != nil
+		}).Should(BeTrue())
+		clock.Advance(pullTimeout)
+		Expect(c.Send(&wire.ConfigState{Revision: 5})).To(Succeed())
+		Eventually(sent).Should(Receive(Equal(&wire.ConfigPull{})))
+	})
+})
+
+var _ = Describe("a source", func() {
+	It("shows a deletion by another tool with a revision of its own", func() {
+		s := &service{store: kv.NewStore(clockwork.NewFakeClock())}
+		for _, name := range []string{"a", "b"} {
+			r := record(name, 0)
+			_, err := s.store.Put(platform.Put{Key: r.Key, Value: r.Value})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		x := NewExchange(config.NewStore(codec.Decode), &membership.View{}, clockwork.NewFakeClock())
+		source := &Source{KV: s, Exchange: x, IsWatcher: func() bool { return true }, Log: zap.NewNop(), deleted: map[string]int64{}}
+		step := func() { Expect(source.step(context.Background())).To(Succeed()) }
+		step()
+		Expect(x.Store.Current().Revision).To(Equal(int64(2)))
+		_, err := s.store.Delete("config/plain-service/b", platform.AnyRevision)
+		Expect(err).NotTo(HaveOccurred())
+		step()
+		Expect(x.Store.Current().Revision).To(Equal(int64(2)), "a deletion alone moves no revision")
+		step()
+		Expect(x.Store.Current().Revision).To(Equal(int64(4)))
+		Expect(x.Store.Current().Services).To(HaveLen(1))
+		step()
+		Expect(x.Store.Current().Revision).To(Equal(int64(4)), "one epoch write is enough")
+	})
+})
+
+var _ = Describe("the age", func() {
+	It("passes between processes without their clocks agreeing", func() {
+		far, near := clockwork.NewFakeClockAt(time.Unix(1e9, 0)), clockwork.NewFakeClock()
+		a, b := NewAge(far), NewAge(near)
+		b.Observe(fromWire(a.wire()))
+		_, known := b.Get()
+		Expect(known).To(BeFalse())
+		a.Observe(0)
+		far.Advance(3 * time.Second)
+		b.Observe(fromWire(a.wire()))
+		near.Advance(time.Second)
+		age, known := b.Get()
+		Expect(known).To(BeTrue())
+		Expect(age).To(Equal(4 * time.Second))
+	})
+})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,8 +5,11 @@
 
 import (
 	"errors"
+	"maps"
 	"net/netip"
 	"net/url"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -16,6 +19,8 @@
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 )
 
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
 // envPrefix begins every environment variable.
 const envPrefix = "KINGCUPREEL_"
 
@@ -30,6 +35,8 @@
 	Heartbeat    time.Duration
 	Silence      time.Duration
 	DrainTimeout time.Duration
+
+	bad malformed
 }
 
 // Entry are the settings of an entry.
@@ -65,45 +72,48 @@
 }
 
 func (c *Common) declare(cmd *kingpin.CmdClause, drainTimeout string) {
-	flag(cmd, "process", "Name of this process, unique in the deployment.").StringVar(&c.Process)
-	flag(cmd, "vm", "Id of the VM in the VM list; empty when it is not listed.").StringVar(&c.VM)
-	flag(cmd, "data-centre", "Data centre of the VM.").StringVar(&c.DataCentre)
+	flag(cmd, "process", "Name of this process, unique in the deployment. Required.").StringVar(&c.Process)
+	flag(cmd, "vm", "Id of the VM in the VM list. Optional: a VM that is not listed has none.").StringVar(&c.VM)
+	flag(cmd, "data-centre", "Data centre of the VM. Required.").StringVar(&c.DataCentre)
 	flag(cmd, "inner-listen", "Address of the inner protocol, IP:port; port 0 takes a free one.").Default("127.0.0.1:0").StringVar(&c.InnerListen)
 	flag(cmd, "ops-listen", "Address of operators, health and metrics, IP:port.").Default("127.0.0.1:0").StringVar(&c.OpsListen)
 	flag(cmd, "log-level", "Log level: debug, info, warn or error.").Default("info").StringVar(&c.LogLevel)
-	flag(cmd, "heartbeat", "Interval of heartbeats between processes.").Default("1s").DurationVar(&c.Heartbeat)
-	flag(cmd, "silence", "Silence after which a connection is replaced.").Default("3s").DurationVar(&c.Silence)
-	flag(cmd, "drain-timeout", "Time that a planned stop waits for work in flight.").Default(drainTimeout).DurationVar(&c.DrainTimeout)
+	c.duration(cmd, "heartbeat", "Interval of heartbeats between processes.", "1s", &c.Heartbeat)
+	c.duration(cmd, "silence", "Silence after which a connection is replaced.", "3s", &c.Silence)
+	c.duration(cmd, "drain-timeout", "Time that a planned stop waits for work in flight.", drainTimeout, &c.DrainTimeout)
 }
 
 // Declare adds the entry's flags to a command.
 func (e *Entry) Declare(cmd *kingpin.CmdClause) {
 	e.declare(cmd, "1h")
 	flag(cmd, "caller-listen", "Address of the callers' HTTP, IP:port.").Default("127.0.0.1:0").StringVar(&e.CallerListen)
-	flag(cmd, "platform", "Base URL of the platform's key-value service and VM list.").StringVar(&e.Platform)
-	flag(cmd, "platform-timeout", "Bound on a call to the platform.").Default("2s").DurationVar(&e.PlatformTimeout)
-	flag(cmd, "operator-token-sha256", "Hex SHA-256 of a first operator's token, for use before any record exists.").StringVar(&e.OperatorTokenSHA256)
-	flag(cmd, "seed", "Inner address of another entry, IP:port, for a start while the VM list is out; repeatable.").StringsVar(&e.Seeds)
-	flag(cmd, "vm-list-interval", "Interval between two reads of the VM list.").Default("1s").DurationVar(&e.VMListInterval)
-	flag(cmd, "drain-notice", "Time that a stopping entry still takes requests while its readiness is negative.").Default("5s").DurationVar(&e.DrainNotice)
+	flag(cmd, "platform", "Base URL of the platform's key-value service and VM list, http or https. Required.").StringVar(&e.Platform)
+	e.duration(cmd, "platform-timeout", "Bound on a call to the platform.", "2s", &e.PlatformTimeout)
+	flag(cmd, "operator-token-sha256", "Hex SHA-256 of a first operator's token, for use before any record exists. Optional.").StringVar(&e.OperatorTokenSHA256)
+	flag(cmd, "seed", "Inner address of another entry, IP:port, for a start while the VM list is out. Optional, repeatable (one a line in the variable).").StringsVar(&e.Seeds)
+	e.duration(cmd, "vm-list-interval", "Interval between two reads of the VM list.", "1s", &e.VMListInterval)
+	e.duration(cmd, "drain-notice", "Time that a stopping entry still takes requests while its readiness is negative.", "5s", &e.DrainNotice)
 }
 
 // Declare adds the agent's flags to a command.
 func (a *Agent) Declare(cmd *kingpin.CmdClause) {
 	a.declare(cmd, "60s")
-	flag(cmd, "upstream", "Name of the upstream record that this agent serves.").StringVar(&a.Upstream)
-	flag(cmd, "target", "Base URL of the engine or plain service on this VM.").StringVar(&a.Target)
-	flag(cmd, "workers", "Attempts that run at once; twice as many may wait.").Default("256").IntVar(&a.Workers)
-	flag(cmd, "stall-timeout", "Silence of the engine after which its attempts go on elsewhere.").Default("10s").DurationVar(&a.StallTimeout)
-	flag(cmd, "orphan-timeout", "Time that an attempt goes on without its entry's connection.").Default("10s").DurationVar(&a.OrphanTimeout)
+	flag(cmd, "upstream", "Name of the upstream record that this agent serves. Required.").StringVar(&a.Upstream)
+	flag(cmd, "target", "Base URL of the engine or plain service on this VM, http or https. Required.").StringVar(&a.Target)
+	a.number(cmd, "workers", "Number of attempts that run at once, 1 to 65536; twice as many may wait.", "256", &a.Workers)
+	a.duration(cmd, "stall-timeout", "Silence of the engine after which its attempts go on elsewhere.", "10s", &a.StallTimeout)
+	a.duration(cmd, "orphan-timeout", "Time that an attempt goes on without its entry's connection.", "10s", &a.OrphanTimeout)
 }
 
 // checker collects the faults of a start.
-type checker struct{ faults []error }
+type checker struct {
+	faults []error
+	bad    malformed
+}
 
 // require reports a fault of a setting unless ok.
 func (c *checker) require(ok bool, name, value, remedy string) {
-	if ok {
+	if _, malformed := c.bad[name]; ok || malformed {
 		return
 	}
 	c.faults = append(c.faults, fault.New(fault.Invalid, remedy, "--%s (%s) is %q", name, envName(name), value))
@@ -121,6 +131,11 @@
 }
 
 func (c *checker) common(s *Common) {
+	for _, name := range slices.Sorted(maps.Keys(s.bad)) {
+		v := s.bad[name]
+		c.require(false, name, v.text, v.remedy)
+	}
+	c.bad = s.bad
 	c.require(s.Process != "", "process", s.Process, "give each process a name of its own")
 	c.require(s.DataCentre != "", "data-centre", s.DataCentre, "name the VM's data centre")
 	c.address("inner-listen", s.InnerListen)
@@ -146,9 +161,10 @@
 		c.address("seed", seed)
 	}
 	c.require(e.VMListInterval > 0, "vm-list-interval", e.VMListInterval.String(), "give a positive duration such as 1s")
-	c.require(e.DrainNotice >= 0 && e.DrainNotice < e.DrainTimeout, "drain-notice", e.DrainNotice.String(), "give less than the drain timeout")
+	_, unknown := c.bad["drain-timeout"]
+	c.require(e.DrainNotice >= 0 && (unknown || e.DrainNotice < e.DrainTimeout), "drain-notice", e.DrainNotice.String(), "give less than the drain timeout")
 	hash := e.OperatorTokenSHA256
-	c.require(hash == "" || len(hash) == 64, "operator-token-sha256", hash, "give 64 hex digits, or leave it out")
+	c.require(hash == "" || hashPattern.MatchString(hash), "operator-token-sha256", hash, "give 64 lower-case hex digits, or leave it out")
 	return errors.Join(c.faults...)
 }
 
