--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -40,7 +40,7 @@
 		Metrics: p.metrics, Log: p.log, OperatorTokenSHA256: s.OperatorTokenSHA256, Staleness: exchange.Staleness,
 	})
 	peers.Hello, peers.Handler = e.Hello, e.PeerHandler()
-	exchange.Conns, exchange.Agents = peers.Conns, e.AnnounceConfig
+	exchange.Conns, exchange.Agents = peers.Distinct, e.AnnounceConfig
 	exchange.Register(e.Muxes())
 	watcher := func() bool { return membership.IsWatcher(view.Entries(), s.VM, s.DataCentre) }
 	source := provider.Source{KV: kv, Exchange: exchange, IsWatcher: watcher, Log: p.log}
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -148,3 +149,15 @@
 	}
 	return conns
 }
+
+// Distinct returns one open connection to each other entry, whichever of the
+// two dialled.
+func (p *Peers) Distinct() []*wire.Conn {
+	seen := map[string]bool{}
+	return slices.DeleteFunc(p.Conns(), func(c *wire.Conn) bool {
+		incarnation := c.Peer().Incarnation
+		again := incarnation == "" || seen[incarnation]
+		seen[incarnation] = true
+		return again
+	})
+}
