Let one entry of a data centre read the VM list, and never list without a delay

Each watcher read the whole list every second, which is the largest answer of the platform at size; the first watcher does now, and another takes over when it hears nothing for 2.5 to 3.5 s.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -18,7 +18,7 @@
 
 const (
 	// callTimeout bounds a call to an entry.
-	callTimeout = 20 * time.Second
+	callTimeout = 30 * time.Second
 	// maxAnswer bounds an entry's answer, in bytes.
 	maxAnswer = 256 << 20
 )
@@ -93,6 +93,9 @@
 func expectQuery(expect int64) string { return "?expect=" + strconv.FormatInt(expect, 10) }
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
+	if c.Base == "" {
+		return fault.New(fault.Invalid, "give --entry or KINGCUPREEL_ENTRY, such as http://10.0.0.5:8081", "no entry to call")
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var in io.Reader = http.NoBody
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -42,11 +42,11 @@
 	peers.Hello, peers.Handler = e.Hello, e.PeerHandler()
 	exchange.Conns, exchange.Agents = peers.Distinct, e.AnnounceConfig
 	exchange.Register(e.Muxes())
-	watcher := func() bool { return membership.IsWatcher(view.Entries(), s.VM, s.DataCentre) }
-	source := provider.Source{KV: kv, Exchange: exchange, IsWatcher: watcher, Log: p.log}
+	duty := membership.NewDuty(view, s.VM, s.DataCentre)
+	source := provider.Source{KV: kv, Exchange: exchange, IsWatcher: duty.Watches, Log: p.log}
 	go peers.Run(work)
 	go exchange.Run(work)
-	go exchange.VMs.Run(work, kv, s.VMListInterval, watcher)
+	go exchange.VMs.Run(work, kv, s.VMListInterval, duty.ReadsVMs)
 	go source.Run(work)
 	caller := httpServer(listeners["caller"], e.CallerHandler())
 	ops := httpServer(listeners["ops"], e.OperatorHandler())
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -4,6 +4,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
@@ -12,6 +13,9 @@
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 )
 
+// operatorReadTimeout bounds the reading of an operator's body.
+const operatorReadTimeout = 30 * time.Second
+
 // OperatorHandler returns the operators' HTTP interface, with health, readiness
 // and metrics.
 func (e *Entry) OperatorHandler() http.Handler {
@@ -54,6 +58,7 @@
 			writeError(w, outcome.NotRun, err)
 			return
 		}
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(operatorReadTimeout))
 		out, err := f(w, r)
 		if err != nil {
 			writeError(w, outcome.NotRun, err)
--- a/internal/membership/change_test.go
+++ b/internal/membership/change_test.go
@@ -36,3 +36,34 @@
 		t.Fatal("a change of another list was applied")
 	}
 }
+
+func TestDutyFollowsTheView(t *testing.T) {
+	var v View
+	duties := map[string]*Duty{}
+	var vms []platform.VM
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		duties[id] = NewDuty(&v, id, "dc1")
+		vms = append(vms, platform.VM{ID: id, DataCentre: "dc1", Role: RoleEntry, State: platform.VMLive})
+	}
+	if !duties["a"].Watches() || !duties["a"].ReadsVMs() {
+		t.Fatal("an entry that no list shows has to look after itself")
+	}
+	for len(vms) > 0 {
+		v.Set(vms)
+		watchers, readers := 0, 0
+		gone := -1
+		for i, vm := range vms {
+			if duties[vm.ID].Watches() {
+				watchers++
+			}
+			if duties[vm.ID].ReadsVMs() {
+				readers++
+				gone = i
+			}
+		}
+		if watchers != min(len(vms), WatchersPerDataCentre) || readers != 1 {
+			t.Fatalf("of %d entries %d watch and %d read the VM list", len(vms), watchers, readers)
+		}
+		vms = append(vms[:gone:gone], vms[gone+1:]...)
+	}
+}
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -63,6 +64,38 @@
 	return !listed || slices.Contains(Watchers(entries, dataCentre), self)
 }
 
+// isFirstWatcher says whether the VM is the first of its data centre's watchers,
+// or not listed.
+func isFirstWatcher(entries []platform.VM, self, dataCentre string) bool {
+	watchers := Watchers(entries, dataCentre)
+	return IsWatcher(entries, self, dataCentre) && (!slices.Contains(watchers, self) || watchers[0] == self)
+}
+
+// Duty is what a VM does for its data centre as the view has it. It follows the
+// view's changes.
+type Duty struct {
+	watcher, first atomic.Bool
+}
+
+// NewDuty returns the duty of a VM.
+func NewDuty(view *View, self, dataCentre string) *Duty {
+	d := &Duty{}
+	update := func() {
+		entries := view.Entries()
+		d.watcher.Store(IsWatcher(entries, self, dataCentre))
+		d.first.Store(isFirstWatcher(entries, self, dataCentre))
+	}
+	view.OnChange(update)
+	update()
+	return d
+}
+
+// Watches says whether the VM watches the key-value service.
+func (d *Duty) Watches() bool { return d.watcher.Load() }
+
+// ReadsVMs says whether the VM reads the platform's VM list.
+func (d *Duty) ReadsVMs() bool { return d.first.Load() }
+
 // Targets returns the ids of the entries that self keeps connected to: its data
 // centre's watchers, a few neighbours, and, for a watcher, one watcher of every
 // other data centre. Their number does not grow with the fleet's entries.
--- a/internal/provider/source.go
+++ b/internal/provider/source.go
@@ -59,6 +59,8 @@
 	// service's revision of the deletion.
 	deleted map[string]int64
 	down    bool
+	// listed counts the listings: they don't follow each other without a delay.
+	listed int
 }
 
 // Run follows the service, while this entry has to, until ctx is done.
@@ -73,13 +75,14 @@
 			sleep(ctx, followPoll)
 			continue
 		}
+		listed := s.listed
 		err := s.step(ctx)
 		patience = s.patience()
 		if ctx.Err() != nil {
 			return
 		}
 		s.stateChanged(err)
-		if err == nil || fault.KindOf(err) == fault.Stale {
+		if err == nil && s.listed == listed {
 			retry = minRetry
 			continue
 		}
@@ -115,7 +118,7 @@
 
 // stateChanged logs when the service goes out of reach or comes back.
 func (s *Source) stateChanged(err error) {
-	down := err != nil && fault.KindOf(err) != fault.Stale
+	down := err != nil
 	if down == s.down {
 		return
 	}
@@ -152,6 +155,7 @@
 // list reads the whole configuration: at a start, or when the service no
 // longer has the events since the revision in force.
 func (s *Source) list(ctx context.Context) error {
+	s.listed++
 	l, err := s.KV.List(ctx, config.Prefix)
 	if err != nil {
 		return err
@@ -163,7 +167,7 @@
 	}
 	s.after, s.mustList = l.Revision, false
 	update := config.WholeUpdate(records)
-	if update.Base == before.Base && update.Base+l.Revision < before.Revision {
+	if update.Base < before.Base || (update.Base == before.Base && update.Base+l.Revision < before.Revision) {
 		s.store().MarkRestored(before.Base)
 		return nil
 	}
--- a/internal/provider/vms.go
+++ b/internal/provider/vms.go
@@ -13,16 +13,16 @@
 )
 
 const (
-	// vmsStaleAfter is the age of the VM list at which an entry that does not
-	// watch reads it itself, after a jitter of up to vmsStaleJitter.
+	// vmsStaleAfter is the age of the VM list at which another entry reads it
+	// itself, after a jitter of up to vmsStaleJitter.
 	vmsStaleAfter  = 2500 * time.Millisecond
 	vmsStaleJitter = 1 * time.Second
 	// vmsPoll is how often an entry checks whether it has to read the list.
 	vmsPoll = 250 * time.Millisecond
 )
 
-// VMs keeps the view of the VM list current: watchers read the platform's
-// list, the others take it from them.
+// VMs keeps the view of the VM list current: one entry of a data centre reads the
+// platform's list, the others take it from each other.
 type VMs struct {
 	// Age is the age of the list in the view.
 	Age  *Age
@@ -34,11 +34,11 @@
 	return &VMs{Age: NewAge(clock), view: view}
 }
 
-// Run reads the list at jittered intervals while this entry is a watcher or
+// Run reads the list at jittered intervals while this entry is the reader or
 // hears nothing from others, until ctx is done.
-func (v *VMs) Run(ctx context.Context, list platform.VMList, interval time.Duration, watcher func() bool) {
+func (v *VMs) Run(ctx context.Context, list platform.VMList, interval time.Duration, reader func() bool) {
 	for patience := vmsStaleAfter + rand.N(vmsStaleJitter); ctx.Err() == nil; {
-		if age, known := v.Age.Get(); known && !watcher() && age < patience {
+		if age, known := v.Age.Get(); known && !reader() && age < patience {
 			sleep(ctx, vmsPoll)
 			continue
 		}
