--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -62,6 +62,22 @@
 		"idle":      checkIdle,
 		"calls":     checkCalls,
 		"flood":     checkFlood,
+		"connected":    checkConnected,
+		"runs":         checkRuns,
+		"once":         checkOnce,
+		"agree":        checkAgree,
+		"store":        checkStore,
+		"stats":        checkStats,
+		"config-calls": checkConfigCalls,
+		"replace":      checkReplace,
+		"causal":       checkCausal,
+		"race":         checkRace,
+		"answer":       checkAnswer,
+		"tokens":       checkTokens,
+		"prompt":       checkPrompt,
+		"idle":         checkIdle,
+		"calls":        checkCalls,
+		"flood":        checkFlood,
 	}
 	check := checks[os.Args[1]]
 	if check == nil {
