Admit by priority, share and deadline, and balance by least expected work

Cause: the entry dispatched whatever came. At four times the capacity requests waited in the engines past their deadlines, and a large account took the places of a small one. linkTable.get copied every candidate for each decision, and an entry was connected to every upstream. Ruled out: a limit per entry without knowledge of the others, which wastes what an idle entry does not use; a counter in the key-value service, which holds a few hundred writes a second and has outages; digests per entry, which grow with the fleet; scoring all candidates, which takes time with the pool. Change: internal/admission (bounded queues by priority and fair shares, refusal at once of what can't make its deadline, Retry-After by turns at the drain rate, usage over all entries by flow updating in bounded digests); internal/balance (pools with nodes, two choices by least expected work, homes of prefixes with a load bound, ejection of at most half); links to a bounded subset of each pool. Agents tell new connections the last load, and no longer ask plain services for one: the stand-in recorded those questions as calls.

--- /dev/null
+++ b/internal/admission/controller_test.go
@@ -0,0 +1,215 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// desk offers requests to a controller and keeps the decisions.
+type desk struct {
+	*Controller
+	clock   *clockwork.FakeClock
+	started []*Ticket
+	refused map[*Ticket]Decision
+}
+
+func newDesk(capacity int, opts Options) *desk {
+	clock := clockwork.NewFakeClock()
+	d := &desk{clock: clock, refused: map[*Ticket]Decision{}}
+	d.Controller = NewController(clock, rand.New(rand.NewPCG(1, 2)), NewUsage(), opts)
+	d.SetCapacity("p", capacity)
+	return d
+}
+
+func (d *desk) offer(r Request) *Ticket {
+	var t *Ticket
+	var early *Decision
+	note := func(dec Decision) {
+		if dec.Start {
+			d.started = append(d.started, t)
+		} else {
+			d.refused[t] = dec
+		}
+	}
+	r.Pool = "p"
+	r.Decided = func(dec Decision) {
+		if t == nil {
+			early = &dec
+			return
+		}
+		note(dec)
+	}
+	t = d.Offer(r)
+	if early != nil {
+		note(*early)
+	}
+	return t
+}
+
+// serve ends the oldest started request after a time.
+func (d *desk) serve(after time.Duration) {
+	d.clock.Advance(after)
+	t := d.started[0]
+	d.started = d.started[1:]
+	d.Done(t, true)
+}
+
+var _ = Describe("Controller", func() {
+	It("starts the highest priority first", func() {
+		d := newDesk(1, Options{})
+		d.offer(Request{Account: "a"})
+		low := d.offer(Request{Account: "a", Priority: 1})
+		high := d.offer(Request{Account: "b", Priority: 9})
+		d.serve(time.Second)
+		Expect(d.started).To(Equal([]*Ticket{high}))
+		d.serve(time.Second)
+		Expect(d.started).To(Equal([]*Ticket{low}))
+	})
+
+	It("divides turns by the accounts' shares, however many requests wait", func() {
+		d := newDesk(1, Options{MinQueue: 1000})
+		d.offer(Request{Account: "x"})
+		for range 300 {
+			d.offer(Request{Account: "large", Share: 1})
+		}
+		for range 60 {
+			d.offer(Request{Account: "small", Share: 3})
+		}
+		turns := map[string]int{}
+		for range 80 {
+			d.serve(time.Millisecond)
+			turns[d.started[0].Account]++
+		}
+		Expect(turns["small"]).To(BeNumerically("~", 60, 1))
+	})
+
+	It("refuses the lowest priority of the account with the longest backlog", func() {
+		d := newDesk(1, Options{MinQueue: 3, MaxQueue: 3})
+		d.offer(Request{Account: "x"})
+		d.offer(Request{Account: "large", Priority: 1})
+		large := d.offer(Request{Account: "large", Priority: 1})
+		small := d.offer(Request{Account: "small", Priority: 1})
+		high := d.offer(Request{Account: "large", Priority: 5})
+		Expect(d.refused).To(HaveLen(1))
+		Expect(d.refused[large].Reason).To(Equal(QueueFull))
+		Expect(d.refused).NotTo(HaveKey(small))
+		Expect(d.refused).NotTo(HaveKey(high))
+	})
+
+	It("gives refused callers one turn after another at the drain rate", func() {
+		d := newDesk(1, Options{MinQueue: 1, MaxQueue: 1})
+		d.offer(Request{Account: "x"})
+		for range 100 {
+			d.serve(100 * time.Millisecond)
+			d.offer(Request{Account: "x"})
+		}
+		d.offer(Request{Account: "x"})
+		first := d.refused[d.offer(Request{Account: "x"})].RetryAfter
+		for range 48 {
+			d.offer(Request{Account: "x"})
+		}
+		last := d.refused[d.offer(Request{Account: "x"})].RetryAfter
+		Expect(first).To(BeNumerically("<=", 300*time.Millisecond))
+		Expect(last).To(BeNumerically("~", 5100*time.Millisecond, 1500*time.Millisecond))
+	})
+
+	It("refuses at once what can't make its deadline", func() {
+		d := newDesk(1, Options{})
+		d.offer(Request{Account: "x"})
+		d.serve(time.Second)
+		d.offer(Request{Account: "x"})
+		t := d.offer(Request{Account: "x", Deadline: d.clock.Now().Add(1500 * time.Millisecond)})
+		Expect(d.refused[t].Reason).To(Equal(Deadline))
+	})
+
+	It("refuses a waiting request as soon as it can't make its deadline", func() {
+		d := newDesk(1, Options{})
+		d.offer(Request{Account: "x"})
+		t := d.offer(Request{Account: "x", Deadline: d.clock.Now().Add(10 * time.Second)})
+		d.Tick()
+		Expect(d.refused).To(BeEmpty())
+		d.clock.Advance(11 * time.Second)
+		d.Tick()
+		Expect(d.refused[t].Reason).To(Equal(Deadline))
+		Expect(d.Waiting("p")).To(Equal(0))
+	})
+
+	It("enforces an account's limit", func() {
+		d := newDesk(0, Options{})
+		first := d.offer(Request{Account: "x", MaxInFlight: 1})
+		second := d.offer(Request{Account: "x", MaxInFlight: 1})
+		Expect(d.refused[second].Reason).To(Equal(Limit))
+		d.Done(first, true)
+		d.offer(Request{Account: "x", MaxInFlight: 1})
+		Expect(d.refused).To(HaveLen(1))
+	})
+
+	It("starts with its equal part of a pool that is in demand", func() {
+		d := newDesk(12, Options{})
+		d.usage.SetEntries(3, 3)
+		for range 20 {
+			d.offer(Request{Account: "x"})
+		}
+		Expect(d.InFlight("p")).To(Equal(4))
+	})
+
+	It("forgets a caller that leaves the queue", func() {
+		d := newDesk(1, Options{})
+		d.offer(Request{Account: "x"})
+		t := d.offer(Request{Account: "x"})
+		Expect(d.Withdraw(t)).To(BeTrue())
+		Expect(d.Withdraw(t)).To(BeFalse())
+		Expect(d.usage.Local(AccountKey("x"))).To(Equal(1))
+	})
+})
+
+// TestControllerInvariants checks, over random calls, that each request has one
+// decision, that the limit holds and that nothing stays counted.
+func TestControllerInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 5).Draw(t, "capacity")
+		d := newDesk(capacity, Options{MinQueue: 3, MaxQueue: 6})
+		var open []*Ticket
+		for range rapid.IntRange(1, 80).Draw(t, "calls") {
+			switch rapid.IntRange(0, 3).Draw(t, "call") {
+			case 0, 1:
+				open = append(open, d.offer(Request{
+					Account:  fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "account")),
+					Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
+					Deadline: d.clock.Now().Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "seconds")) * time.Second),
+				}))
+			case 2:
+				if len(d.started) > 0 {
+					d.serve(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+				}
+			case 3:
+				d.clock.Advance(300 * time.Millisecond)
+				d.Tick()
+			}
+			if d.InFlight("p") > capacity || d.Waiting("p") > 6 {
+				t.Fatalf("in flight %d of %d, waiting %d", d.InFlight("p"), capacity, d.Waiting("p"))
+			}
+			if d.Waiting("p") > 0 && d.InFlight("p") < capacity {
+				t.Fatal("a request waits beside a free place")
+			}
+		}
+		for len(d.started) > 0 {
+			d.serve(0)
+		}
+		if n := d.usage.Local(PoolKey("p")); n != 0 {
+			t.Fatalf("%d requests stay counted", n)
+		}
+		for _, o := range open {
+			if o.state != over {
+				t.Fatal("a request has no end")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/admission/usage_test.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// mesh is entries that send digests to random ones of four neighbours.
+type mesh struct {
+	rand  *rand.Rand
+	nodes []*Usage
+	loss  float64
+}
+
+func newMesh(n int, loss float64) *mesh {
+	m := &mesh{rand: rand.New(rand.NewPCG(3, 4)), loss: loss}
+	for range n {
+		u := NewUsage()
+		u.SetEntries(n, n)
+		m.nodes = append(m.nodes, u)
+	}
+	return m
+}
+
+func (m *mesh) rounds(n int) {
+	steps := []int{1, -1, 5, -5}
+	for range n {
+		for i, u := range m.nodes {
+			j := (i + steps[m.rand.IntN(len(steps))] + len(m.nodes)) % len(m.nodes)
+			items := u.Digest(fmt.Sprint(j))
+			if m.rand.Float64() >= m.loss {
+				m.nodes[j].Receive(fmt.Sprint(i), items)
+			}
+		}
+	}
+}
+
+var _ = Describe("Usage", func() {
+	key := AccountKey("x")
+
+	It("assumes an equal count everywhere before any exchange", func() {
+		u := NewUsage()
+		u.SetEntries(10, 4)
+		u.Add(key, 2)
+		Expect(u.Total(key)).To(Equal(20.0))
+		Expect(u.Reachable(key)).To(Equal(8.0))
+	})
+
+	DescribeTable("finds the sum, wherever the requests are", func(loss float64) {
+		m := newMesh(20, loss)
+		m.nodes[0].Add(key, 37)
+		m.nodes[7].Add(key, 23)
+		m.rounds(200)
+		for i, u := range m.nodes {
+			if i != 0 && i != 7 {
+				Expect(u.Total(key)).To(BeNumerically("~", 60, 6))
+			}
+		}
+		m.nodes[0].Add(key, -37)
+		m.nodes[7].Add(key, -23)
+		m.rounds(200)
+		Expect(m.nodes[3].Total(key)).To(BeNumerically("~", 0, 6))
+	}, Entry("without loss", 0.0), Entry("with a third of the digests lost", 0.33))
+
+	It("drops the count of a peer that is gone", func() {
+		a, b := NewUsage(), NewUsage()
+		a.SetEntries(2, 2)
+		b.Add(key, 10)
+		for range 20 {
+			a.Receive("b", b.Digest("a"))
+			b.Receive("a", a.Digest("b"))
+		}
+		Expect(a.Total(key)).To(BeNumerically("~", 10, 0.5))
+		a.Forget("b")
+		Expect(a.Total(key)).To(Equal(0.0))
+		Expect(a.Keys()).To(Equal(0))
+	})
+
+	It("bounds a digest whatever the number of keys", func() {
+		u := NewUsage()
+		for i := range 1000 {
+			u.Add(AccountKey(fmt.Sprint(i)), 1+i)
+		}
+		seen := map[Key]bool{}
+		for range 1000/(MaxDigest-refreshed) + 1 {
+			items := u.Digest("p")
+			Expect(len(items)).To(BeNumerically("<=", MaxDigest))
+			for _, i := range items {
+				seen[i.Key] = true
+			}
+		}
+		Expect(seen).To(HaveLen(1000))
+		Expect(u.Digest("p")).To(BeEmpty())
+	})
+})
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,8 +49,11 @@
 	mu      sync.Mutex
 	conns   map[*wire.Conn]wire.Hello
 	runs    map[wire.AttemptID]*run
+	load    *wire.Load // the last report, nil before the first
 	leaving bool
 	active  sync.WaitGroup
+	// configured wakes the load report after a change of configuration.
+	configured chan struct{}
 }
 
 // New returns an agent.
@@ -62,6 +65,8 @@
 		queue:    make(chan *run, 2*opts.Workers),
 		conns:    map[*wire.Conn]wire.Hello{},
 		runs:     map[wire.AttemptID]*run{},
+
+		configured: make(chan struct{}, 1),
 	}
 	opts.Store.OnChange(a.configApplied)
 	return a
@@ -128,6 +133,9 @@
 	defer a.mu.Unlock()
 	a.conns[c] = hello
 	a.opts.Events.Add(timeline.Event{Kind: timeline.Connected, Object: hello.Process})
+	if a.load != nil {
+		_ = c.Send(a.load)
+	}
 	if a.leaving {
 		_ = c.Send(&wire.Leaving{})
 	}
@@ -229,24 +237,46 @@
 	a.active.Done()
 }
 
-// reportLoad sends the engine's load to every entry.
+// reportLoad sends the engine's load to every entry, at intervals and as soon
+// as the configuration shows that the upstream is an engine.
 func (a *Agent) reportLoad(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
+		if a.servesModel() {
+			a.pollLoad(ctx)
+		}
 		select {
 		case <-ctx.Done():
-			return
 		case <-ticker.C:
+		case <-a.configured:
 		}
-		load, err := a.upstream.load(ctx)
-		if err != nil {
-			continue
-		}
-		a.broadcast(&load)
 	}
 }
 
+// servesModel says whether the upstream is an engine; plain services have no
+// load to report.
+func (a *Agent) servesModel() bool {
+	u := a.opts.Store.Current().Upstreams[a.opts.Hello.Upstream]
+	return u != nil && u.Group != ""
+}
+
+func (a *Agent) pollLoad(ctx context.Context) {
+	load, err := a.upstream.load(ctx)
+	if err != nil {
+		return
+	}
+	a.keepLoad(&load)
+	a.broadcast(&load)
+}
+
+// keepLoad remembers a report for entries that connect before the next one.
+func (a *Agent) keepLoad(load *wire.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.load = load
+}
+
 func (a *Agent) broadcast(m wire.Message) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -258,6 +288,10 @@
 func (a *Agent) configApplied(s *config.Snapshot) {
 	a.opts.Events.Add(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision})
 	a.broadcast(&wire.ConfigDigest{Revision: s.Revision})
+	select {
+	case a.configured <- struct{}{}:
+	default:
+	}
 }
 
 // Leave refuses new work, tells every entry, and waits until the work in
--- /dev/null
+++ b/internal/balance/balance_suite_test.go
@@ -0,0 +1,13 @@
+package balance
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "balance")
+}
--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,215 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// newTestPool returns a pool of near and far upstreams of a capacity.
+func newTestPool(near, far, capacity int) (*Pool, []*Node, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	p := NewPool(clock, rand.New(rand.NewPCG(5, 6)), "dc1")
+	var nodes []*Node
+	for i := range near + far {
+		u := Upstream{Name: fmt.Sprintf("u%d", i), DataCentre: "dc1"}
+		if i >= near {
+			u.DataCentre = "dc2"
+		}
+		n := p.Add(u)
+		n.SetUsable(true)
+		n.Reported(Load{Capacity: capacity})
+		nodes = append(nodes, n)
+	}
+	return p, nodes, clock
+}
+
+// send picks and dispatches n requests and counts them by upstream.
+func send(p *Pool, picker Picker, n int, prefix string) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		node := picker.Pick(p, Request{Prefix: prefix})
+		node.Dispatched()
+		counts[node.Name]++
+	}
+	return counts
+}
+
+var _ = Describe("LeastWork", func() {
+	It("picks none of an empty pool", func() {
+		p, nodes, _ := newTestPool(1, 0, 4)
+		nodes[0].SetUsable(false)
+		Expect(LeastWork{}.Pick(p, Request{})).To(BeNil())
+	})
+
+	It("makes no herd of a report that never changes", func() {
+		p, nodes, clock := newTestPool(10, 0, 32)
+		for _, n := range nodes[1:] {
+			n.Reported(Load{Work: 20, Capacity: 32})
+		}
+		clock.Advance(time.Minute)
+		for name, n := range send(p, LeastWork{}, 200, "") {
+			Expect(n).To(BeNumerically("<=", 30), name)
+		}
+	})
+
+	It("sends a prefix to its home while the home's load is bounded", func() {
+		p, _, _ := newTestPool(8, 0, 32)
+		home := LeastWork{}.Pick(p, Request{Prefix: "p"})
+		for range 5 {
+			Expect(LeastWork{}.Pick(p, Request{Prefix: "p"})).To(Equal(home))
+		}
+		counts := send(p, LeastWork{}, 128, "p")
+		Expect(counts[home.Name]).To(BeNumerically("<", 64))
+		Expect(counts).To(HaveLen(8))
+	})
+
+	It("keeps a prefix's home when another upstream leaves", func() {
+		p, nodes, _ := newTestPool(8, 0, 32)
+		home := LeastWork{}.Pick(p, Request{Prefix: "p"})
+		for _, n := range nodes {
+			if n != home {
+				p.Remove(n)
+				break
+			}
+		}
+		Expect(LeastWork{}.Pick(p, Request{Prefix: "p"})).To(Equal(home))
+	})
+
+	It("stays in its data centre until it is full", func() {
+		p, _, _ := newTestPool(2, 2, 8)
+		counts := send(p, LeastWork{}, 16, "")
+		Expect(counts["u2"] + counts["u3"]).To(BeNumerically("<=", 1))
+		counts = send(p, LeastWork{}, 12, "")
+		Expect(counts["u2"] + counts["u3"]).To(BeNumerically(">=", 8))
+	})
+
+	It("goes to other data centres when none is left here", func() {
+		p, nodes, _ := newTestPool(1, 1, 8)
+		nodes[0].SetUsable(false)
+		Expect(LeastWork{}.Pick(p, Request{})).To(Equal(nodes[1]))
+	})
+
+	It("skips what was tried", func() {
+		p, nodes, _ := newTestPool(2, 0, 8)
+		for range 10 {
+			Expect(LeastWork{}.Pick(p, Request{Prefix: "p", Tried: []string{"u0"}})).To(Equal(nodes[1]))
+		}
+	})
+
+	It("gives a slow upstream less, and tries it again later", func() {
+		p, nodes, clock := newTestPool(4, 0, 64)
+		for range 40 {
+			for i, n := range nodes {
+				gap := 10 * time.Millisecond
+				if i == 0 {
+					gap *= 3
+				}
+				n.Progressed(gap)
+			}
+		}
+		counts := send(p, LeastWork{}, 100, "")
+		Expect(counts["u0"]).To(BeNumerically("<=", 15))
+		clock.Advance(time.Minute)
+		Expect(nodes[0].paceAt(clock.Now())).To(BeNumerically("~", 1, 0.01))
+	})
+
+	It("prefers a rank under its group's peak", func() {
+		clock := clockwork.NewFakeClock()
+		p := NewPool(clock, rand.New(rand.NewPCG(5, 6)), "dc1")
+		load := func(name, group string, work int) *Node {
+			n := p.Add(Upstream{Name: name, DataCentre: "dc1", Group: group})
+			n.SetUsable(true)
+			n.Reported(Load{Work: work, Capacity: 32})
+			return n
+		}
+		load("a0", "a", 20)
+		idle := load("a1", "a", 10)
+		peak := load("b0", "b", 10)
+		now := clock.Now()
+		Expect(idle.costAt(now)).To(BeNumerically("<", peak.costAt(now)))
+	})
+
+	It("does not allocate", func() {
+		p, _, _ := newTestPool(100, 20, 32)
+		r := Request{Prefix: "prefix", Tried: []string{"u1"}}
+		LeastWork{}.Pick(p, r)
+		Expect(testing.AllocsPerRun(100, func() { LeastWork{}.Pick(p, r) })).To(BeZero())
+	})
+})
+
+var _ = Describe("Ejection", func() {
+	fail := func(nodes []*Node) {
+		for _, n := range nodes {
+			for range maxFailures {
+				n.Failed()
+			}
+		}
+	}
+
+	DescribeTable("leaves at least half of a pool in use", func(size, out int) {
+		p, nodes, _ := newTestPool(size, 0, 8)
+		fail(nodes)
+		Expect(p.ejected).To(Equal(out))
+		Expect(len(p.near)).To(Equal(size - out))
+	}, Entry("of one", 1, 0), Entry("of two", 2, 1), Entry("of three", 3, 1), Entry("of ten", 10, 5))
+
+	It("takes an upstream back after a while, and ejects it for longer next time", func() {
+		p, nodes, clock := newTestPool(4, 0, 8)
+		fail(nodes[:1])
+		Expect(nodes[0].Ejected()).To(BeTrue())
+		clock.Advance(ejectionTime)
+		LeastWork{}.Pick(p, Request{})
+		Expect(p.near).To(HaveLen(4))
+		fail(nodes[:1])
+		clock.Advance(ejectionTime)
+		Expect(nodes[0].Ejected()).To(BeTrue())
+	})
+
+	It("ejects an upstream that alone stops reporting", func() {
+		p, nodes, clock := newTestPool(4, 0, 8)
+		clock.Advance(silenceLimit + time.Second)
+		for _, n := range nodes[1:] {
+			n.Reported(Load{Capacity: 8})
+		}
+		Expect(p.Tick()).To(Equal([]string{"u0"}))
+	})
+
+	It("ejects none when most stop reporting", func() {
+		p, nodes, clock := newTestPool(4, 0, 8)
+		clock.Advance(silenceLimit + time.Second)
+		nodes[0].Reported(Load{Capacity: 8})
+		Expect(p.Tick()).To(BeEmpty())
+	})
+
+	It("ejects an upstream whose tokens come much slower", func() {
+		_, nodes, _ := newTestPool(10, 0, 8)
+		for range slowGaps {
+			for i, n := range nodes {
+				gap := 10 * time.Millisecond
+				if i == 0 {
+					gap = time.Second
+				}
+				n.Progressed(gap)
+			}
+		}
+		Expect(nodes[0].Ejected()).To(BeTrue())
+	})
+})
+
+var _ = Describe("Baselines", func() {
+	It("take turns, draw at random, or compare two", func() {
+		p, _, _ := newTestPool(4, 0, 8)
+		for _, n := range send(p, RoundRobin{}, 40, "") {
+			Expect(n).To(Equal(10))
+		}
+		for _, picker := range []Picker{Random{}, TwoChoices{}} {
+			Expect(send(p, picker, 200, "")).To(HaveLen(4))
+		}
+	})
+})
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -152,9 +152,9 @@
 	}
 	prompt := call.PromptText()
 	req := &request{
-		prefix:    prompt[:min(len(prompt), prefixBytes)],
-		dispatch:  wire.Dispatch{Path: r.URL.Path, Model: call.Model},
-		upstreams: func(s *config.Snapshot) []*config.Upstream { return s.ModelUpstreams(call.Model) },
+		prefix:   prompt[:min(len(prompt), prefixBytes)],
+		dispatch: wire.Dispatch{Path: r.URL.Path, Model: call.Model},
+		pool:     modelPool(call.Model),
 	}
 	return parsed{req: req, stream: call.Stream}, nil
 }
@@ -184,8 +184,8 @@
 		path += "?" + r.URL.RawQuery
 	}
 	req := &request{
-		dispatch:  wire.Dispatch{Path: path, Service: name, NonIdempotent: once, Key: key},
-		upstreams: func(s *config.Snapshot) []*config.Upstream { return s.ServiceUpstreams(name) },
+		dispatch: wire.Dispatch{Path: path, Service: name, NonIdempotent: once, Key: key},
+		pool:     servicePool(name),
 	}
 	return parsed{req: req}, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
@@ -41,6 +39,7 @@
 type Entry struct {
 	opts     Options
 	links    linkTable
+	admitter *admitter
 	draining atomic.Bool
 	gather   gatherTable
 	// peerMux routes the messages of other entries, agentMux those of agents
@@ -52,28 +51,17 @@
 // New returns an entry. It dials upstreams until ctx is done.
 func New(ctx context.Context, opts Options) *Entry {
 	if opts.Picker == nil {
-		opts.Picker = lockedPicker{picker: balance.TwoChoices{Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}, mu: new(sync.Mutex)}
+		opts.Picker = balance.LeastWork{}
 	}
-	e := &Entry{opts: opts, links: linkTable{links: map[string]*link{}}, gather: gatherTable{waits: map[uint64]chan []timeline.Event{}}}
+	e := &Entry{opts: opts, links: newLinkTable(opts.Hello.DataCentre), admitter: newAdmitter(), gather: gatherTable{waits: map[uint64]chan []timeline.Event{}}}
 	e.peerMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
+	e.peerMux.Funcs[wire.KindUsageDigest] = e.usageReceived
 	e.agentMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	opts.Store.OnChange(func(s *config.Snapshot) { e.configApplied(ctx, s) })
+	go e.exchangeUsage(ctx)
 	return e
 }
 
-// lockedPicker makes a picker safe for concurrent use.
-type lockedPicker struct {
-	mu     *sync.Mutex
-	picker balance.Picker
-}
-
-// Pick implements balance.Picker.
-func (p lockedPicker) Pick(r balance.Request, c []balance.Candidate) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.picker.Pick(r, c)
-}
-
 // PeerHandler returns the handler of the other entries' messages.
 func (e *Entry) PeerHandler() wire.Handler { return &e.peerMux }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
@@ -28,8 +27,8 @@
 	account  *config.ClientAccount
 	dispatch wire.Dispatch
 	prefix   string
-	// upstreams returns the upstreams that could serve it.
-	upstreams func(*config.Snapshot) []*config.Upstream
+	// pool names the upstreams that could serve it.
+	pool string
 }
 
 // result is the end of an attempt.
@@ -46,8 +45,9 @@
 	tried  map[string]bool
 }
 
-// run makes attempts until one ends the request, and writes the final answer.
-func (x *exchange) run(ctx context.Context) {
+// run makes attempts until one ends the request, writes the final answer and
+// returns its outcome.
+func (x *exchange) run(ctx context.Context) outcome.Outcome {
 	last := result{outcome: outcome.NotRun}
 	for n := uint32(1); n <= maxAttempts; n++ {
 		l := x.pick()
@@ -61,8 +61,14 @@
 		x.tried[l.upstream.Name] = true
 	}
 	if last.err == nil && last.outcome == outcome.NotRun {
-		last.err = fault.New(fault.Unavailable, "send the request again after Retry-After", "no upstream can take the request").After(unavailableRetry)
+		last.err = fault.New(fault.Unavailable, "send the request again after Retry-After", "no upstream can take the request").After(x.entry.retryAfter(x.req.pool))
 	}
+	x.end(last)
+	return last.outcome
+}
+
+// end writes the final answer.
+func (x *exchange) end(last result) {
 	x.entry.count("requests." + string(last.outcome))
 	x.entry.event(timeline.Event{Kind: timeline.Answered, Request: x.req.id, Detail: string(last.outcome)})
 	x.answer.finish(last)
@@ -70,14 +76,7 @@
 
 // pick chooses an upstream that has not been tried, or nil.
 func (x *exchange) pick() *link {
-	snap := x.entry.opts.Store.Current()
-	links, candidates := x.entry.links.get(x.req.upstreams(snap), x.tried)
-	r := balance.Request{DataCentre: x.entry.opts.Hello.DataCentre, Prefix: x.req.prefix}
-	i := x.entry.opts.Picker.Pick(r, candidates)
-	if i < 0 {
-		return nil
-	}
-	return links[i]
+	return x.entry.links.pick(x.entry.opts.Picker, x.req, x.tried)
 }
 
 // attempt dispatches to one upstream and relays what comes back.
@@ -181,5 +180,10 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, req *request, stream bool) {
 	e.event(timeline.Event{Kind: timeline.Admitted, Object: req.account.Name, Request: req.id})
 	x := &exchange{entry: e, req: req, answer: newAnswer(w, req.id, stream), tried: map[string]bool{}}
-	x.run(r.Context())
+	release, err := e.admit(r.Context(), req)
+	if err != nil {
+		x.end(result{outcome.NotRun, err})
+		return
+	}
+	release(x.run(r.Context()) == outcome.Completed)
 }
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
@@ -25,6 +24,7 @@
 	entry    *Entry
 	upstream *config.Upstream
 	stop     context.CancelFunc
+	member   *member
 
 	mu       sync.Mutex
 	conn     *wire.Conn
@@ -79,9 +79,12 @@
 		l.mu.Lock()
 		l.load = *m
 		l.mu.Unlock()
+		l.member.reported(m)
+		l.entry.passCapacity(l.member.pool)
 	case *wire.Leaving:
 		l.mu.Lock()
 		l.leaving = true
+		l.update()
 		l.mu.Unlock()
 		l.entry.event(timeline.Event{Kind: timeline.UpstreamLeaving, Object: l.upstream.Name})
 	case *wire.ConfigDigest:
@@ -129,6 +132,7 @@
 		l.entry.count("frames.foreign")
 		return
 	}
+	l.member.received(m)
 	box.put(m)
 }
 
@@ -142,6 +146,7 @@
 	l.conn = c
 	l.hello = hello
 	l.leaving = false
+	l.update()
 	l.mu.Unlock()
 	l.entry.event(timeline.Event{Kind: timeline.Connected, Object: l.upstream.Name})
 	_ = c.Send(l.entry.snapshotMessage())
@@ -152,6 +157,7 @@
 	known := l.conn == c
 	if known {
 		l.conn = nil
+		l.update()
 	}
 	boxes := make([]*mailbox, 0, len(l.boxes))
 	for _, b := range l.boxes {
@@ -189,6 +195,7 @@
 		l.inFlight--
 		return nil, err
 	}
+	l.member.dispatched()
 	return box, nil
 }
 
@@ -198,6 +205,7 @@
 	defer l.mu.Unlock()
 	delete(l.boxes, id)
 	l.inFlight--
+	l.member.finished(id)
 }
 
 // send passes a message to the agent, if it is connected.
@@ -210,74 +218,6 @@
 	return l.conn.Send(m)
 }
 
-// candidate returns the link's state for a decision; false means that it can
-// take no work.
-func (l *link) candidate() (balance.Candidate, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := balance.Candidate{
-		Name:       l.upstream.Name,
-		DataCentre: l.upstream.DataCentre,
-		InFlight:   l.inFlight,
-		Reported:   float64(l.load.Running + l.load.Queued),
-		Capacity:   l.load.Capacity,
-	}
-	return c, l.conn != nil && !l.leaving
-}
-
-// linkTable holds the links by upstream name.
-type linkTable struct {
-	mu    sync.Mutex
-	links map[string]*link
-}
-
-// reconcile starts and stops links so that they match the snapshot.
-func (t *linkTable) reconcile(ctx context.Context, e *Entry, s *config.Snapshot) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for name, l := range t.links {
-		if u := s.Upstreams[name]; u == nil || *u != *l.upstream {
-			l.stop()
-			delete(t.links, name)
-		}
-	}
-	for name, u := range s.Upstreams {
-		if t.links[name] != nil {
-			continue
-		}
-		linkCtx, stop := context.WithCancel(ctx)
-		l := newLink(e, u, stop)
-		t.links[name] = l
-		go l.run(linkCtx)
-	}
-}
-
-// get returns the links of the given upstreams that can take work.
-func (t *linkTable) get(upstreams []*config.Upstream, except map[string]bool) ([]*link, []balance.Candidate) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var links []*link
-	var candidates []balance.Candidate
-	for _, u := range upstreams {
-		l := t.links[u.Name]
-		if l == nil || except[u.Name] {
-			continue
-		}
-		if c, ok := l.candidate(); ok {
-			links = append(links, l)
-			candidates = append(candidates, c)
-		}
-	}
-	return links, candidates
-}
-
-// all returns every link.
-func (t *linkTable) all() []*link {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	links := make([]*link, 0, len(t.links))
-	for _, l := range t.links {
-		links = append(links, l)
-	}
-	return links
-}
+// update tells the balance state whether the upstream can take work. The caller
+// holds mu.
+func (l *link) update() { l.member.setUsable(l.conn != nil && !l.leaving) }
--- a/test/scenario/checks_overload_test.go
+++ b/test/scenario/checks_overload_test.go
@@ -151,13 +151,17 @@
 			}
 		}
 	}
-	for _, g := range groups {
+	for n, g := range groups {
 		ended, most := recorded(g.account, runs)
-		fmt.Printf("account=%s completed=%d refused=%d late=%d without-retry-after=%d ended=%d share-percent=%d at-once=%d\n",
-			g.account, g.completed, g.refused, g.late, g.silent, ended, 100*ended/max(len(runs)-wasted, 1), most)
+		fmt.Printf("account=%s completed=%d refused=%d late=%d without-retry-after=%d ended=%d at-once=%d share-percent=%d\n",
+			g.account, g.completed, g.refused, g.late, g.silent, ended, most, share(groups[n:], runs))
+	}
+	late := 0
+	for _, g := range groups {
+		late += g.late
 	}
-	fmt.Printf("runs=%d wasted=%d wasted-percent=%d refused-but-ran=%d extra-attempts-percent=%d\n",
-		len(runs), wasted, 100*wasted/max(len(runs), 1), ranRefused, 100*(len(runs)-len(attempts))/max(len(attempts), 1))
+	fmt.Printf("runs=%d wasted=%d late=%d lost-percent=%d refused-but-ran=%d extra-attempts-percent=%d\n",
+		len(runs), wasted, late, 100*max(wasted, late)/max(len(runs), 1), ranRefused, 100*(len(runs)-len(attempts))/max(len(attempts), 1))
 	return nil
 }
 
@@ -181,3 +185,33 @@
 	}
 	return ended, most
 }
+
+// share returns the first account's part, in percent, of the runs of all these
+// accounts that started between its first and its last one.
+func share(groups []*floodGroup, runs []engine.Run) int {
+	var first, last time.Time
+	for _, r := range runs {
+		if !strings.HasPrefix(r.Prompt, groups[0].account+" ") {
+			continue
+		}
+		if first.IsZero() || r.Started.Before(first) {
+			first = r.Started
+		}
+		if r.Started.After(last) {
+			last = r.Started
+		}
+	}
+	own, all := 0, 0
+	for _, r := range runs {
+		for n, g := range groups {
+			if !strings.HasPrefix(r.Prompt, g.account+" ") || r.Started.Before(first) || r.Started.After(last) {
+				continue
+			}
+			all++
+			if n == 0 {
+				own++
+			}
+		}
+	}
+	return 100 * own / max(all, 1)
+}
