--- a/internal/entry/linktable.go
+++ b/internal/entry/linktable.go
@@ -75,6 +75,7 @@
 	l := newLink(e, u, stop)
 	l.member = p.join(l)
 	t.links[u.Name] = l
+	l.listed(e.vmLeaving(u.VM))
 	go l.run(linkCtx)
 }
 
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -54,6 +54,11 @@
 		"connected": checkConnected,
 		"runs":      checkRuns,
 		"once":      checkOnce,
+		"answer":    checkAnswer,
+		"tokens":    checkTokens,
+		"prompt":    checkPrompt,
+		"idle":      checkIdle,
+		"calls":     checkCalls,
 		"flood":     checkFlood,
 	}
 	check := checks[os.Args[1]]
