--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -77,7 +77,10 @@
 	conns   map[*wire.Conn]wire.Hello
 	runs    map[wire.AttemptID]*run
 	leaving bool
-	active  sync.WaitGroup
+	load    *wire.Load // the last report, nil before the first
+	// configured wakes the load report after a change of configuration.
+	configured chan struct{}
+	active     sync.WaitGroup
 }
 
 // New returns an agent.
@@ -91,6 +94,8 @@
 		queue:    make(chan *run, 2*opts.Workers),
 		conns:    map[*wire.Conn]wire.Hello{},
 		runs:     map[wire.AttemptID]*run{},
+
+		configured: make(chan struct{}, 1),
 	}
 	opts.Store.OnChange(a.configApplied)
 	return a
@@ -171,6 +176,9 @@
 	a.journal.connect(hello.Incarnation, hello.Number)
 	a.conns[c] = hello
 	a.opts.Events.Add(timeline.Event{Kind: timeline.Connected, Object: hello.Process})
+	if a.load != nil {
+		_ = c.Send(a.load)
+	}
 	if a.leaving {
 		_ = c.Send(&wire.Leaving{})
 	}
@@ -202,6 +210,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-a.configured:
 		}
 		if !a.servesModel() {
 			continue
@@ -210,6 +219,7 @@
 		switch {
 		case err == nil:
 			heard = a.opts.Clock.Now()
+			a.keepLoad(&load)
 			unchanged++
 			if load != last || unchanged >= loadRepeat {
 				a.broadcast(&load)
@@ -221,6 +231,13 @@
 	}
 }
 
+// keepLoad remembers a report for entries that connect before the next one.
+func (a *Agent) keepLoad(load *wire.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.load = load
+}
+
 // servesModel says whether the upstream's record names a model group: only
 // engines are asked for their load.
 func (a *Agent) servesModel() bool {
@@ -250,6 +267,10 @@
 func (a *Agent) configApplied(s *config.Snapshot) {
 	a.opts.Events.Add(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision})
 	a.broadcast(&wire.ConfigDigest{Revision: s.Revision})
+	select {
+	case a.configured <- struct{}{}:
+	default:
+	}
 }
 
 func (a *Agent) count(name string) { telemetry.Counter(a.opts.Metrics, name).Inc(1) }
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -47,43 +47,44 @@
 	}
 }
 
-// checkMain is the program "check WHAT URL...": the judge, which reads what the
-// stand-ins recorded.
+// check is one of the judge's questions.
+type check struct {
+	name string
+	run  func(args []string) error
+}
+
+// checks are all of them.
+var checks = []check{
+	{"connected", checkConnected},
+	{"runs", checkRuns},
+	{"once", checkOnce},
+	{"answer", checkAnswer},
+	{"garbage", checkGarbage},
+	{"flow", checkFlow},
+	{"tokens", checkTokens},
+	{"prompt", checkPrompt},
+	{"idle", checkIdle},
+	{"calls", checkCalls},
+	{"flood", checkFlood},
+	{"agree", checkAgree},
+	{"store", checkStore},
+	{"stats", checkStats},
+	{"config-calls", checkConfigCalls},
+	{"replace", checkReplace},
+	{"causal", checkCausal},
+	{"race", checkRace},
+}
+
+// checkMain is the program "check WHAT ARGS...": the judge, which reads what
+// the stand-ins recorded.
 func checkMain() {
-	checks := map[string]func(urls []string) error{
-		"connected": checkConnected,
-		"runs":      checkRuns,
-		"once":      checkOnce,
-		"answer":    checkAnswer,
-		"garbage":   checkGarbage,
-		"flow":      checkFlow,
-		"tokens":    checkTokens,
-		"prompt":    checkPrompt,
-		"idle":      checkIdle,
-		"calls":     checkCalls,
-		"flood":     checkFlood,
-		"connected":    checkConnected,
-		"runs":         checkRuns,
-		"once":         checkOnce,
-		"agree":        checkAgree,
-		"store":        checkStore,
-		"stats":        checkStats,
-		"config-calls": checkConfigCalls,
-		"replace":      checkReplace,
-		"causal":       checkCausal,
-		"race":         checkRace,
-		"answer":       checkAnswer,
-		"tokens":       checkTokens,
-		"prompt":       checkPrompt,
-		"idle":         checkIdle,
-		"calls":        checkCalls,
-		"flood":        checkFlood,
-	}
-	check := checks[os.Args[1]]
-	if check == nil {
-		exitOn(fmt.Errorf("no check %q", os.Args[1]))
+	for _, c := range checks {
+		if c.name == os.Args[1] {
+			exitOn(c.run(os.Args[2:]))
+			return
+		}
 	}
-	exitOn(check(os.Args[2:]))
+	exitOn(fmt.Errorf("no check %q", os.Args[1]))
 }
 
 // checkConnected prints how many upstreams an entry is connected to.
