Make the scenarios' STOP wait until the process has stopped

Change: the script's STOP waits until every thread is in the stopped state. Conclusion: the check is as strict and no longer races with the kernel.

--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -102,12 +104,38 @@
 	"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
 }
 
-// cmdSignal is "signal NAME KILL|TERM|STOP|CONT".
+// cmdSignal is "signal NAME KILL|TERM|STOP|CONT". STOP returns once every thread
+// of the process has stopped.
 func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 || signals[args[1]] == 0 {
 		ts.Fatalf("usage: signal NAME KILL|TERM|STOP|CONT")
 	}
-	ts.Check(table(ts).get(ts, args[0]).cmd.Process.Signal(signals[args[1]]))
+	proc := table(ts).get(ts, args[0]).cmd.Process
+	ts.Check(proc.Signal(signals[args[1]]))
+	if args[1] != "STOP" {
+		return
+	}
+	for deadline := time.Now().Add(conditionLimit); !stopped(proc.Pid); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s has not stopped", args[0])
+		}
+	}
+}
+
+// stopped says whether all threads of a process are in the stopped state.
+func stopped(pid int) bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(stats) == 0 {
+		return false
+	}
+	for _, file := range stats {
+		data, err := os.ReadFile(file)
+		_, state, found := bytes.Cut(data, []byte(") "))
+		if err == nil && (!found || state[0] != 'T') {
+			return false
+		}
+	}
+	return true
 }
 
 // cmdExited is "[!] exited NAME": it waits for the end, and checks that the
