Add the expert planner and its bench command

Change: internal/planner places from scratch (greedy replication, packing, ranks matched to the old map by assignment on overlap) and incrementally (moves at both ends of the load order, weighed by the fall in imbalance a slot, within an allowance that carries over). A map carries the share of each replica, so load moves between replicas without weights. kingcupreel-bench planner judges never, scratch, incremental and floor on a trace or on generated drift, exam and season loads.

Ruled out: a search that predicts skew alone.

A property test found shares that no longer added up for an expert with almost no load (cancellation); such an expert is divided equally.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -44,6 +44,7 @@
 	declareSlopes,
 	declareFit,
 	declareCapacity,
+	declarePlanner,
 }
 
 // Main parses the arguments and runs the command. It returns the exit code.
--- /dev/null
+++ b/internal/bench/planner.go
@@ -0,0 +1,158 @@
+package bench
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/planner"
+)
+
+// policy names a way to plan.
+type policy string
+
+// The policies.
+const (
+	// policyNever keeps the first map.
+	policyNever policy = "never"
+	// policyScratch places the experts anew at each plan and matches the new
+	// map to the old one's ranks.
+	policyScratch policy = "scratch"
+	// policyIncremental changes the map in force where it pays.
+	policyIncremental policy = "incremental"
+	// policyFloor places the experts for each row with hindsight.
+	policyFloor policy = "floor"
+)
+
+// Planner is a run of a planning policy over a load.
+type Planner struct {
+	// Trace is a CSV file; when empty, Load and Seed generate Rows rows of
+	// Experts experts.
+	Trace, Load   string
+	Seed          uint64
+	Rows, Experts int
+	Ranks, Slots  int
+	// Every is the number of rows between two plans.
+	Every         int
+	Policy        string
+	Preset, Split string
+	// ExpertBytes is the size of an expert's weights, StoreRate the weight
+	// store's rate in bytes a second, Row the time that a row stands for.
+	ExpertBytes int64
+	StoreRate   int64
+	Row         time.Duration
+	// Quiet lists quiet windows of a trace in rows, FROM-TO,FROM-TO.
+	Quiet string
+	// Out is a file to write the load to in place of judging a policy.
+	Out string
+}
+
+// declarePlanner adds the command.
+func declarePlanner(app *kingpin.Application, e env) (string, command) {
+	p := &Planner{}
+	cmd := app.Command("planner", "Judge a planning policy on a load of experts.")
+	p.declareLoad(cmd)
+	cmd.Flag("ranks", "Ranks of the group.").Default("64").IntVar(&p.Ranks)
+	cmd.Flag("slots", "Slots a rank.").Default("6").IntVar(&p.Slots)
+	cmd.Flag("every", "Rows between two plans.").Default("5").IntVar(&p.Every)
+	cmd.Flag("policy", "never, scratch, incremental, or floor: each row placed with hindsight.").
+		Default(string(policyIncremental)).
+		EnumVar(&p.Policy, string(policyNever), string(policyScratch), string(policyIncremental), string(policyFloor))
+	cmd.Flag("preset", "teranga or tocka.").Default(planner.Teranga.Name).EnumVar(&p.Preset, planner.Teranga.Name, planner.Tocka.Name)
+	cmd.Flag("split", "How replicas share an expert's tokens: weighted (by the map) or equal.").
+		Default(string(planner.SplitWeighted)).
+		EnumVar(&p.Split, string(planner.SplitWeighted), string(planner.SplitEqual))
+	cmd.Flag("expert-bytes", "Size of an expert's weights.").Default("50331648").Int64Var(&p.ExpertBytes)
+	cmd.Flag("store-rate", "Rate of the weight store, bytes a second.").Default("1073741824").Int64Var(&p.StoreRate)
+	cmd.Flag("row-time", "Time that a row stands for.").Default("10s").DurationVar(&p.Row)
+	return cmd.FullCommand(), func(context.Context) error { return p.run(e) }
+}
+
+func (p *Planner) declareLoad(cmd *kingpin.CmdClause) {
+	cmd.Flag("trace", "CSV: a row a step window, a column an expert, tokens routed.").StringVar(&p.Trace)
+	cmd.Flag("load", "Generated load in place of a trace: drift, exam or season.").Default(string(LoadDrift)).StringVar(&p.Load)
+	cmd.Flag("seed", "Seed of the generated load.").Default("1").Uint64Var(&p.Seed)
+	cmd.Flag("rows", "Rows of the generated load.").Default("400").IntVar(&p.Rows)
+	cmd.Flag("experts", "Experts of the generated load.").Default("256").IntVar(&p.Experts)
+	cmd.Flag("quiet", "Quiet windows of a trace, in rows: FROM-TO, comma-separated, TO excluded.").StringVar(&p.Quiet)
+	cmd.Flag("write-trace", "Write the load as CSV to this file and stop.").StringVar(&p.Out)
+}
+
+// run judges the policy and prints one line of JSON.
+func (p *Planner) run(e env) error {
+	trace, err := p.trace()
+	if err != nil {
+		return err
+	}
+	if p.Out != "" {
+		return p.write(trace)
+	}
+	result, err := p.Judge(trace)
+	if err != nil {
+		return err
+	}
+	return e.print(result)
+}
+
+func (p *Planner) write(trace Trace) error {
+	f, err := os.Create(p.Out)
+	if err != nil {
+		return err
+	}
+	if err := WriteTrace(f, trace); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func (p *Planner) trace() (Trace, error) {
+	if p.Trace == "" {
+		return p.generate()
+	}
+	f, err := os.Open(p.Trace)
+	if err != nil {
+		return Trace{}, fault.Wrap(fault.Invalid, err, "name a readable CSV file", "opening the trace")
+	}
+	defer f.Close()
+	trace, err := ReadTrace(f)
+	if err != nil {
+		return Trace{}, err
+	}
+	p.Load = p.Trace
+	return trace, markQuiet(trace.Quiet, p.Quiet)
+}
+
+// generate makes the load. Only Tocka's operators set quiet windows around exam
+// dates.
+func (p *Planner) generate() (Trace, error) {
+	trace, err := Generate(Load(p.Load), p.Seed, p.Rows, p.Experts)
+	if p.Preset != planner.Tocka.Name {
+		clear(trace.Quiet)
+	}
+	return trace, err
+}
+
+// markQuiet marks the rows of the windows FROM-TO.
+func markQuiet(quiet []bool, windows string) error {
+	for window := range strings.SplitSeq(windows, ",") {
+		if window == "" {
+			continue
+		}
+		from, to, _ := strings.Cut(window, "-")
+		first, err := strconv.Atoi(from)
+		last, err2 := strconv.Atoi(to)
+		if err != nil || err2 != nil || first < 0 || last < first {
+			return fault.New(fault.Invalid, "give FROM-TO in rows", "quiet window %q", window)
+		}
+		for row := first; row < min(last, len(quiet)); row++ {
+			quiet[row] = true
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/plannerload.go
@@ -0,0 +1,178 @@
+package bench
+
+import (
+	"encoding/csv"
+	"io"
+	"math"
+	"math/rand/v2"
+	"strconv"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+)
+
+// Trace is the tokens routed to each expert, a row a step window.
+type Trace struct {
+	Rows [][]float64
+	// Quiet marks the rows inside a quiet window.
+	Quiet []bool
+}
+
+// ReadTrace reads a CSV of a row a step window and a column an expert. A first
+// row that holds no numbers is taken for a header.
+func ReadTrace(r io.Reader) (Trace, error) {
+	records, err := csv.NewReader(r).ReadAll()
+	if err != nil {
+		return Trace{}, fault.Wrap(fault.Invalid, err, "give a CSV with a column an expert", "reading the trace")
+	}
+	var t Trace
+	for i, record := range records {
+		row, err := parseRow(record)
+		if err != nil {
+			if i == 0 {
+				continue
+			}
+			return Trace{}, fault.Wrap(fault.Invalid, err, "give tokens as non-negative numbers", "row %d of the trace", i+1)
+		}
+		t.Rows = append(t.Rows, row)
+		t.Quiet = append(t.Quiet, false)
+	}
+	if len(t.Rows) < 2 {
+		return Trace{}, fault.New(fault.Invalid, "give a row for the first map and at least one to judge", "the trace has %d rows", len(t.Rows))
+	}
+	return t, nil
+}
+
+func parseRow(record []string) ([]float64, error) {
+	row := make([]float64, len(record))
+	for e, field := range record {
+		v, err := strconv.ParseFloat(field, 64)
+		if err != nil {
+			return nil, err
+		}
+		if v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+			return nil, fault.New(fault.Invalid, "give a non-negative number", "column %d is %q", e+1, field)
+		}
+		row[e] = v
+	}
+	return row, nil
+}
+
+// WriteTrace writes a trace as CSV.
+func WriteTrace(w io.Writer, t Trace) error {
+	out := csv.NewWriter(w)
+	for _, row := range t.Rows {
+		record := make([]string, len(row))
+		for e, v := range row {
+			record[e] = strconv.FormatFloat(v, 'f', -1, 64)
+		}
+		if err := out.Write(record); err != nil {
+			return err
+		}
+	}
+	out.Flush()
+	return out.Error()
+}
+
+// Load names a kind of generated load.
+type Load string
+
+// The generated loads. All start from a popularity that falls off as the
+// square root of an expert's place, and count tokens with sampling noise.
+const (
+	// LoadDrift lets each expert's popularity wander by itself.
+	LoadDrift Load = "drift"
+	// LoadExam adds exam dates: a subject's experts are several times as busy
+	// for some rows, inside a quiet window.
+	LoadExam Load = "exam"
+	// LoadSeason moves the load from one set of experts to the next, smoothly,
+	// with one sudden change of mix.
+	LoadSeason Load = "season"
+)
+
+const (
+	// rowTokens is the number of tokens routed in a row.
+	rowTokens = 4e6
+	// driftStep is the standard deviation of a row's change of the logarithm
+	// of a popularity, driftPull the part by which it returns to its base.
+	driftStep = 0.03
+	driftPull = 0.01
+
+	examPeriod   = 100
+	examLength   = 20
+	examLead     = 5
+	examSubjects = 4
+	examSurge    = 3.0
+
+	seasonPeriod = 300
+	seasonGroups = 4
+	seasonSwing  = 0.8
+)
+
+// Generate makes a load of the given kind from a seed.
+func Generate(kind Load, seed uint64, rows, experts int) (Trace, error) {
+	g := &generator{rand: rand.New(rand.NewPCG(seed, seed+1)), base: make([]float64, experts), wander: make([]float64, experts), group: make([]int, experts)}
+	for e, place := range g.rand.Perm(experts) {
+		g.base[e] = 1 / math.Sqrt(float64(place+1))
+		g.group[e] = g.rand.IntN(seasonGroups)
+	}
+	factor := map[Load]func(row, e int) float64{LoadDrift: g.drift, LoadExam: g.exam, LoadSeason: g.season}[kind]
+	if factor == nil {
+		return Trace{}, fault.New(fault.Invalid, "use drift, exam or season", "no load %q", kind)
+	}
+	var t Trace
+	for row := range rows {
+		g.step()
+		t.Rows = append(t.Rows, g.row(func(e int) float64 { return factor(row, e) }))
+		at := row % examPeriod
+		quiet := kind == LoadExam && at >= examPeriod-examLength-examLead
+		t.Quiet = append(t.Quiet, quiet)
+	}
+	return t, nil
+}
+
+type generator struct {
+	rand   *rand.Rand
+	base   []float64
+	wander []float64
+	group  []int
+}
+
+// step lets the popularities wander for one row.
+func (g *generator) step() {
+	for e := range g.wander {
+		g.wander[e] += driftStep*g.rand.NormFloat64() - driftPull*g.wander[e]
+	}
+}
+
+// row draws the tokens of each expert.
+func (g *generator) row(factor func(e int) float64) []float64 {
+	weights := make([]float64, len(g.base))
+	sum := 0.0
+	for e := range weights {
+		weights[e] = g.base[e] * factor(e)
+		sum += weights[e]
+	}
+	for e := range weights {
+		mean := rowTokens * weights[e] / sum
+		weights[e] = math.Round(max(mean+math.Sqrt(mean)*g.rand.NormFloat64(), 0))
+	}
+	return weights
+}
+
+func (g *generator) drift(_, e int) float64 { return math.Exp(g.wander[e]) }
+
+func (g *generator) exam(row, e int) float64 {
+	subject := row / examPeriod % examSubjects
+	if row%examPeriod < examPeriod-examLength || g.group[e] != subject {
+		return math.Exp(g.wander[e])
+	}
+	return examSurge * math.Exp(g.wander[e])
+}
+
+func (g *generator) season(row, e int) float64 {
+	phase := float64(row)/seasonPeriod + float64(g.group[e])/seasonGroups
+	if row >= seasonPeriod/2 {
+		phase += 0.25
+	}
+	return math.Exp(g.wander[e] + seasonSwing*math.Sin(2*math.Pi*phase))
+}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,191 @@
+package planner
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/kingcupreel/kingcupreel/internal/expertmap"
+)
+
+// drawShape draws a small group.
+func drawShape(t *rapid.T) Shape {
+	s := Shape{Ranks: rapid.IntRange(1, 8).Draw(t, "ranks"), Slots: rapid.IntRange(1, 5).Draw(t, "slots")}
+	s.Experts = rapid.IntRange(1, s.Ranks*s.Slots).Draw(t, "experts")
+	return s
+}
+
+func drawLoad(t *rapid.T, experts int) []float64 {
+	load := rapid.SliceOfN(rapid.Float64Range(0, 1000), experts, experts).Draw(t, "load")
+	load[0]++
+	return load
+}
+
+func drawSplit(t *rapid.T) Split {
+	return rapid.SampledFrom([]Split{SplitWeighted, SplitEqual}).Draw(t, "split")
+}
+
+func mustHold(t *rapid.T, what string, m *expertmap.Map) {
+	if err := m.Validate(); err != nil {
+		t.Fatalf("%s: %v\n%+v", what, err, m)
+	}
+}
+
+func TestScratchHoldsEveryExpert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape := drawShape(t)
+		mustHold(t, "scratch", Scratch(shape, drawLoad(t, shape.Experts), drawSplit(t)))
+	})
+}
+
+func TestMatchKeepsTheMapAndMovesNoMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape, split := drawShape(t), drawSplit(t)
+		old := Scratch(shape, drawLoad(t, shape.Experts), split)
+		next := Scratch(shape, drawLoad(t, shape.Experts), split)
+		matched := Match(old, next)
+		mustHold(t, "matched", matched)
+		if MovedSlots(old, matched) > MovedSlots(old, next) {
+			t.Fatalf("matching moves %d slots, the plain map %d", MovedSlots(old, matched), MovedSlots(old, next))
+		}
+		renamed := next.Clone()
+		slices.Reverse(renamed.Slots)
+		slices.Reverse(renamed.Shares)
+		if n := MovedSlots(next, Match(next, renamed)); n != 0 {
+			t.Fatalf("a map with its ranks renamed moves %d slots", n)
+		}
+	})
+}
+
+// TestIncrementalKeepsItsBounds checks that a plan holds every expert, stays
+// within each bound, moves nothing in a quiet window and predicts no greater
+// imbalance.
+func TestIncrementalKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape, split := drawShape(t), drawSplit(t)
+		old := Scratch(shape, drawLoad(t, shape.Experts), split)
+		preset := rapid.SampledFrom([]Preset{Teranga, Tocka}).Draw(t, "preset")
+		b := Budget{
+			Slots: rapid.IntRange(0, 6).Draw(t, "slots"), ExpertBytes: 100, Window: 10 * time.Second,
+			WindowBytes: rapid.Int64Range(0, 500).Draw(t, "window bytes"),
+			StoreRate:   rapid.Int64Range(0, 200).Draw(t, "rate"),
+			Quiet:       rapid.Bool().Draw(t, "quiet"),
+		}
+		plan := Incremental(old, drawLoad(t, shape.Experts), split, preset, b)
+		if plan == nil {
+			return
+		}
+		mustHold(t, "incremental", plan.Map)
+		if plan.Moved != MovedSlots(old, plan.Map) || plan.Moved > b.Slots || (b.Quiet && plan.Moved > 0) {
+			t.Fatalf("%d slots moved of %d allowed, quiet %v", plan.Moved, b.Slots, b.Quiet)
+		}
+		if b.WindowBytes > 0 && plan.Bytes > b.WindowBytes {
+			t.Fatalf("%d bytes moved, %d allowed", plan.Bytes, b.WindowBytes)
+		}
+		if seconds := b.Window.Seconds(); b.StoreRate > 0 && float64(plan.Bytes) > float64(b.StoreRate)*seconds {
+			t.Fatalf("%d bytes in %g s through a store of %d bytes a second", plan.Bytes, seconds, b.StoreRate)
+		}
+	})
+}
+
+// TestStagesStopAnywhere checks that every stage of a change is a whole map,
+// and that the last one is the map planned.
+func TestStagesStopAnywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape, split := drawShape(t), drawSplit(t)
+		old := Scratch(shape, drawLoad(t, shape.Experts), split)
+		next := Match(old, Scratch(shape, drawLoad(t, shape.Experts), split))
+		stages := Stages(old, next)
+		at := old
+		for i, stage := range stages {
+			mustHold(t, "stage", stage)
+			if stage.Version != at.Version+1 {
+				t.Fatalf("stage %d has version %d after %d", i, stage.Version, at.Version)
+			}
+			at = stage
+		}
+		if MovedSlots(at, next) != 0 || !sameShares(at, alignAll(at, next)) {
+			t.Fatalf("the stages end at\n%+v, planned\n%+v", at, next)
+		}
+	})
+}
+
+// TestSharesLevelTheLoad checks the two ends: shares alone lift the lightest
+// rank and relieve the heaviest.
+func TestSharesLevelTheLoad(t *testing.T) {
+	m := &expertmap.Map{Experts: 3, Slots: [][]int{{0, 1}, {1, 2}, {2, expertmap.Empty}}, Shares: [][]float64{{1, 0.5}, {0.5, 0.5}, {0.5, 0}}}
+	load := []float64{60, 30, 90}
+	s := newState(m, load, SplitWeighted)
+	s.risk = 0
+	s.balance()
+	if skew := Skew(RankLoads(s.m, load)); skew > 0.01 {
+		t.Fatalf("skew %g over ranks %v", skew, s.rank)
+	}
+}
+
+// TestStateFollowsItsMap checks that the loads kept step by step are those of
+// the map.
+func TestStateFollowsItsMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape, split := drawShape(t), drawSplit(t)
+		load := drawLoad(t, shape.Experts)
+		s := newState(Scratch(shape, drawLoad(t, shape.Experts), split), load, split)
+		s.balance()
+		before := s.clone()
+		found := candidates(s, 2)
+		for r, l := range RankLoads(s.m, load) {
+			if math.Abs(l-before.rank[r]) > 1e-6*s.mean {
+				t.Fatalf("scoring moves changed rank %d: %g, %g", r, l, before.rank[r])
+			}
+		}
+		for _, c := range found {
+			next := s.clone()
+			next.apply(c.move)
+			mustHold(t, "move", next.m)
+			for r, l := range RankLoads(next.m, load) {
+				if math.Abs(l-next.rank[r]) > 1e-6*s.mean {
+					t.Fatalf("rank %d has load %g, kept as %g", r, l, next.rank[r])
+				}
+			}
+		}
+	})
+}
+
+func TestForecastFollowsATrend(t *testing.T) {
+	var f Forecast
+	for i := range 50 {
+		f.Add([]float64{100 + 2*float64(i), 300 - 2*float64(i)})
+	}
+	if ahead := f.Ahead(5); ahead[0] <= f.level[0] || ahead[1] >= f.level[1] {
+		t.Fatalf("level %v, forecast %v", f.level, ahead)
+	}
+}
+
+// BenchmarkPlan measures one plan and its memory.
+func BenchmarkPlan(b *testing.B) {
+	sizes := map[string]Shape{"12x64": {Ranks: 12, Experts: 64, Slots: 7}, "64x256": {Ranks: 64, Experts: 256, Slots: 6}}
+	for name, shape := range sizes {
+		load := make([]float64, shape.Experts)
+		later := make([]float64, shape.Experts)
+		for e := range load {
+			load[e] = 1 / math.Sqrt(float64(e+1))
+			later[(e*7)%shape.Experts] = load[e]
+		}
+		old := Scratch(shape, load, SplitWeighted)
+		b.Run("scratch/"+name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Match(old, Scratch(shape, later, SplitWeighted))
+			}
+		})
+		b.Run("incremental/"+name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Incremental(old, later, SplitWeighted, Teranga, Budget{Slots: 8})
+			}
+		})
+	}
+}
