Add the lease holder

Change: internal/lease takes one key under a lease, renews it, and gives the key's create revision as the fencing number. A write whose answer was lost is read back and recognised by its lease. The holder lets go a quarter of the term before the service does, judged on the monotonic clock from before the call.

Ruled out: safety by that check alone. A process may be paused between the check and the order, so the agents check the number.

--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,122 @@
+// Package lease holds one key of the key-value service under a lease. The
+// revision at which the key was created is the holder's fencing number: it
+// rises from holder to holder and goes with every order.
+//
+// A holder that was paused may believe that it still holds the lease: Held
+// looks at the monotonic clock just before an order, which makes stale orders
+// rare. That none takes effect is the work of those who check the number.
+package lease
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+)
+
+// marginPart is the part of the term, counted back from its end, in which the
+// holder no longer acts.
+const marginPart = 4
+
+// renewPart is the part of the term after which the lease is renewed.
+const renewPart = 3
+
+// Holder stands for one key. It is not safe for concurrent use.
+type Holder struct {
+	KV    platform.KV
+	Clock clockwork.Clock
+	// Key is the key to hold, Process the name written into it.
+	Key, Process string
+	// Term is how long the lease lasts without renewal.
+	Term time.Duration
+
+	lease, fence int64
+	until        time.Time
+}
+
+// Held says whether the lease can still be relied on.
+func (h *Holder) Held() bool {
+	return h.fence != 0 && h.Clock.Now().Before(h.until.Add(-h.Term/marginPart))
+}
+
+// Fence returns the fencing number, 0 when no lease was taken.
+func (h *Holder) Fence() int64 { return h.fence }
+
+// Step takes the lease, or renews it when a third of its term has passed. It returns an error when
+// another process holds it or the service does not answer.
+func (h *Holder) Step(ctx context.Context) error {
+	if h.fence == 0 {
+		return h.take(ctx)
+	}
+	start := h.Clock.Now()
+	if start.Before(h.until.Add(-h.Term * (renewPart - 1) / renewPart)) {
+		return nil
+	}
+	err := h.KV.KeepAlive(ctx, h.lease)
+	switch {
+	case err == nil:
+		h.until = start.Add(h.Term)
+	case fault.KindOf(err) == fault.NotFound, !h.Held():
+		h.forget()
+	}
+	return err
+}
+
+func (h *Holder) forget() { h.lease, h.fence = 0, 0 }
+
+// take creates the key. When the answer is lost, the key is read back: the
+// lease in it tells whose it is.
+func (h *Holder) take(ctx context.Context) error {
+	start := h.Clock.Now()
+	id, err := h.KV.Grant(ctx, h.Term)
+	if err != nil {
+		return err
+	}
+	rev, err := h.KV.Put(ctx, platform.Put{Key: h.Key, Value: []byte(h.Process), Expect: platform.MustNotExist, Lease: id})
+	if err != nil {
+		if rev, err = h.readBack(ctx, id, err); err != nil {
+			_ = h.KV.Revoke(ctx, id)
+			return err
+		}
+	}
+	h.lease, h.fence = id, rev
+	h.until = start.Add(h.Term)
+	return nil
+}
+
+func (h *Holder) readBack(ctx context.Context, id int64, putErr error) (int64, error) {
+	if fault.KindOf(putErr) == fault.Conflict {
+		return 0, putErr
+	}
+	item, err := h.KV.Get(ctx, h.Key)
+	if err != nil || item.Lease != id {
+		return 0, putErr
+	}
+	return item.CreateRevision, nil
+}
+
+// Release ends the lease.
+func (h *Holder) Release(ctx context.Context) {
+	if h.lease != 0 {
+		_ = h.KV.Revoke(ctx, h.lease)
+	}
+	h.forget()
+}
+
+// Read returns who holds a key and the fencing number. Without a holder the
+// number is the service's revision: a later holder's is higher.
+func Read(ctx context.Context, kv platform.KV, key string) (process string, fence int64, err error) {
+	list, err := kv.List(ctx, key)
+	if err != nil {
+		return "", 0, err
+	}
+	for _, item := range list.Items {
+		if item.Key == key {
+			return string(item.Value), item.CreateRevision, nil
+		}
+	}
+	return "", list.Revision, nil
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,143 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
+)
+
+// service adapts the stand-in's store, and can lose answers or be out.
+type service struct {
+	platform.KV
+	store *kv.Store
+	out   bool
+	lose  bool
+}
+
+var errOut = fault.New(fault.Unavailable, "try again", "the service is out")
+
+func (s *service) List(_ context.Context, prefix string) (platform.Listing, error) {
+	return s.store.List(prefix), nil
+}
+
+func (s *service) Get(_ context.Context, key string) (platform.Item, error) { return s.store.Get(key) }
+
+func (s *service) Grant(_ context.Context, ttl time.Duration) (int64, error) {
+	if s.out {
+		return 0, errOut
+	}
+	return s.store.Grant(ttl), nil
+}
+
+func (s *service) Put(_ context.Context, p platform.Put) (int64, error) {
+	rev, err := s.store.Put(p)
+	if s.lose {
+		return 0, errOut
+	}
+	return rev, err
+}
+
+func (s *service) KeepAlive(_ context.Context, id int64) error {
+	if s.out {
+		return errOut
+	}
+	return s.store.KeepAlive(id)
+}
+
+func (s *service) Revoke(_ context.Context, id int64) error {
+	s.store.Revoke(id)
+	return nil
+}
+
+const term = 12 * time.Second
+
+func setUp() (*service, *clockwork.FakeClock, func(process string) *Holder) {
+	clock := clockwork.NewFakeClock()
+	s := &service{store: kv.NewStore(clock)}
+	return s, clock, func(process string) *Holder {
+		return &Holder{KV: s, Clock: clock, Key: "lease/g", Process: process, Term: term}
+	}
+}
+
+func TestOneHoldsAndTheNextHasAHigherNumber(t *testing.T) {
+	s, clock, holder := setUp()
+	a, b := holder("a"), holder("b")
+	if err := a.Step(t.Context()); err != nil || !a.Held() {
+		t.Fatalf("a: %v, held %v", err, a.Held())
+	}
+	if err := b.Step(t.Context()); fault.KindOf(err) != fault.Conflict || b.Held() {
+		t.Fatalf("b beside a: %v, held %v", err, b.Held())
+	}
+	clock.Advance(term + time.Second)
+	s.store.Expire()
+	if a.Held() {
+		t.Fatal("a relies on a lapsed lease")
+	}
+	if err := b.Step(t.Context()); err != nil || b.Fence() <= a.Fence() {
+		t.Fatalf("b after a: %v, number %d after %d", err, b.Fence(), a.Fence())
+	}
+	if err := a.Step(t.Context()); fault.KindOf(err) != fault.NotFound || a.Held() {
+		t.Fatalf("a after b: %v, held %v", err, a.Held())
+	}
+}
+
+func TestRenewalKeepsTheNumber(t *testing.T) {
+	s, clock, holder := setUp()
+	a := holder("a")
+	for range 20 {
+		if err := a.Step(t.Context()); err != nil || !a.Held() {
+			t.Fatalf("%v, held %v", err, a.Held())
+		}
+		clock.Advance(term / 2)
+		s.store.Expire()
+	}
+	if process, fence, err := Read(t.Context(), s, "lease/g"); process != "a" || fence != a.Fence() || err != nil {
+		t.Fatalf("%q holds with %d, %v", process, fence, err)
+	}
+}
+
+func TestAnOutageEndsTheHoldBeforeTheLease(t *testing.T) {
+	s, clock, holder := setUp()
+	a := holder("a")
+	_ = a.Step(t.Context())
+	s.out = true
+	clock.Advance(term - term/marginPart)
+	if err := a.Step(t.Context()); err == nil || a.Held() {
+		t.Fatalf("%v, held %v", err, a.Held())
+	}
+	if _, err := s.store.Get("lease/g"); err != nil {
+		t.Fatalf("the service ended the lease before its holder let go: %v", err)
+	}
+}
+
+func TestALostAnswerIsReadBack(t *testing.T) {
+	s, _, holder := setUp()
+	a := holder("a")
+	s.lose = true
+	if err := a.Step(t.Context()); err != nil || !a.Held() {
+		t.Fatalf("%v, held %v", err, a.Held())
+	}
+	if _, fence, _ := Read(t.Context(), s, "lease/g"); fence != a.Fence() {
+		t.Fatalf("number %d, the service says %d", a.Fence(), fence)
+	}
+}
+
+func TestWithoutAHolderTheNumberIsBelowTheNext(t *testing.T) {
+	s, _, holder := setUp()
+	a, b := holder("a"), holder("b")
+	_ = a.Step(t.Context())
+	a.Release(t.Context())
+	process, floor, err := Read(t.Context(), s, "lease/g")
+	if process != "" || err != nil {
+		t.Fatalf("%q, %v", process, err)
+	}
+	if _ = b.Step(t.Context()); b.Fence() <= floor {
+		t.Fatalf("number %d, floor %d", b.Fence(), floor)
+	}
+}
