Plan and switch expert maps between entries, agents and ranks

Change: an entry stands for a group's planner lease, reads the ranks' loads and maps, stages a plan's maps and orders the switches. An agent takes orders only from the process that a read of the lease names, with the lease's number; a new number, or the first after a restart, is looked up through an entry before the order is taken. Agents of a group exchange votes over connections of their own; the gate stands with the engine. kingcupreelctl plan shows it. The stand-in rank group records the map of each step and each order that took effect, and the scenarios maps-* judge that record.

A version is made of the fencing number and a counter: with plain counting two planners could stage different maps under one version.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -68,6 +68,7 @@
 	upstream *upstream
 	journal  *journal
 	queue    chan *run
+	maps     *mapPart
 
 	mu      sync.Mutex
 	conns   map[*wire.Conn]wire.Hello
@@ -87,6 +88,7 @@
 		conns:    map[*wire.Conn]wire.Hello{},
 		runs:     map[wire.AttemptID]*run{},
 	}
+	a.maps = newMapPart(a)
 	opts.Store.OnChange(a.configApplied)
 	return a
 }
@@ -99,6 +101,7 @@
 		go a.work(ctx)
 	}
 	go a.reportLoad(ctx)
+	go a.maps.run(ctx)
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -151,7 +154,7 @@
 	case *wire.EventsRequest:
 		_ = c.Send(&wire.EventsReply{Nonce: m.Nonce, Events: a.opts.Events.Events()})
 	default:
-		a.count("frames.unexpected")
+		a.maps.receive(c, m)
 	}
 }
 
--- /dev/null
+++ b/internal/agent/mapengine.go
@@ -0,0 +1,117 @@
+package agent
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/engineapi"
+	"github.com/kingcupreel/kingcupreel/internal/expertmap"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+)
+
+// mapCallTimeout bounds a call to the engine about expert maps.
+const mapCallTimeout = 2 * time.Second
+
+// mapEngine calls the engine of this VM about expert maps.
+type mapEngine struct {
+	base string
+	http *http.Client
+}
+
+var _ expertmap.Engine = (*mapEngine)(nil)
+
+func newMapEngine(base string) *mapEngine {
+	return &mapEngine{base: base, http: &http.Client{Timeout: mapCallTimeout}}
+}
+
+// call posts a body, or gets when there is none, and decodes the answer.
+func (e *mapEngine) call(path string, body, out any) error {
+	method, reader := http.MethodGet, io.Reader(http.NoBody)
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		method, reader = http.MethodPost, bytes.NewReader(data)
+	}
+	req, err := http.NewRequest(method, e.base+path, reader)
+	if err != nil {
+		return err
+	}
+	resp, err := e.http.Do(req)
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, err, "send the order again", "calling the engine")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return engineError(resp)
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// engineError makes an error of an engine's refusal.
+func engineError(resp *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+	kind := fault.Unavailable
+	switch resp.StatusCode {
+	case http.StatusGone:
+		kind = fault.Stale
+	case http.StatusBadRequest:
+		kind = fault.Invalid
+	case http.StatusNotFound:
+		kind = fault.NotFound
+	}
+	return fault.New(kind, "", "the engine refused: %s", strings.TrimSpace(string(text)))
+}
+
+// Hold implements expertmap.Engine.
+func (e *mapEngine) Hold(id expertmap.SwitchID, fence int64) (bool, error) {
+	var v engineapi.MapVote
+	err := e.call(engineapi.PathMapHold, engineapi.MapHold{ID: id, Fence: fence}, &v)
+	return v.Yes, err
+}
+
+// Refuse implements expertmap.Engine.
+func (e *mapEngine) Refuse(id expertmap.SwitchID) (bool, error) {
+	var v engineapi.MapVote
+	err := e.call(engineapi.PathMapRefuse, engineapi.MapHold{ID: id}, &v)
+	return v.Yes, err
+}
+
+// Resume implements expertmap.Engine.
+func (e *mapEngine) Resume(id expertmap.SwitchID, version int64) error {
+	return e.call(engineapi.PathMapResume, engineapi.MapResume{ID: id, Version: version}, &struct{}{})
+}
+
+// Status implements expertmap.Engine.
+func (e *mapEngine) Status() (expertmap.Status, error) {
+	s, err := e.status()
+	return s.Status, err
+}
+
+// status also returns the map and the load.
+func (e *mapEngine) status() (engineapi.MapStatus, error) {
+	var s engineapi.MapStatus
+	err := e.call(engineapi.PathMapStatus, nil, &s)
+	return s, err
+}
+
+// Stop implements expertmap.Engine.
+func (e *mapEngine) Stop(round int64) (expertmap.Report, error) {
+	var r expertmap.Report
+	err := e.call(engineapi.PathMapStop, engineapi.MapStop{Round: round}, &r)
+	return r, err
+}
+
+// Form implements expertmap.Engine.
+func (e *mapEngine) Form(round, version, completed int64) error {
+	return e.call(engineapi.PathMapForm, engineapi.MapForm{Round: round, Version: version, Completed: completed}, &struct{}{})
+}
+
+func (e *mapEngine) stage(m expertmap.Map, fence int64) error {
+	return e.call(engineapi.PathMapStage, engineapi.MapStage{Map: m, Fence: fence}, &struct{}{})
+}
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -51,6 +51,7 @@
 		Arg("file", "YAML or JSON files.").Required().ExistingFilesVar(&files)
 	command("get", "Show the configuration in force.", t.get)
 	command("status", "Show an entry's state.", t.status)
+	command("plan", "Show the groups' expert maps and moves.", t.plan)
 	command("timeline", "Show the events of all processes in order.", t.timeline)
 
 	cmd, err := app.Parse(args)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -44,6 +44,7 @@
 	go pollVMs(work, kv, view, s.VMListInterval)
 	watcher := provider.Watcher{KV: kv, Store: p.store, Log: p.log}
 	go watcher.Run(work)
+	go e.RunPlanners(work, s.Planner)
 	caller := httpServer(listeners["caller"], e.CallerHandler())
 	ops := httpServer(listeners["ops"], e.OperatorHandler())
 	inner := &innerServer{listener: listeners["inner"], serve: peers.Serve}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -33,6 +33,7 @@
 	mux.HandleFunc("GET "+opapi.PathEvents, e.operator(e.events))
 	mux.HandleFunc("GET "+opapi.PathConfig, e.operator(e.listConfig))
 	mux.HandleFunc("PUT "+opapi.PathConfig+"/{kind}/{name}", e.operator(e.putConfig))
+	mux.HandleFunc("GET "+opapi.PathPlans, e.operator(e.plans))
 	return mux
 }
 
--- a/internal/expertmap/gate.go
+++ b/internal/expertmap/gate.go
@@ -78,7 +78,7 @@
 
 // Stage records that the weights of a map are in place.
 func (g *Gate) Stage(version, fence int64) error {
-	if err := g.checkFence(fence); err != nil {
+	if err := g.CheckFence(fence); err != nil {
 		return err
 	}
 	if g.staged == nil {
@@ -88,7 +88,9 @@
 	return nil
 }
 
-func (g *Gate) checkFence(fence int64) error {
+// CheckFence refuses an old fencing number, if the gate checks them, and keeps a
+// newer one.
+func (g *Gate) CheckFence(fence int64) error {
 	if !g.ChecksFencing {
 		return nil
 	}
@@ -114,7 +116,7 @@
 	if vote, known := g.votes[id]; known {
 		return vote, nil
 	}
-	stale := g.checkFence(fence) != nil
+	stale := g.CheckFence(fence) != nil
 	yes := !stale && g.held == nil && g.staged[id.Version] && id.Step >= g.next && id.Version > g.active
 	if yes {
 		g.held = &hold{id: id, fence: fence}
--- a/internal/expertmap/map.go
+++ b/internal/expertmap/map.go
@@ -82,3 +82,11 @@
 	}
 	return nil
 }
+
+// versionsPerFence is the number of versions that one holder of the planner's
+// lease may use.
+const versionsPerFence = 1 << 20
+
+// Version returns the n-th version of the planner with a fencing number, n from
+// 1. Two planners never use the same version, and a later one's are higher.
+func Version(fence, n int64) int64 { return fence*versionsPerFence + n }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,7 @@
 
 // Entry are the settings of an entry.
 type Entry struct {
+	Planner Planner
 	Common
 	CallerListen        string
 	Platform            string
@@ -79,6 +80,7 @@
 // Declare adds the entry's flags to a command.
 func (e *Entry) Declare(cmd *kingpin.CmdClause) {
 	e.declare(cmd, "1h")
+	e.Planner.Declare(cmd)
 	flag(cmd, "caller-listen", "Address of the callers' HTTP, IP:port.").Default("127.0.0.1:0").StringVar(&e.CallerListen)
 	flag(cmd, "platform", "Base URL of the platform's key-value service and VM list.").StringVar(&e.Platform)
 	flag(cmd, "platform-timeout", "Bound on a call to the platform.").Default("2s").DurationVar(&e.PlatformTimeout)
@@ -139,6 +141,7 @@
 func (e *Entry) Check() error {
 	var c checker
 	c.common(&e.Common)
+	c.planner(&e.Planner)
 	c.address("caller-listen", e.CallerListen)
 	c.url("platform", e.Platform)
 	c.require(e.PlatformTimeout > 0, "platform-timeout", e.PlatformTimeout.String(), "give a positive duration such as 2s")
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -19,6 +19,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
 	"github.com/kingcupreel/kingcupreel/internal/standin/link"
 	"github.com/kingcupreel/kingcupreel/internal/standin/plain"
+	"github.com/kingcupreel/kingcupreel/internal/standin/ranks"
 )
 
 // expiryInterval is how often the key-value stand-in ends lapsed leases.
@@ -44,6 +45,15 @@
 	plainCmd := app.Command("plain", "Plain service that records its calls.")
 	delay := plainCmd.Flag("delay", "Time that a call takes after its effect.").Default("0s").Duration()
 
+	ranksCmd := app.Command("ranks", "Ranks of a group in lock-step on an expert map.")
+	var group ranks.Options
+	ranksCmd.Flag("ranks", "Ranks of the group.").Default("3").IntVar(&group.Ranks)
+	ranksCmd.Flag("experts", "Experts a layer.").Default("8").IntVar(&group.Experts)
+	ranksCmd.Flag("slots", "Slots a rank.").Default("6").IntVar(&group.Slots)
+	ranksCmd.Flag("step-time", "Time of a step.").Default("10ms").DurationVar(&group.StepTime)
+	ranksCmd.Flag("stage-time", "Time to load one expert's weights.").Default("20ms").DurationVar(&group.StageTime)
+	ranksCmd.Flag("checks-fencing", "Refuse old fencing numbers.").BoolVar(&group.ChecksFencing)
+
 	linkCmd := app.Command("link", "Network path that can be cut.")
 	to := linkCmd.Flag("to", "Address to forward to, IP:port.").Required().String()
 	linkListen := linkCmd.Flag("link-listen", "Address that is forwarded.").Default("127.0.0.1:0").String()
@@ -59,6 +69,10 @@
 		h = engine.New(opts).Handler()
 	case plainCmd.FullCommand():
 		h = (&plain.Service{Delay: *delay}).Handler()
+	case ranksCmd.FullCommand():
+		g := ranks.New(group)
+		go g.Run()
+		h = g.Handler()
 	case linkCmd.FullCommand():
 	default:
 		h = keyValue()
--- /dev/null
+++ b/internal/standin/ranks/group.go
@@ -0,0 +1,224 @@
+// Package ranks is a stand-in of a rank group: ranks in lock-step, each with
+// the gate of package expertmap, that record the map of every step and every
+// order that took effect.
+package ranks
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/engineapi"
+	"github.com/kingcupreel/kingcupreel/internal/expertmap"
+)
+
+const (
+	// windowSteps is the number of steps of a reporting window.
+	windowSteps = 20
+	// recordLimit bounds the steps and the orders kept.
+	recordLimit = 1 << 16
+)
+
+// Options set a group.
+type Options struct {
+	Ranks, Experts, Slots int
+	// StepTime is the time of a step.
+	StepTime time.Duration
+	// StageTime is the time that a rank takes to load one expert's weights.
+	StageTime time.Duration
+	// ChecksFencing makes the engines refuse old fencing numbers.
+	ChecksFencing bool
+}
+
+// Step is the record of one step at one rank.
+type Step struct {
+	Round   int64 `json:"round"`
+	Step    int64 `json:"step"`
+	Rank    int   `json:"rank"`
+	Version int64 `json:"version"`
+	Micros  int64 `json:"micros"`
+}
+
+// Effect is the record of an order that changed something at a rank.
+type Effect struct {
+	Rank  int    `json:"rank"`
+	Order string `json:"order"`
+	Fence int64  `json:"fence"`
+	// Version is the map that the order is about.
+	Version int64 `json:"version"`
+}
+
+// rank is one rank's engine.
+type rank struct {
+	gate    *expertmap.Gate
+	maps    map[int64]*expertmap.Map
+	stalled bool
+}
+
+// Group is the stand-in.
+type Group struct {
+	opts Options
+
+	mu      sync.Mutex
+	ranks   []*rank
+	runs    int
+	steps   []Step
+	effects []Effect
+	// popularity is the tokens a step of each expert.
+	popularity []float64
+	completed  int64
+}
+
+// New returns a group whose ranks have no round yet.
+func New(opts Options) *Group {
+	g := &Group{opts: opts, popularity: make([]float64, opts.Experts)}
+	for e := range g.popularity {
+		g.popularity[e] = 100
+	}
+	for r := range opts.Ranks {
+		g.ranks = append(g.ranks, nil)
+		g.restart(r)
+	}
+	return g
+}
+
+// restart loses a rank's engine. The caller holds mu, or has the group alone.
+func (g *Group) restart(r int) {
+	g.runs++
+	first := firstMap(g.opts)
+	g.ranks[r] = &rank{
+		gate: &expertmap.Gate{Rank: r, Instance: strconv.Itoa(g.runs), ChecksFencing: g.opts.ChecksFencing},
+		maps: map[int64]*expertmap.Map{0: first},
+	}
+}
+
+// firstMap is map version 0: experts dealt out in turn.
+func firstMap(opts Options) *expertmap.Map {
+	m := &expertmap.Map{Experts: opts.Experts}
+	next := 0
+	replicas := opts.Ranks * opts.Slots / opts.Experts
+	for range opts.Ranks {
+		slots, shares := make([]int, opts.Slots), make([]float64, opts.Slots)
+		for s := range slots {
+			slots[s] = expertmap.Empty
+			if next < replicas*opts.Experts {
+				slots[s] = next % opts.Experts
+				shares[s] = 1 / float64(replicas)
+				next++
+			}
+		}
+		m.Slots = append(m.Slots, slots)
+		m.Shares = append(m.Shares, shares)
+	}
+	return m
+}
+
+// Run steps the group for good.
+func (g *Group) Run() {
+	for range time.Tick(g.opts.StepTime) {
+		g.tick()
+	}
+}
+
+// tick lets every rank that may begin its step, and completes the step once
+// all ranks of a round have begun it.
+func (g *Group) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for r, k := range g.ranks {
+		if k.stalled {
+			continue
+		}
+		step, version, ok := k.gate.Begin()
+		if !ok {
+			continue
+		}
+		round, _ := k.gate.Round()
+		g.record(Step{Round: round, Step: step, Rank: r, Version: version, Micros: time.Now().UnixMicro()})
+	}
+	round, _ := g.ranks[0].gate.Round()
+	for _, k := range g.ranks {
+		if other, _ := k.gate.Round(); !k.gate.Begun() || other != round {
+			return
+		}
+	}
+	for _, k := range g.ranks {
+		k.gate.Complete()
+	}
+	g.completed++
+}
+
+func (g *Group) record(s Step) {
+	g.steps = append(g.steps, s)
+	if len(g.steps) > recordLimit {
+		g.steps = g.steps[recordLimit/2:]
+	}
+}
+
+func (g *Group) effect(e Effect) {
+	g.effects = append(g.effects, e)
+	if len(g.effects) > recordLimit {
+		g.effects = g.effects[recordLimit/2:]
+	}
+}
+
+// status is a rank's answer to a status call. The caller holds mu.
+func (g *Group) status(r int) engineapi.MapStatus {
+	k := g.ranks[r]
+	s, _ := k.gate.Status()
+	out := engineapi.MapStatus{Status: s, Window: s.Completed / windowSteps, Tokens: make([]float64, g.opts.Experts), StepMicros: g.opts.StepTime.Microseconds()}
+	m := k.maps[s.Active]
+	if m == nil {
+		return out
+	}
+	out.Map = *m
+	for i, e := range m.Slots[r] {
+		if e != expertmap.Empty {
+			out.Tokens[e] += windowSteps * g.popularity[e] * m.Shares[r][i]
+		}
+	}
+	return out
+}
+
+// stage loads what a map needs beyond what the rank holds, in the background.
+func (g *Group) stage(r int, order engineapi.MapStage) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k := g.ranks[r]
+	s, _ := k.gate.Status()
+	if err := k.gate.CheckFence(order.Fence); err != nil {
+		return err
+	}
+	if err := order.Map.Validate(); err != nil {
+		return err
+	}
+	if k.maps[order.Map.Version] != nil {
+		return nil
+	}
+	loads := 0
+	for _, e := range order.Map.Slots[r] {
+		if held := k.maps[s.Active]; e != expertmap.Empty && (held == nil || !held.Holds(r, e)) {
+			loads++
+		}
+	}
+	k.maps[order.Map.Version] = &order.Map
+	g.effect(Effect{Rank: r, Order: "stage", Fence: order.Fence, Version: order.Map.Version})
+	time.AfterFunc(time.Duration(loads)*g.opts.StageTime, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		_ = k.gate.Stage(order.Map.Version, order.Fence)
+	})
+	return nil
+}
+
+// hold passes a hold to the gate and records it when it took effect.
+func (g *Group) hold(r int, h engineapi.MapHold) (engineapi.MapVote, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before, _ := g.ranks[r].gate.Status()
+	yes, err := g.ranks[r].gate.Hold(h.ID, h.Fence)
+	if yes && before.Held == nil {
+		g.effect(Effect{Rank: r, Order: "hold", Fence: h.Fence, Version: h.ID.Version})
+	}
+	return engineapi.MapVote{Yes: yes}, err
+}
--- /dev/null
+++ b/internal/standin/ranks/server.go
@@ -0,0 +1,144 @@
+package ranks
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/kingcupreel/kingcupreel/internal/engineapi"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/standin"
+)
+
+// Fault is the body of /admin/fault: it stalls a rank, lets it go on, or
+// restarts its engine.
+type Fault struct {
+	Rank    int  `json:"rank"`
+	Stalled bool `json:"stalled"`
+	Restart bool `json:"restart"`
+}
+
+// Record is the answer to /admin/record.
+type Record struct {
+	Steps     []Step   `json:"steps"`
+	Effects   []Effect `json:"effects"`
+	Completed int64    `json:"completed"`
+}
+
+// Handler returns the group's HTTP interface: each rank's engine below
+// /rank/N, and the test's own calls below /admin.
+func (g *Group) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rank/{rank}"+engineapi.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+		standin.Answer(w, engineapi.Load{Capacity: 1}, nil)
+	})
+	mux.HandleFunc("GET /rank/{rank}"+engineapi.PathMapStatus, g.call(func(r int, _ *http.Request) (any, error) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.status(r), nil
+	}))
+	mux.HandleFunc("POST /rank/{rank}"+engineapi.PathMapStage, post(g, func(r int, b engineapi.MapStage) (any, error) {
+		return struct{}{}, g.stage(r, b)
+	}))
+	mux.HandleFunc("POST /rank/{rank}"+engineapi.PathMapHold, post(g, func(r int, b engineapi.MapHold) (any, error) {
+		return g.hold(r, b)
+	}))
+	mux.HandleFunc("POST /rank/{rank}"+engineapi.PathMapRefuse, post(g, func(r int, b engineapi.MapHold) (any, error) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		yes, err := g.ranks[r].gate.Refuse(b.ID)
+		return engineapi.MapVote{Yes: yes}, err
+	}))
+	mux.HandleFunc("POST /rank/{rank}"+engineapi.PathMapResume, post(g, func(r int, b engineapi.MapResume) (any, error) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return struct{}{}, g.ranks[r].gate.Resume(b.ID, b.Version)
+	}))
+	mux.HandleFunc("POST /rank/{rank}"+engineapi.PathMapStop, post(g, func(r int, b engineapi.MapStop) (any, error) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.ranks[r].gate.Stop(b.Round)
+	}))
+	mux.HandleFunc("POST /rank/{rank}"+engineapi.PathMapForm, post(g, func(r int, b engineapi.MapForm) (any, error) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return struct{}{}, g.form(r, b)
+	}))
+	mux.HandleFunc("POST /admin/fault", g.fault)
+	mux.HandleFunc("POST /admin/popularity", g.setPopularity)
+	mux.HandleFunc("GET /admin/record", g.showRecord)
+	return mux
+}
+
+// form joins a rank to its group; a restarted engine loads the map named from
+// another rank's copy. The caller holds mu.
+func (g *Group) form(r int, b engineapi.MapForm) error {
+	for _, other := range g.ranks {
+		if m := other.maps[b.Version]; m != nil {
+			g.ranks[r].maps[b.Version] = m
+		}
+	}
+	return g.ranks[r].gate.Form(b.Round, b.Version, b.Completed)
+}
+
+// call answers for the rank of the path.
+func (g *Group) call(f func(rank int, r *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		rank, err := strconv.Atoi(r.PathValue("rank"))
+		if err != nil || rank < 0 || rank >= len(g.ranks) {
+			standin.Answer(w, nil, fault.New(fault.NotFound, "name a rank of the group", "no rank %q", r.PathValue("rank")))
+			return
+		}
+		out, err := f(rank, r)
+		standin.Answer(w, out, err)
+	}
+}
+
+// post decodes the body of a call.
+func post[T any](g *Group, f func(rank int, body T) (any, error)) http.HandlerFunc {
+	return g.call(func(rank int, r *http.Request) (any, error) {
+		var body T
+		if err := standin.Decode(r, &body); err != nil {
+			return nil, err
+		}
+		return f(rank, body)
+	})
+}
+
+func (g *Group) fault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	err := standin.Decode(r, &f)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil && (f.Rank < 0 || f.Rank >= len(g.ranks)) {
+		err = fault.New(fault.NotFound, "name a rank of the group", "no rank %d", f.Rank)
+	}
+	if err == nil {
+		g.ranks[f.Rank].stalled = f.Stalled
+		if f.Restart {
+			g.restart(f.Rank)
+		}
+	}
+	standin.Answer(w, struct{}{}, err)
+}
+
+// setPopularity sets the tokens a step of each expert.
+func (g *Group) setPopularity(w http.ResponseWriter, r *http.Request) {
+	var tokens []float64
+	err := standin.Decode(r, &tokens)
+	if err == nil && len(tokens) != g.opts.Experts {
+		err = fault.New(fault.Invalid, "give the tokens of every expert", "%d experts of %d", len(tokens), g.opts.Experts)
+	}
+	if err == nil {
+		g.mu.Lock()
+		g.popularity = tokens
+		g.mu.Unlock()
+	}
+	standin.Answer(w, struct{}{}, err)
+}
+
+func (g *Group) showRecord(w http.ResponseWriter, _ *http.Request) {
+	g.mu.Lock()
+	record := Record{Steps: append([]Step(nil), g.steps...), Effects: append([]Effect(nil), g.effects...), Completed: g.completed}
+	g.mu.Unlock()
+	standin.Answer(w, record, nil)
+}
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -30,6 +30,10 @@
 	AttemptEnded    Kind = "attempt-ended"
 	Answered        Kind = "answered"
 	UpstreamLeaving Kind = "upstream-leaving"
+	MapActive       Kind = "map-active"
+	MapPlanned      Kind = "map-planned"
+	LeaseTaken      Kind = "lease-taken"
+	OrderRefused    Kind = "order-refused"
 )
 
 // Stamp is a hybrid logical clock value: wall time in microseconds and a
--- a/internal/wire/maps.go
+++ b/internal/wire/maps.go
@@ -1,4 +1,141 @@
 package wire
 
+import (
+	"github.com/kingcupreel/kingcupreel/internal/expertmap"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+)
+
+// The message kinds of expert map orders.
+const (
+	KindMapStage Kind = iota + 70
+	KindMapSwitch
+	KindMapAnswer
+	KindMapStatusAsk
+	KindMapVote
+	KindMapReport
+	KindMapRoundAsk
+	KindMapRoundInfo
+	KindFenceAsk
+	KindFenceInfo
+)
+
+// MapStage orders a rank to put the weights of a map in place. Fence is the
+// planner's fencing number.
+type MapStage struct {
+	Nonce uint64
+	Group string
+	Fence int64
+	Map   expertmap.Map
+}
+
+// MapSwitch orders a rank to vote on a switch.
+type MapSwitch struct {
+	Nonce uint64
+	Group string
+	Fence int64
+	ID    expertmap.SwitchID
+}
+
+// MapStatusAsk asks a rank for its map and its load.
+type MapStatusAsk struct{ Nonce uint64 }
+
+// MapAnswer answers a MapStage, MapSwitch or MapStatusAsk. Reason is empty
+// when the order was taken.
+type MapAnswer struct {
+	Nonce   uint64
+	Rank    int
+	Reason  fault.Kind
+	Message string
+	// Status, Map and the load are set in the answer to a MapStatusAsk.
+	Status expertmap.Status
+	Map    expertmap.Map
+	// Window numbers the reporting window that Tokens, by expert, and
+	// StepMicros, the mean time of a step, belong to.
+	Window     int64
+	Tokens     []float64
+	StepMicros int64
+}
+
+// MapVote carries a vote from agent to agent.
+type MapVote struct {
+	Group string
+	Vote  expertmap.Vote
+}
+
+// MapReport carries a report from agent to agent.
+type MapReport struct {
+	Group  string
+	Report expertmap.Report
+}
+
+// MapRoundAsk carries a question for the round from agent to agent.
+type MapRoundAsk struct {
+	Group string
+	Ask   expertmap.RoundAsk
+}
+
+// MapRoundInfo carries the answer to it.
+type MapRoundInfo struct {
+	Group string
+	Info  expertmap.RoundInfo
+}
+
+// FenceAsk asks an entry to read a group's planner lease from the key-value
+// service.
+type FenceAsk struct {
+	Nonce uint64
+	Group string
+}
+
+// FenceInfo says who held the lease when it was read. Without a holder, Fence
+// is the service's revision: a later lease has a higher number.
+type FenceInfo struct {
+	Nonce  uint64
+	Group  string
+	Fence  int64
+	Holder string
+}
+
+// Kind implements Message.
+func (*MapStage) Kind() Kind { return KindMapStage }
+
+// Kind implements Message.
+func (*MapSwitch) Kind() Kind { return KindMapSwitch }
+
+// Kind implements Message.
+func (*MapAnswer) Kind() Kind { return KindMapAnswer }
+
+// Kind implements Message.
+func (*MapStatusAsk) Kind() Kind { return KindMapStatusAsk }
+
+// Kind implements Message.
+func (*MapVote) Kind() Kind { return KindMapVote }
+
+// Kind implements Message.
+func (*MapReport) Kind() Kind { return KindMapReport }
+
+// Kind implements Message.
+func (*MapRoundAsk) Kind() Kind { return KindMapRoundAsk }
+
+// Kind implements Message.
+func (*MapRoundInfo) Kind() Kind { return KindMapRoundInfo }
+
+// Kind implements Message.
+func (*FenceAsk) Kind() Kind { return KindFenceAsk }
+
+// Kind implements Message.
+func (*FenceInfo) Kind() Kind { return KindFenceInfo }
+
 // mapFactories makes the messages of expert map orders, kinds 70 to 79.
-var mapFactories = map[Kind]factory{}
+var mapFactories = map[Kind]factory{
+	KindMapStage:     func() Message { return new(MapStage) },
+	KindMapSwitch:    func() Message { return new(MapSwitch) },
+	KindMapAnswer:    func() Message { return new(MapAnswer) },
+	KindMapStatusAsk: func() Message { return new(MapStatusAsk) },
+	KindMapVote:      func() Message { return new(MapVote) },
+	KindMapReport:    func() Message { return new(MapReport) },
+	KindMapRoundAsk:  func() Message { return new(MapRoundAsk) },
+	KindMapRoundInfo: func() Message { return new(MapRoundInfo) },
+	KindFenceAsk:     func() Message { return new(FenceAsk) },
+	KindFenceInfo:    func() Message { return new(FenceInfo) },
+}
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -32,11 +32,14 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start":  cmdStart,
-			"fleet":  cmdFleet,
-			"signal": cmdSignal,
-			"exited": cmdExited,
-			"until":  cmdUntil,
+			"start":      cmdStart,
+			"fleet":      cmdFleet,
+			"signal":     cmdSignal,
+			"exited":     cmdExited,
+			"ranks":      cmdRanks,
+			"leader":     cmdLeader,
+			"startagent": cmdStartAgent,
+			"until":      cmdUntil,
 		},
 	})
 }
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -46,6 +46,9 @@
 	return proc
 }
 
+// pollPause waits between two looks at a condition.
+func pollPause() { time.Sleep(conditionPoll) }
+
 // cmdStart is "start NAME program args...": it waits for the program's ready
 // line and sets NAME_<listener> for each of its addresses.
 func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -59,6 +59,10 @@
 		"prompt":    checkPrompt,
 		"idle":      checkIdle,
 		"calls":     checkCalls,
+		"maps":      checkMaps,
+		"forge":     checkForge,
+		"drill":     checkDrill,
+		"moving":    checkMoving,
 		"flood":     checkFlood,
 	}
 	check := checks[os.Args[1]]
