--- a/internal/ctl/plan.go
+++ b/internal/ctl/plan.go
@@ -1,28 +1,18 @@
 package ctl
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 
 	"github.com/kingcupreel/kingcupreel/internal/opapi"
 )
 
-// Plans returns what the entry knows of the groups' planning.
-func (c *Client) Plans(ctx context.Context) (opapi.Plans, error) {
-	var p opapi.Plans
-	return p, c.do(ctx, http.MethodGet, opapi.PathPlans, nil, &p)
-}
-
-// plan shows the planning of every group.
-func (t *tool) plan(ctx context.Context) error {
-	plans, err := t.client.Plans(ctx)
-	if err != nil {
-		return err
-	}
-	if t.output == "json" {
-		return json.NewEncoder(t.out).Encode(plans)
+// printPlan prints the state of the expert plans for a reader.
+func (t *tool) printPlan(answer json.RawMessage) {
+	var plans opapi.Plans
+	if err := json.Unmarshal(answer, &plans); err != nil {
+		fmt.Fprintln(t.out, string(answer))
+		return
 	}
 	for _, p := range plans.Plans {
 		if !p.Leads {
@@ -35,5 +25,4 @@
 			fmt.Fprintf(t.out, "%s: ranks %v are slow for other reasons than their experts\n", p.Group, p.Stragglers)
 		}
 	}
-	return nil
 }
--- a/internal/opapi/plan.go
+++ b/internal/opapi/plan.go
@@ -1,8 +1,5 @@
 package opapi
 
-// PathPlans lists the plans of all model groups with an expert-plan record.
-const PathPlans = "/v1/plans"
-
 // Plan is what an entry knows of a group's planning. Only the holder of the
 // planner's lease, Planner, knows more than the first four fields.
 type Plan struct {
@@ -29,7 +26,7 @@
 	Stragglers []int `json:"stragglers,omitempty"`
 }
 
-// Plans is the answer to PathPlans.
+// Plans is the answer to PathPlan: every model group with an expert-plan record.
 type Plans struct {
 	Plans []Plan `json:"plans"`
 }
--- a/test/scenario/checks_maps_test.go
+++ b/test/scenario/checks_maps_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/kingcupreel/kingcupreel/internal/ctl"
 	"github.com/kingcupreel/kingcupreel/internal/expertmap"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
@@ -32,8 +31,7 @@
 	if !strings.HasPrefix(arg, "http") {
 		return strconv.ParseInt(arg, 10, 64)
 	}
-	client := ctl.Client{Base: arg, Token: operatorToken}
-	plans, err := client.Plans(context.Background())
+	plans, err := plansAt(arg)
 	if err != nil || len(plans.Plans) == 0 {
 		return 0, fmt.Errorf("no plans: %w", err)
 	}
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -36,10 +36,11 @@
 			"fleet":      cmdFleet,
 			"signal":     cmdSignal,
 			"exited":     cmdExited,
+			"until":      cmdUntil,
 			"ranks":      cmdRanks,
 			"leader":     cmdLeader,
 			"startagent": cmdStartAgent,
-			"until":      cmdUntil,
+			"disturb":    cmdDisturb,
 		},
 	})
 }
--- a/test/scenario/ranks_test.go
+++ b/test/scenario/ranks_test.go
@@ -92,8 +92,7 @@
 func cmdLeader(ts *testscript.TestScript, neg bool, args []string) {
 	for range int(conditionLimit / conditionPoll) {
 		for n := 1; n <= 2; n++ {
-			client := ctl.Client{Base: "http://" + ts.Getenv(fmt.Sprintf("entry%d_ops", n)), Token: operatorToken}
-			plans, err := client.Plans(context.Background())
+			plans, err := plansAt("http://" + ts.Getenv(fmt.Sprintf("entry%d_ops", n)))
 			if err == nil && slices.ContainsFunc(plans.Plans, func(p opapi.Plan) bool { return p.Group == args[0] && p.Leads }) {
 				ts.Setenv("LEADER", fmt.Sprintf("entry%d", n))
 				ts.Setenv("LEADER_ops", ts.Getenv(fmt.Sprintf("entry%d_ops", n)))
@@ -107,6 +106,17 @@
 	ts.Fatalf("no entry plans for %s", args[0])
 }
 
+// plansAt asks the entry at an operator address for its plans.
+func plansAt(base string) (opapi.Plans, error) {
+	var plans opapi.Plans
+	client := ctl.Client{Base: base, Token: operatorToken}
+	answer, err := client.Plan(context.Background())
+	if err != nil {
+		return plans, err
+	}
+	return plans, json.Unmarshal(answer, &plans)
+}
+
 // checkMaps judges a rank group's record: it fails when two ranks ran a step
 // under different maps, or an order took effect at a rank after one with a
 // higher fencing number. It prints the number of maps in use, and of the steps
