--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +44,7 @@
 type Entry struct {
 	opts     Options
 	links    linkTable
+	admitter *admitter
 	draining atomic.Bool
 	// dispatches numbers the dispatches of this incarnation.
 	dispatches atomic.Uint64
@@ -63,11 +62,12 @@
 // New returns an entry. It dials upstreams until ctx is done.
 func New(ctx context.Context, opts Options) *Entry {
 	if opts.Picker == nil {
-		opts.Picker = lockedPicker{picker: balance.TwoChoices{Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}, mu: new(sync.Mutex)}
+		opts.Picker = balance.LeastWork{}
 	}
-	e := &Entry{opts: opts, links: linkTable{links: map[string]*link{}}, gather: gatherTable{waits: map[uint64]chan wire.Message{}}}
+	e := &Entry{opts: opts, links: newLinkTable(opts.Hello.DataCentre), admitter: newAdmitter(), gather: gatherTable{waits: map[uint64]chan wire.Message{}}}
 	e.budget = outcome.NewBudget(outcome.DefaultRetryShare, outcome.DefaultRetryReserve, outcome.DefaultRetryLimit)
 	e.peerMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
+	e.peerMux.Funcs[wire.KindUsageDigest] = e.usageReceived
 	e.agentMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	e.planners = newPlanners()
 	e.routePlanner()
@@ -76,22 +76,10 @@
 	if opts.View != nil {
 		opts.View.OnChange(e.viewChanged)
 	}
+	go e.exchangeUsage(ctx)
 	return e
 }
 
-// lockedPicker makes a picker safe for concurrent use.
-type lockedPicker struct {
-	mu     *sync.Mutex
-	picker balance.Picker
-}
-
-// Pick implements balance.Picker.
-func (p lockedPicker) Pick(r balance.Request, c []balance.Candidate) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.picker.Pick(r, c)
-}
-
 // PeerHandler returns the handler of the other entries' messages.
 func (e *Entry) PeerHandler() wire.Handler { return &e.peerMux }
 
