--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -72,6 +72,7 @@
 	config   *provider.Learner
 	journal  *journal
 	queue    chan *run
+	maps     *mapPart
 
 	mu      sync.Mutex
 	conns   map[*wire.Conn]wire.Hello
@@ -97,6 +98,7 @@
 
 		configured: make(chan struct{}, 1),
 	}
+	a.maps = newMapPart(a)
 	opts.Store.OnChange(a.configApplied)
 	return a
 }
@@ -109,6 +111,7 @@
 		go a.work(ctx)
 	}
 	go a.reportLoad(ctx)
+	go a.maps.run(ctx)
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -161,7 +164,7 @@
 	case *wire.EventsRequest:
 		_ = c.Send(&wire.EventsReply{Nonce: m.Nonce, Events: a.opts.Events.Events()})
 	default:
-		a.count("frames.unexpected")
+		a.maps.receive(c, m)
 	}
 }
 
--- a/internal/ctl/plan.go
+++ b/internal/ctl/plan.go
@@ -4,14 +4,25 @@
 	"encoding/json"
 	"fmt"
 
-	"sigs.k8s.io/yaml"
+	"github.com/kingcupreel/kingcupreel/internal/opapi"
 )
 
 // printPlan prints the state of the expert plans for a reader.
-func (t *tool) printPlan(p json.RawMessage) {
-	out, err := yaml.JSONToYAML(p)
-	if err != nil {
-		out = p
+func (t *tool) printPlan(answer json.RawMessage) {
+	var plans opapi.Plans
+	if err := json.Unmarshal(answer, &plans); err != nil {
+		fmt.Fprintln(t.out, string(answer))
+		return
+	}
+	for _, p := range plans.Plans {
+		if !p.Leads {
+			fmt.Fprintf(t.out, "%s: another entry plans\n", p.Group)
+			continue
+		}
+		fmt.Fprintf(t.out, "%s: map %d, %s %s; fence %d; last plan: skew %.3f to %.3f, %d slots, %d bytes; %d switches to come\n",
+			p.Group, p.Version, p.State, p.Note, p.Fence, p.SkewBefore, p.SkewAfter, p.Moved, p.Bytes, p.StagesLeft)
+		if len(p.Stragglers) > 0 {
+			fmt.Fprintf(t.out, "%s: ranks %v are slow for other reasons than their experts\n", p.Group, p.Stragglers)
+		}
 	}
-	fmt.Fprintln(t.out, string(out))
 }
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -30,6 +30,7 @@
 	mux.HandleFunc("GET "+opapi.PathConfig+"/{kind}/{name}", e.operator(e.getConfig))
 	mux.HandleFunc("PUT "+opapi.PathConfig+"/{kind}/{name}", e.operatorBody(e.putConfig))
 	mux.HandleFunc("DELETE "+opapi.PathConfig+"/{kind}/{name}", e.operator(e.deleteConfig))
+	mux.HandleFunc("GET "+opapi.PathPlan, e.operator(e.plans))
 	mux.HandleFunc("POST "+opapi.PathAdopt, e.operator(e.adopt))
 	return mux
 }
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -73,6 +73,10 @@
 	{"replace", checkReplace},
 	{"causal", checkCausal},
 	{"race", checkRace},
+	{"maps", checkMaps},
+	{"forge", checkForge},
+	{"drill", checkDrill},
+	{"moving", checkMoving},
 }
 
 // checkMain is the program "check WHAT ARGS...": the judge, which reads what
