Run non-idempotent calls at most once by claims, ledgers and tickets

Cause: a call with an Idempotency-Key was dispatched anew each time that its caller sent it. Below that, net/http sends a call with that header a second time by itself when a reused connection breaks before the answer. Ruled out: the plain stand-in's record, which shows each run with its key.

Change: before dispatch the entry creates a claim in the key-value service; the claim names one agent and its incarnation. The agent's ledger takes a call once, under a generation that isn't fenced, and keeps the answer. Whoever meets a claim asks that agent: replay, wait, or fence and move the claim. A lost agent is unknown for good, unless the completion was recorded. The caller's deadline no longer cuts such a call off. The agent's client gives each such call a connection of its own.

The plain stand-in no longer records /load, and the check "once" passes over calls without a key: they are idempotent, so two of them were no fault.

Before: once_resend, once_service_out and once_lost fail with 'key "a" ran twice'. TestCallOnBrokenConnectionRunsOnce with the shared client: "the call ran 2 times". After: all pass; once_lost 8 times of 8 in a row.

Each of eight parts of the protocol taken out makes a key run twice there; three more are caught by the ledger's specs.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/kingcupreel/kingcupreel/internal/claim"
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
@@ -67,6 +68,7 @@
 	opts     Options
 	upstream *upstream
 	journal  *journal
+	calls    *claim.Ledger
 	queue    chan *run
 
 	mu      sync.Mutex
@@ -83,6 +85,7 @@
 		opts:     opts,
 		upstream: newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
 		journal:  newJournal(journalLimit),
+		calls:    claim.NewLedger(opts.Hello.Incarnation, opts.Clock, claim.DefaultCalls, claim.DefaultBytes),
 		queue:    make(chan *run, 2*opts.Workers),
 		conns:    map[*wire.Conn]wire.Hello{},
 		runs:     map[wire.AttemptID]*run{},
@@ -144,6 +147,8 @@
 		a.cancel(c, m)
 	case *wire.Attach:
 		a.attach(c, m)
+	case *wire.CallQuery:
+		a.queryCall(c, m)
 	case *wire.Release:
 		a.release(m)
 	case *wire.ConfigSnapshot:
--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -52,10 +52,15 @@
 		return nil, fault.New(fault.Unavailable, "use another upstream", "the upstream is leaving").After(refusalRetry)
 	}
 	r := newRun(d, c)
+	if err := r.beginOnce(a.calls); err != nil {
+		r.close()
+		return nil, err
+	}
 	select {
 	case a.queue <- r:
 		return r, nil
 	default:
+		r.withdraw()
 		r.close()
 		return nil, fault.New(fault.Overloaded, "use another upstream", "the upstream's queue is full").After(refusalRetry)
 	}
@@ -112,9 +117,10 @@
 	}
 }
 
-// remove drops a run and stops it if it still runs. The caller holds mu.
+// remove drops a run and stops it if it still runs, but for a non-idempotent
+// call, which goes on to its end. The caller holds mu.
 func (a *Agent) remove(r *run) {
-	if a.runs[r.dispatch.ID] != r {
+	if a.runs[r.dispatch.ID] != r || r.goesOn() {
 		return
 	}
 	delete(a.runs, r.dispatch.ID)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/kingcupreel/kingcupreel/internal/claim"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -31,6 +32,9 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 
+	// calls is the ledger that has a non-idempotent call.
+	calls *claim.Ledger
+
 	mu    sync.Mutex
 	phase phase
 	// sink is the connection that gets the answer; nil while there is none.
@@ -39,6 +43,8 @@
 	head   *wire.Head
 	replay replay
 	end    *wire.Done
+	// kept is a non-idempotent call's answer so far.
+	kept claim.Answer
 	// timer ends a run without a sink, or removes one that has ended.
 	timer clockwork.Timer
 }
@@ -48,7 +54,7 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	if d.TimeoutMS > 0 {
 		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, time.Duration(d.TimeoutMS)*time.Millisecond)
+		ctx, stop = context.WithTimeout(ctx, runTimeout(d))
 		context.AfterFunc(ctx, stop)
 	}
 	r := &run{dispatch: d, ctx: ctx, cancel: cancel, sink: sink, seq: d.ResumeFrom}
@@ -76,6 +82,7 @@
 		return false
 	}
 	r.phase = withdrawn
+	r.withdrawOnce()
 	return true
 }
 
@@ -84,6 +91,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.head = &wire.Head{ID: r.dispatch.ID, Status: status, ContentType: contentType}
+	r.keepHead(status, contentType)
 	r.send(r.head)
 }
 
@@ -91,6 +99,7 @@
 func (r *run) chunk(data []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.keepChunk(data)
 	r.seq++
 	c := &wire.Chunk{ID: r.dispatch.ID, Seq: r.seq, Data: data}
 	r.replay.add(c, replayLimit)
@@ -107,6 +116,7 @@
 		e := fault.As(err)
 		r.end.Reason, r.end.Message = e.Kind, e.Error()
 	}
+	r.endOnce(o, err)
 	r.send(r.end)
 }
 
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -34,6 +34,7 @@
 type upstream struct {
 	base  string
 	http  *http.Client
+	once  *http.Client
 	stall time.Duration
 	clock clockwork.Clock
 }
@@ -47,7 +48,7 @@
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
 	}
-	return &upstream{base: base, http: &http.Client{Transport: transport}, stall: stall, clock: clock}
+	return &upstream{base: base, http: &http.Client{Transport: transport}, once: newOnceClient(), stall: stall, clock: clock}
 }
 
 // run executes an attempt and reports it through r. It returns when the
@@ -57,7 +58,7 @@
 	if err != nil {
 		return outcome.NotRun, err
 	}
-	resp, err := u.http.Do(req)
+	resp, err := u.client(r.dispatch).Do(req)
 	if err != nil {
 		return callError(r, err)
 	}
--- /dev/null
+++ b/internal/claim/store_test.go
@@ -0,0 +1,123 @@
+package claim_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/claim"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
+)
+
+// faultyKV serves a stand-in's store in process, counts writes and loses the
+// answers that a spec orders.
+type faultyKV struct {
+	platform.KV
+	store  *kv.Store
+	writes int
+	lose   int
+}
+
+func (f *faultyKV) Grant(_ context.Context, ttl time.Duration) (int64, error) {
+	f.writes++
+	return f.store.Grant(ttl), nil
+}
+
+func (f *faultyKV) Get(_ context.Context, key string) (platform.Item, error) {
+	return f.store.Get(key)
+}
+
+func (f *faultyKV) Put(_ context.Context, p platform.Put) (int64, error) {
+	f.writes++
+	rev, err := f.store.Put(p)
+	if f.lose > 0 {
+		f.lose--
+		return 0, fault.New(fault.Unavailable, "", "lost")
+	}
+	return rev, err
+}
+
+// keyAt returns a version 7 UUID made at t.
+func keyAt(t time.Time) string {
+	var u uuid.UUID
+	ms := t.UnixMilli()
+	for i := range 6 {
+		u[i] = byte(ms >> (8 * (5 - i)))
+	}
+	u[6], u[8] = 0x70, 0x80
+	return u.String()
+}
+
+var _ = Describe("Store", func() {
+	var (
+		ctx   = context.Background()
+		clock *clockwork.FakeClock
+		kvs   *faultyKV
+		store *claim.Store
+	)
+	record := func(key, nonce string) claim.Record {
+		return claim.Record{Account: "acc", Key: key, Generation: 1, Nonce: nonce}
+	}
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		kvs = &faultyKV{store: kv.NewStore(clock)}
+		store = &claim.Store{KV: kvs, Clock: clock}
+	})
+
+	It("takes its own write for its own when the answer was lost", func() {
+		kvs.lose = 1
+		held, mine, err := store.Create(ctx, record("a", "n1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(mine).To(BeTrue())
+		Expect(held.Revision).NotTo(BeZero())
+		held, mine, err = store.Create(ctx, record("a", "n2"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(mine).To(BeFalse())
+		Expect(held.Record.Nonce).To(Equal("n1"))
+	})
+
+	It("spends two writes a call and one lease in ten minutes", func() {
+		for _, key := range []string{"a", "b", "c", "d"} {
+			held, _, err := store.Create(ctx, record(key, key))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(store.Complete(ctx, held, claim.Answer{Status: 200})).To(Succeed())
+		}
+		Expect(kvs.writes).To(Equal(1 + 2*4))
+	})
+
+	It("keeps a claim for the retention and not much longer, without a write", func() {
+		_, _, err := store.Create(ctx, record("a", "n"))
+		Expect(err).NotTo(HaveOccurred())
+		writes := kvs.writes
+		clock.Advance(claim.Retention)
+		_, err = store.Find(ctx, claim.ID{Account: "acc", Key: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		clock.Advance(time.Hour)
+		_, err = store.Find(ctx, claim.ID{Account: "acc", Key: "a"})
+		Expect(fault.KindOf(err)).To(Equal(fault.NotFound))
+		Expect(kvs.writes).To(Equal(writes))
+	})
+
+	It("replaces a lease that the service no longer has", func() {
+		_, _, err := store.Create(ctx, record("a", "n"))
+		Expect(err).NotTo(HaveOccurred())
+		kvs.store.Revoke(1)
+		_, mine, err := store.Create(ctx, record("b", "n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(mine).To(BeTrue())
+	})
+
+	It("never calls a key with a time past the retention new", func() {
+		now := clock.Now()
+		Expect(claim.CheckKey("order-17", now)).To(Succeed())
+		Expect(claim.CheckKey(keyAt(now), now)).To(Succeed())
+		Expect(fault.KindOf(claim.CheckKey(keyAt(now.Add(-claim.Retention)), now))).To(Equal(fault.Stale))
+		Expect(fault.KindOf(claim.CheckKey(keyAt(now.Add(time.Hour)), now))).To(Equal(fault.Invalid))
+	})
+})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,7 @@
 	dispatches atomic.Uint64
 	budget     *outcome.Budget
 	gather     gatherTable
+	once       *onceCalls
 	// peerMux routes the messages of other entries, agentMux those of agents
 	// that belong to no attempt. Both are filled before the entry starts.
 	peerMux  wire.Mux
@@ -62,6 +63,7 @@
 	e.budget = outcome.NewBudget(outcome.DefaultRetryShare, outcome.DefaultRetryReserve, outcome.DefaultRetryLimit)
 	e.peerMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	e.agentMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
+	e.startOnce(ctx)
 	opts.Store.OnChange(func(s *config.Snapshot) { e.configApplied(ctx, s) })
 	if opts.View != nil {
 		opts.View.OnChange(e.viewChanged)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -192,5 +192,9 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, req *request, stream bool) {
 	e.event(timeline.Event{Kind: timeline.Admitted, Object: req.account.Name, Request: req.id})
 	x := &exchange{entry: e, req: req, answer: newAnswer(w, req.id, stream), tried: map[string]bool{}}
+	if req.dispatch.NonIdempotent {
+		x.runOnce(r.Context())
+		return
+	}
 	x.run(r.Context())
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -60,6 +60,14 @@
 	return v.vms[id].State == platform.VMLeaving
 }
 
+// Gone says whether a list was read and does not show the VM.
+func (v *View) Gone(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, listed := v.vms[id]
+	return len(v.vms) > 0 && !listed
+}
+
 // All returns the list, by id.
 func (v *View) All() []platform.VM {
 	v.mu.Lock()
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -40,6 +40,7 @@
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /admin/calls", s.showCalls)
+	mux.HandleFunc("GET "+engineapi.PathLoad, http.NotFound)
 	mux.HandleFunc("/", s.serve)
 	return mux
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -109,6 +109,8 @@
 	ResumeTokens int
 	// Stamp is the sender's clock; Conn.Send sets it.
 	Stamp timeline.Stamp
+	// Ticket is the claim that a non-idempotent call runs under.
+	Ticket Ticket
 }
 
 // Accepted says that the agent will run the attempt.
--- a/internal/wire/once.go
+++ b/internal/wire/once.go
@@ -1,4 +1,60 @@
 package wire
 
+import "github.com/kingcupreel/kingcupreel/internal/outcome"
+
+// The message kinds of calls that must not run twice and of poison requests.
+const (
+	KindCallQuery Kind = iota + 40
+	KindCallStatus
+)
+
+// Ticket is the claim that a non-idempotent call runs under. Its zero value
+// means none.
+type Ticket struct {
+	Generation  uint32
+	Incarnation string
+	// ClaimedMS is the claim's wall-clock time in Unix milliseconds.
+	ClaimedMS int64
+}
+
+// CallQuery asks an agent for its word on a non-idempotent call.
+type CallQuery struct {
+	Nonce   uint64
+	Account string
+	Key     string
+	Ticket  Ticket
+	// Fence forbids the ticket's generation if the call has not run.
+	Fence bool
+	// Wait asks for a second answer when a running call has ended.
+	Wait bool
+}
+
+// CallStatus answers a CallQuery.
+type CallStatus struct {
+	Nonce uint64
+	// State is one of package claim's states.
+	State  string
+	Answer CallAnswer
+}
+
+// CallAnswer is the kept answer to a call that ended.
+type CallAnswer struct {
+	Outcome     outcome.Outcome
+	Status      int
+	ContentType string
+	Body        []byte
+	BodyDropped bool
+	Message     string
+}
+
+// Kind implements Message.
+func (*CallQuery) Kind() Kind { return KindCallQuery }
+
+// Kind implements Message.
+func (*CallStatus) Kind() Kind { return KindCallStatus }
+
 // onceFactories makes the messages of calls that must not run twice, kinds 40 to 49.
-var onceFactories = map[Kind]factory{}
+var onceFactories = map[Kind]factory{
+	KindCallQuery:  func() Message { return new(CallQuery) },
+	KindCallStatus: func() Message { return new(CallStatus) },
+}
--- /dev/null
+++ b/test/scenario/checks_once_test.go
@@ -0,0 +1,45 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/kingcupreel/kingcupreel/internal/claim"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
+)
+
+// checkClaims prints how many claims the key-value service has been asked to
+// hold and how many of them are completed.
+func checkClaims(urls []string) error {
+	var l platform.Listing
+	if err := fetch(urls[0]+kvhttp.PathList+"?prefix="+claim.Prefix, &l); err != nil {
+		return err
+	}
+	completed := 0
+	for _, item := range l.Items {
+		var r claim.Record
+		if err := json.Unmarshal(item.Value, &r); err != nil {
+			return err
+		}
+		if r.Answer != nil {
+			completed++
+		}
+	}
+	fmt.Printf("claims=%d completed=%d\n", len(l.Items), completed)
+	return nil
+}
+
+// cmdRestart is "restart NAME": it starts a program that has ended again, with
+// the same arguments and inner address.
+func cmdRestart(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: restart NAME")
+	}
+	old := table(ts).get(ts, args[0])
+	<-old.done
+	inner := ts.Getenv(args[0] + "_inner")
+	startProcess(ts, args[0], old.program, append(old.args, "--inner-listen", inner)...)
+}
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -32,11 +32,12 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start":  cmdStart,
-			"fleet":  cmdFleet,
-			"signal": cmdSignal,
-			"exited": cmdExited,
-			"until":  cmdUntil,
+			"start":   cmdStart,
+			"restart": cmdRestart,
+			"fleet":   cmdFleet,
+			"signal":  cmdSignal,
+			"exited":  cmdExited,
+			"until":   cmdUntil,
 		},
 	})
 }
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -54,6 +54,7 @@
 		"connected": checkConnected,
 		"runs":      checkRuns,
 		"once":      checkOnce,
+		"claims":    checkClaims,
 		"answer":    checkAnswer,
 		"tokens":    checkTokens,
 		"prompt":    checkPrompt,
@@ -114,6 +115,7 @@
 }
 
 // checkOnce fails when any idempotency key ran twice over the plain services.
+// Calls without a key are idempotent and may.
 func checkOnce(urls []string) error {
 	seen := map[string]int{}
 	for _, url := range urls {
@@ -122,6 +124,9 @@
 			return err
 		}
 		for _, c := range calls {
+			if c.Key == "" {
+				continue
+			}
 			seen[c.Key]++
 			if seen[c.Key] > 1 {
 				return fmt.Errorf("key %q ran twice", c.Key)
