Quarantine requests that crash engines

Cause: a request that crashes its engine was run again elsewhere by the entry and sent again by its caller, until every engine had crashed; requests in flight beside it ran out of attempts or of the retry budget. Ruled out: the retry budget as a remedy; it counts attempts over all requests, not crashes of one.

Change: the agent attributes a crash once to all that was in flight and reports it to the entries, which pass it on. A request is known by a hash of account, path and body. Suspects run again one at a time at one upstream, the same at every entry; success clears, a second crash convicts for ten minutes. Entry and agent refuse a convicted request with 422 and the remedy. Operators list it at /v1/quarantine.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/claim"
 	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -69,7 +70,12 @@
 	upstream *upstream
 	journal  *journal
 	calls    *claim.Ledger
-	queue    chan *run
+	flight   *quarantine.Flight
+	// quarantine has the crashes of this agent's upstream; isolation is held by
+	// the suspect that runs.
+	quarantine *quarantine.Table
+	isolation  sync.Mutex
+	queue      chan *run
 
 	mu      sync.Mutex
 	conns   map[*wire.Conn]wire.Hello
@@ -82,13 +88,15 @@
 func New(opts Options) *Agent {
 	opts = opts.withDefaults()
 	a := &Agent{
-		opts:     opts,
-		upstream: newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
-		journal:  newJournal(journalLimit),
-		calls:    claim.NewLedger(opts.Hello.Incarnation, opts.Clock, claim.DefaultCalls, claim.DefaultBytes),
-		queue:    make(chan *run, 2*opts.Workers),
-		conns:    map[*wire.Conn]wire.Hello{},
-		runs:     map[wire.AttemptID]*run{},
+		opts:       opts,
+		upstream:   newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
+		journal:    newJournal(journalLimit),
+		calls:      claim.NewLedger(opts.Hello.Incarnation, opts.Clock, claim.DefaultCalls, claim.DefaultBytes),
+		flight:     quarantine.NewFlight(),
+		quarantine: quarantine.NewTable(opts.Clock),
+		queue:      make(chan *run, 2*opts.Workers),
+		conns:      map[*wire.Conn]wire.Hello{},
+		runs:       map[wire.AttemptID]*run{},
 	}
 	opts.Store.OnChange(a.configApplied)
 	return a
@@ -147,6 +155,8 @@
 		a.cancel(c, m)
 	case *wire.Attach:
 		a.attach(c, m)
+	case *wire.CrashReport:
+		a.quarantine.Add(quarantine.Report(*m))
 	case *wire.CallQuery:
 		a.queryCall(c, m)
 	case *wire.Release:
@@ -179,6 +189,7 @@
 	a.journal.connect(hello.Incarnation, hello.Number)
 	a.conns[c] = hello
 	a.opts.Events.Add(timeline.Event{Kind: timeline.Connected, Object: hello.Process})
+	a.tellCrashes(c)
 	if a.leaving {
 		_ = c.Send(&wire.Leaving{})
 	}
--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -131,6 +131,12 @@
 // execute runs one attempt to its end.
 func (a *Agent) execute(r *run) {
 	id := r.dispatch.ID
+	defer a.isolate(r)()
+	if err := a.barred(r); err != nil && r.withdraw() {
+		a.journal.set(id, wire.NeverRun)
+		a.end(r, outcome.NotRun, err)
+		return
+	}
 	if !r.start() {
 		if r.withdraw() {
 			a.journal.set(id, wire.NeverRun)
@@ -139,7 +145,7 @@
 		return
 	}
 	a.opts.Events.Add(timeline.Event{Kind: timeline.AttemptStarted, Request: id.Request, Attempt: id.Attempt})
-	o, err := a.upstream.run(r)
+	o, err := a.fly(r)
 	state := wire.Ended
 	if o == outcome.NotRun {
 		state = wire.NeverRun
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/membership"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -48,6 +49,7 @@
 	budget     *outcome.Budget
 	gather     gatherTable
 	once       *onceCalls
+	quarantine *quarantine.Table
 	// peerMux routes the messages of other entries, agentMux those of agents
 	// that belong to no attempt. Both are filled before the entry starts.
 	peerMux  wire.Mux
@@ -64,6 +66,7 @@
 	e.peerMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	e.agentMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	e.startOnce(ctx)
+	e.startQuarantine()
 	opts.Store.OnChange(func(s *config.Snapshot) { e.configApplied(ctx, s) })
 	if opts.View != nil {
 		opts.View.OnChange(e.viewChanged)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
@@ -50,6 +51,10 @@
 	req    *request
 	answer *answer
 	tried  map[string]bool
+	// fingerprint names the request's content once it has been asked for;
+	// suspect is what was known of it before the present attempt.
+	fingerprint quarantine.Fingerprint
+	suspect     quarantine.Record
 }
 
 // run makes attempts until one ends the request, and writes the final answer.
@@ -57,6 +62,10 @@
 	last := result{outcome: outcome.NotRun}
 	var earlier outcome.Outcome
 	for n := uint32(1); n <= maxAttempts; n++ {
+		if err := x.judge(); err != nil {
+			last = result{outcome.NotRun, err}
+			break
+		}
 		l := x.choose(ctx, earlier)
 		if l == nil {
 			break
@@ -81,6 +90,7 @@
 	}
 	if last.outcome == outcome.Completed {
 		x.entry.budget.Succeeded()
+		x.clear()
 	}
 	x.entry.count("requests." + string(last.outcome))
 	x.entry.event(timeline.Event{Kind: timeline.Answered, Request: x.req.id, Detail: string(last.outcome)})
@@ -121,7 +131,7 @@
 		return x.resumable()
 	}
 	x.answer.reset()
-	return x.entry.budget.Spend()
+	return x.suspected() || x.entry.budget.Spend()
 }
 
 // resumable prepares the dispatch to go on with a stream that has begun. A
@@ -155,6 +165,11 @@
 
 // pick chooses an upstream that has not been tried, or nil.
 func (x *exchange) pick() *link {
+	if x.suspect.State == quarantine.Suspected {
+		if l := x.isolated(); l != nil {
+			return l
+		}
+	}
 	snap := x.entry.opts.Store.Current()
 	links, candidates := x.entry.links.get(x.req.upstreams(snap), x.tried)
 	r := balance.Request{DataCentre: x.entry.opts.Hello.DataCentre, Prefix: x.req.prefix}
@@ -171,6 +186,7 @@
 	d.ID = wire.AttemptID{Request: x.req.id, Attempt: n}
 	d.Account = x.req.account.Name
 	d.Priority = x.req.account.Priority
+	d.Isolated = x.suspect.State == quarantine.Suspected
 	if deadline, ok := ctx.Deadline(); ok {
 		d.TimeoutMS = time.Until(deadline).Milliseconds()
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -8,7 +8,6 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/claim"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
@@ -105,16 +104,19 @@
 // onceUpstreams implements claim.Upstreams for one exchange.
 type onceUpstreams struct{ x *exchange }
 
-// Pick implements claim.Upstreams.
+// Pick implements claim.Upstreams. A convicted call gets none; an answer that
+// its key already has is still found.
 func (u onceUpstreams) Pick(tried map[string]bool) (claim.Target, bool) {
 	x := u.x
 	x.tried = tried
-	links, candidates := x.entry.links.get(x.req.upstreams(x.entry.opts.Store.Current()), tried)
-	i := x.entry.opts.Picker.Pick(balance.Request{DataCentre: x.entry.opts.Hello.DataCentre}, candidates)
-	if i < 0 {
+	if x.judge() != nil {
 		return claim.Target{}, false
 	}
-	return claim.Target{Upstream: links[i].upstream.Name, Incarnation: links[i].incarnation()}, true
+	l := x.pick()
+	if l == nil {
+		return claim.Target{}, false
+	}
+	return claim.Target{Upstream: l.upstream.Name, Incarnation: l.incarnation()}, true
 }
 
 // Dispatch implements claim.Upstreams.
@@ -230,7 +232,7 @@
 	e := u.x.entry
 	ctx, cancel := context.WithTimeout(ctx, knownTimeout)
 	defer cancel()
-	upstreams := u.x.req.upstreams(e.opts.Store.Current())
+	upstreams := u.x.configured()
 	nonce, answers := e.once.expect(len(upstreams))
 	defer e.once.forget(nonce)
 	asked := 0
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -31,6 +31,7 @@
 	mux.HandleFunc("GET /metrics", telemetry.MetricsHandler(e.opts.Metrics))
 	mux.HandleFunc("GET "+opapi.PathStatus, e.operator(e.status))
 	mux.HandleFunc("GET "+opapi.PathEvents, e.operator(e.events))
+	mux.HandleFunc("GET "+pathQuarantine, e.operator(e.listQuarantine))
 	mux.HandleFunc("GET "+opapi.PathConfig, e.operator(e.listConfig))
 	mux.HandleFunc("PUT "+opapi.PathConfig+"/{kind}/{name}", e.operator(e.putConfig))
 	return mux
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -28,6 +28,7 @@
 	Timeout         Kind = "timeout"
 	Stale           Kind = "stale"
 	Crashed         Kind = "crashed"
+	Quarantined     Kind = "quarantined"
 	Internal        Kind = "internal"
 )
 
@@ -110,6 +111,7 @@
 	Timeout:         http.StatusGatewayTimeout,
 	Stale:           http.StatusConflict,
 	Crashed:         http.StatusBadGateway,
+	Quarantined:     http.StatusUnprocessableEntity,
 	Internal:        http.StatusInternalServerError,
 }
 
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,100 @@
+package quarantine_test
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
+)
+
+var _ = Describe("Table", func() {
+	var (
+		clock    *clockwork.FakeClock
+		table    *quarantine.Table
+		poison   = quarantine.Suspect{Fingerprint: quarantine.Of("a", "/p", []byte("poison")), Account: "a"}
+		innocent = quarantine.Suspect{Fingerprint: quarantine.Of("a", "/p", []byte("innocent")), Account: "a"}
+	)
+	crash := func(id, upstream string, suspects ...quarantine.Suspect) quarantine.Report {
+		return quarantine.Report{ID: id, Upstream: upstream, AtMS: clock.Now().UnixMilli(), Suspects: suspects}
+	}
+	state := func(s quarantine.Suspect) quarantine.State { return table.Judge(s.Fingerprint).State }
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClockAt(time.UnixMilli(0))
+		table = quarantine.NewTable(clock)
+	})
+
+	It("suspects all that were in flight at a crash and convicts at the second", func() {
+		Expect(table.Empty()).To(BeTrue())
+		Expect(table.Add(crash("1", "e1", poison, innocent))).To(BeTrue())
+		Expect(state(poison)).To(Equal(quarantine.Suspected))
+		Expect(table.Check(poison.Fingerprint)).To(Succeed())
+		Expect(table.Add(crash("2", "e2", poison))).To(BeTrue())
+		Expect(state(poison)).To(Equal(quarantine.Convicted))
+		Expect(state(innocent)).To(Equal(quarantine.Suspected))
+		e := fault.As(table.Check(poison.Fingerprint))
+		Expect(e.Kind).To(Equal(fault.Quarantined))
+		Expect(e.RetryAfter).To(Equal(quarantine.Expiry))
+		Expect(table.List()[0].Crashed).To(Equal([]string{"e1", "e2"}))
+	})
+
+	It("counts a report once, however often it comes", func() {
+		Expect(table.Add(crash("1", "e1", poison))).To(BeTrue())
+		Expect(table.Add(crash("1", "e1", poison))).To(BeFalse())
+		Expect(state(poison)).To(Equal(quarantine.Suspected))
+	})
+
+	It("clears a suspect that succeeds but no conviction", func() {
+		table.Add(crash("1", "e1", poison, innocent))
+		table.Add(crash("2", "e2", poison))
+		cleared := crash("3", "", poison, innocent)
+		cleared.Cleared = true
+		Expect(table.Add(cleared)).To(BeTrue())
+		Expect(state(innocent)).To(Equal(quarantine.Clear))
+		Expect(state(poison)).To(Equal(quarantine.Convicted))
+		table.Add(crash("4", "e3", innocent))
+		Expect(state(innocent)).To(Equal(quarantine.Suspected))
+	})
+
+	It("lets a conviction and its reports expire", func() {
+		table.Add(crash("1", "e1", poison))
+		old := crash("2", "e2", poison)
+		table.Add(old)
+		Expect(table.Reports()).To(HaveLen(2))
+		clock.Advance(quarantine.Expiry)
+		Expect(state(poison)).To(Equal(quarantine.Clear))
+		Expect(table.Reports()).To(BeEmpty())
+		old.ID = "late"
+		Expect(table.Add(old)).To(BeFalse())
+	})
+
+	It("tells accounts apart", func() {
+		Expect(quarantine.Of("b", "/p", []byte("poison"))).NotTo(Equal(poison.Fingerprint))
+	})
+})
+
+var _ = Describe("Flight", func() {
+	suspect := func(name string) quarantine.Suspect {
+		return quarantine.Suspect{Fingerprint: quarantine.Fingerprint(name)}
+	}
+	It("attributes a crash once to what was in flight", func() {
+		f := quarantine.NewFlight()
+		var reports [][]quarantine.Suspect
+		report := func(s []quarantine.Suspect) { reports = append(reports, s) }
+		before := f.Start(suspect("before"))
+		f.End(before)
+		a, b := f.Start(suspect("a")), f.Start(suspect("b"))
+		f.Crashed(b, report)
+		after := f.Start(suspect("after"))
+		f.Crashed(a, report)
+		Expect(reports).To(HaveLen(1))
+		Expect(reports[0]).To(ConsistOf(suspect("a"), suspect("b")))
+		f.End(a)
+		f.End(b)
+		f.Crashed(after, report)
+		Expect(reports[1:]).To(Equal([][]quarantine.Suspect{{suspect("after")}}))
+	})
+})
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -41,6 +41,8 @@
 	engineCmd.Flag("cache-event-delay", "How late cache events come.").DurationVar(&opts.CacheEventDelay)
 	engineCmd.Flag("cache-event-loss", "Share of cache events that never comes.").Float64Var(&opts.CacheEventLoss)
 	engineCmd.Flag("load-lag", "Age of load reports.").DurationVar(&opts.LoadLag)
+	engineCmd.Flag("crash-on", "Text in a prompt that crashes the engine.").StringVar(&opts.Crash.Mark)
+	engineCmd.Flag("restart-time", "Time that a crashed engine refuses connections.").Default("1s").DurationVar(&opts.Crash.RestartTime)
 	plainCmd := app.Command("plain", "Plain service that records its calls.")
 	delay := plainCmd.Flag("delay", "Time that a call takes after its effect.").Default("0s").Duration()
 
@@ -54,9 +56,10 @@
 		return daemon.ExitSettings
 	}
 	var h http.Handler
+	run := func(l net.Listener) error { return http.Serve(l, h) }
 	switch cmd {
 	case engineCmd.FullCommand():
-		h = engine.New(opts).Handler()
+		run = engine.New(opts).Serve
 	case plainCmd.FullCommand():
 		h = (&plain.Service{Delay: *delay}).Handler()
 	case linkCmd.FullCommand():
@@ -68,7 +71,7 @@
 		h, err = startLink(*to, *linkListen, &ready)
 	}
 	if err == nil {
-		err = serve(ready, *listen, h, out)
+		err = serve(ready, *listen, run, out)
 	}
 	if err != nil {
 		fmt.Fprintln(errOut, err)
@@ -99,7 +102,7 @@
 	return l.Handler(), nil
 }
 
-func serve(ready daemon.Ready, address string, h http.Handler, out io.Writer) error {
+func serve(ready daemon.Ready, address string, run func(net.Listener) error, out io.Writer) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
@@ -108,7 +111,7 @@
 	if err := json.NewEncoder(out).Encode(ready); err != nil {
 		return err
 	}
-	return http.Serve(l, h)
+	return run(l)
 }
 
 // Exit runs Main with the process's own arguments and exits.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -42,6 +42,7 @@
 	CacheEventLoss  float64
 	// LoadLag is how old a load report is.
 	LoadLag time.Duration
+	Crash   CrashOptions
 }
 
 // Run is the record of one request that the engine ran.
@@ -60,10 +61,11 @@
 
 // Engine is the stand-in.
 type Engine struct {
-	opts   Options
-	batch  *batch
-	cache  *cache
-	lagged *lagged
+	opts    Options
+	batch   *batch
+	cache   *cache
+	lagged  *lagged
+	crasher crasher
 
 	mu   sync.Mutex
 	runs []*Run
@@ -89,6 +91,7 @@
 	mux.HandleFunc("POST "+engineapi.PathChat, e.complete)
 	mux.HandleFunc("GET "+engineapi.PathLoad, e.load)
 	mux.HandleFunc("GET /admin/runs", e.showRuns)
+	mux.HandleFunc("GET /admin/crashes", e.showCrashes)
 	mux.HandleFunc("GET /cache/events", e.cache.show)
 	return mux
 }
@@ -122,6 +125,11 @@
 	}
 	run := e.start(r, call)
 	defer e.release(run)
+	if e.poisoned(run) {
+		pause(r, e.prefill(run))
+		e.crasher.crash()
+		return
+	}
 	if call.Stream {
 		e.stream(w, r, call, run)
 		return
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -30,6 +30,7 @@
 	AttemptEnded    Kind = "attempt-ended"
 	Answered        Kind = "answered"
 	UpstreamLeaving Kind = "upstream-leaving"
+	UpstreamCrashed Kind = "upstream-crashed"
 )
 
 // Stamp is a hybrid logical clock value: wall time in microseconds and a
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -111,6 +111,8 @@
 	Stamp timeline.Stamp
 	// Ticket is the claim that a non-idempotent call runs under.
 	Ticket Ticket
+	// Isolated makes the attempt wait until no other isolated one runs.
+	Isolated bool
 }
 
 // Accepted says that the agent will run the attempt.
--- a/internal/wire/once.go
+++ b/internal/wire/once.go
@@ -1,11 +1,15 @@
 package wire
 
-import "github.com/kingcupreel/kingcupreel/internal/outcome"
+import (
+	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
+)
 
 // The message kinds of calls that must not run twice and of poison requests.
 const (
 	KindCallQuery Kind = iota + 40
 	KindCallStatus
+	KindCrashReport
 )
 
 // Ticket is the claim that a non-idempotent call runs under. Its zero value
@@ -47,6 +51,12 @@
 	Message     string
 }
 
+// CrashReport tells of an engine's crash, or of requests that were cleared.
+type CrashReport quarantine.Report
+
+// Kind implements Message.
+func (*CrashReport) Kind() Kind { return KindCrashReport }
+
 // Kind implements Message.
 func (*CallQuery) Kind() Kind { return KindCallQuery }
 
@@ -55,6 +65,7 @@
 
 // onceFactories makes the messages of calls that must not run twice, kinds 40 to 49.
 var onceFactories = map[Kind]factory{
-	KindCallQuery:  func() Message { return new(CallQuery) },
-	KindCallStatus: func() Message { return new(CallStatus) },
+	KindCallQuery:   func() Message { return new(CallQuery) },
+	KindCallStatus:  func() Message { return new(CallStatus) },
+	KindCrashReport: func() Message { return new(CrashReport) },
 }
--- a/test/scenario/checks_once_test.go
+++ b/test/scenario/checks_once_test.go
@@ -9,6 +9,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/claim"
 	"github.com/kingcupreel/kingcupreel/internal/platform"
 	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
+	"github.com/kingcupreel/kingcupreel/internal/standin/engine"
 )
 
 // checkClaims prints how many claims the key-value service has been asked to
@@ -43,3 +44,17 @@
 	inner := ts.Getenv(args[0] + "_inner")
 	startProcess(ts, args[0], old.program, append(old.args, "--inner-listen", inner)...)
 }
+
+// checkCrashes prints how often the engines crashed, all together.
+func checkCrashes(urls []string) error {
+	total := 0
+	for _, url := range urls {
+		var c engine.Crashes
+		if err := fetch(url+"/admin/crashes", &c); err != nil {
+			return err
+		}
+		total += c.Crashes
+	}
+	fmt.Printf("crashes=%d\n", total)
+	return nil
+}
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -54,6 +54,7 @@
 		"connected": checkConnected,
 		"runs":      checkRuns,
 		"once":      checkOnce,
+		"crashes":   checkCrashes,
 		"claims":    checkClaims,
 		"answer":    checkAnswer,
 		"tokens":    checkTokens,
