--- a/test/scenario/checks_once_test.go
+++ b/test/scenario/checks_once_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -41,8 +42,11 @@
 	}
 	old := table(ts).get(ts, args[0])
 	<-old.done
-	inner := ts.Getenv(args[0] + "_inner")
-	startProcess(ts, args[0], old.program, append(old.args, "--inner-listen", inner)...)
+	again := slices.Clone(old.args)
+	if !slices.Contains(again, "--inner-listen") {
+		again = append(again, "--inner-listen", ts.Getenv(args[0]+"_inner"))
+	}
+	startProcess(ts, args[0], old.program, again...)
 }
 
 // checkCrashes prints how often the engines crashed, all together.
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -34,6 +34,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"start":   cmdStart,
 			"restart": cmdRestart,
+			"storm":   cmdStorm,
 			"fleet":   cmdFleet,
 			"signal":  cmdSignal,
 			"exited":  cmdExited,
