--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -34,6 +34,7 @@
 	MapPlanned      Kind = "map-planned"
 	LeaseTaken      Kind = "lease-taken"
 	OrderRefused    Kind = "order-refused"
+	UpstreamCrashed Kind = "upstream-crashed"
 )
 
 // Stamp is a hybrid logical clock value: wall time in microseconds and a
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -109,6 +109,10 @@
 	Stamp timeline.Stamp
 	// Stream says that the caller wants the answer as it comes.
 	Stream bool
+	// Ticket is the claim that a non-idempotent call runs under.
+	Ticket Ticket
+	// Isolated makes the attempt wait until no other isolated one runs.
+	Isolated bool
 }
 
 // Accepted says that the agent will run the attempt.
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -41,6 +41,8 @@
 			"leader":     cmdLeader,
 			"startagent": cmdStartAgent,
 			"disturb":    cmdDisturb,
+			"restart":    cmdRestart,
+			"storm":      cmdStorm,
 		},
 	})
 }
