Measure admission and balance, and mend what the measurements showed

An entry's own requests counted for all entries, so an account of limit 1000 over 330 entries kept 1320 in flight; an account that used one entry in ten got a third of its limit. Limits equal to the capacity let replicas run dry: 84.6 answers a second where 92 fit.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -67,6 +67,9 @@
 type Options struct {
 	// MaxWait bounds a queue by the time that it takes to drain.
 	MaxWait time.Duration
+	// Headroom is what may be in flight over the capacity, as a factor, so that
+	// no upstream runs dry while another has a queue.
+	Headroom float64
 	// MinQueue and MaxQueue bound a queue's length.
 	MinQueue, MaxQueue int
 }
@@ -74,6 +77,7 @@
 // Defaults of Options.
 const (
 	DefaultMaxWait  = 2 * time.Second
+	DefaultHeadroom = 1.25
 	DefaultMinQueue = 16
 	DefaultMaxQueue = 4096
 )
@@ -82,6 +86,9 @@
 	if o.MaxWait == 0 {
 		o.MaxWait = DefaultMaxWait
 	}
+	if o.Headroom == 0 {
+		o.Headroom = DefaultHeadroom
+	}
 	if o.MinQueue == 0 {
 		o.MinQueue = DefaultMinQueue
 	}
@@ -98,11 +105,12 @@
 	rand  *rand.Rand
 	usage *Usage
 	pools map[string]*pool
+	parts map[Key]*part
 }
 
 // NewController returns a controller that counts into usage.
 func NewController(clock clockwork.Clock, rng *rand.Rand, usage *Usage, opts Options) *Controller {
-	return &Controller{opts: opts.withDefaults(), clock: clock, rand: rng, usage: usage, pools: map[string]*pool{}}
+	return &Controller{opts: opts.withDefaults(), clock: clock, rand: rng, usage: usage, pools: map[string]*pool{}, parts: map[Key]*part{}}
 }
 
 func (c *Controller) pool(name string) *pool {
@@ -118,7 +126,11 @@
 // means no bound.
 func (c *Controller) SetCapacity(name string, capacity int) {
 	p := c.pool(name)
+	if p.capacity == capacity {
+		return
+	}
 	p.capacity = capacity
+	c.usage.SetLimit(p.key, capacity)
 	c.fill(p)
 }
 
@@ -130,10 +142,8 @@
 	}
 	own := float64(c.usage.Local(p.key))
 	total := max(c.usage.Reachable(p.key), 1)
-	if total <= float64(p.capacity) {
-		return p.capacity
-	}
-	return max(1, int(math.Round(float64(p.capacity)*own/total)))
+	capacity := float64(p.capacity) * c.opts.Headroom
+	return max(1, int(math.Round(capacity*min(1, own/total))))
 }
 
 // Offer decides on a new request. A refusal has been told through Decided when
@@ -142,7 +152,7 @@
 	t := &Ticket{Request: r, account: AccountKey(r.Account)}
 	p := c.pool(r.Pool)
 	p.rate.advance(c.clock.Now())
-	if r.MaxInFlight > 0 && c.usage.Total(t.account)+1 > float64(r.MaxInFlight) {
+	if r.MaxInFlight > 0 && !c.takes(t.account, r.MaxInFlight) {
 		c.refuse(p, t, Limit)
 		return t
 	}
@@ -260,10 +270,12 @@
 	return true
 }
 
-// Tick re-reads the limits after an exchange of usage and refuses at once the
-// waiting requests that can no longer make their deadlines.
+// Tick corrects the limits after an exchange of usage and refuses at once the
+// waiting requests that can no longer make their deadlines. It is called at the
+// interval of the exchange.
 func (c *Controller) Tick() {
 	now := c.clock.Now()
+	c.tickParts()
 	for _, p := range c.pools {
 		p.rate.advance(now)
 		latest := now.Add(p.service.bound())
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,14 +16,43 @@
 const (
 	// refreshed is how many items of a digest repeat settled keys, in turn, so
 	// that both sides of a flow agree also after digests that crossed.
-	refreshed = 4
+	refreshed = 2
 	// refreshScan bounds the keys that are looked at for one digest's refresh.
 	refreshScan = 64
 )
 
-// settled is the change of an estimate, in requests per entry, below which it
-// is not sent again.
-const settled = 0.01
+const (
+	// settled is the change of an estimate, as a part of the limit, below which
+	// it is not sent again.
+	settled = 0.01
+	// material is the part of a limit from which an estimate is sent at all.
+	material = 0.5
+	// recentWeight is the weight of the present estimate, each tick, in the
+	// moving mean that is compared with material: a request that is alone at
+	// one entry does not look like one at each.
+	recentWeight = 0.05
+)
+
+// ChoosePeer returns the index of the peer to send the next digest to, given
+// which peers are in other data centres: one of those half of the time, since
+// few connections join the data centres. It returns -1 without peers.
+func ChoosePeer(rng *rand.Rand, remote []bool) int {
+	want := rng.IntN(2) == 0
+	if !slices.Contains(remote, want) {
+		want = !want
+	}
+	chosen, seen := -1, 0
+	for i, r := range remote {
+		if r != want {
+			continue
+		}
+		seen++
+		if rng.IntN(seen) == 0 {
+			chosen = i
+		}
+	}
+	return chosen
+}
 
 // Key is the hash of what is counted: a pool's demand or a client account's
 // requests in flight.
@@ -44,9 +74,10 @@
 }
 
 // Usage estimates, for each key, the sum over all entries of a local count. It
-// exchanges bounded digests with a few peers by flow updating: an entry's
-// estimate of the mean is its own count less the flows to its peers, and each
-// exchange moves both sides to their average. A lost, repeated or late digest
+// exchanges bounded digests of the keys that come near their limits with a few
+// peers by flow updating: an entry's
+// estimate of the mean is its own count less the flows to its peers, and the
+// answer to a digest moves both sides to their average. A lost, repeated or late digest
 // is mended by the next one; a peer that leaves takes its flows with it. The
 // sum over a group of entries that is cut off is that group's proportional
 // part.
@@ -61,9 +92,11 @@
 
 // counter is the state of one key.
 type counter struct {
-	local int
-	net   float64 // the sum of the edges' flows
-	edges []edge
+	local  int
+	limit  float64 // 0 for none
+	recent float64 // moving mean of the estimate of the total
+	net    float64 // the sum of the edges' flows
+	edges  []edge
 }
 
 // edge is what a key has exchanged with one peer.
@@ -98,6 +131,17 @@
 // Add changes the local count of a key.
 func (u *Usage) Add(key Key, n int) { u.counter(key).local += n }
 
+// SetLimit sets the limit of a key's total; a key without one is not exchanged.
+func (u *Usage) SetLimit(key Key, limit int) { u.counter(key).limit = float64(limit) }
+
+// Tick updates the moving means; it is called at the interval of the exchange.
+func (u *Usage) Tick() {
+	for _, c := range u.keys {
+		total := c.mean() * float64(u.entries)
+		c.recent += recentWeight * (total - c.recent)
+	}
+}
+
 // Local returns the local count of a key.
 func (u *Usage) Local(key Key) int {
 	if c := u.keys[key]; c != nil {
@@ -159,7 +203,7 @@
 func (u *Usage) Digest(peer string) []Item {
 	u.changes = u.changes[:0]
 	for key, c := range u.keys {
-		if size := c.unsent(peer); size > settled {
+		if size := u.unsent(c, peer); size > settled {
 			u.changes = append(u.changes, change{key, size})
 		}
 	}
@@ -169,7 +213,7 @@
 	n := min(len(u.changes), MaxDigest-refreshed)
 	items := make([]Item, 0, MaxDigest)
 	for _, ch := range u.changes[:n] {
-		items = append(items, u.exchange(ch.key, peer))
+		items = append(items, u.keys[ch.key].item(ch.key, peer))
 	}
 	return u.refresh(items, peer)
 }
@@ -184,57 +228,74 @@
 		u.cursor = (u.cursor + 1) % len(u.order)
 		key := u.order[u.cursor]
 		c := u.keys[key]
-		if e := c.edge(peer); e != nil && e.flow != 0 && c.unsent(peer) <= settled {
-			items = append(items, u.exchange(key, peer))
+		if e := c.edge(peer); e != nil && e.flow != 0 && u.unsent(c, peer) <= settled {
+			items = append(items, c.item(key, peer))
 		}
 	}
 	return items
 }
 
 // unsent returns how far a peer's knowledge of the estimate is off, or its own
-// estimate from this one.
-func (c *counter) unsent(peer string) float64 {
+// estimate from this one, as a part of the limit. It is 0 for a key that
+// neither side finds material.
+func (u *Usage) unsent(c *counter, peer string) float64 {
+	unit := u.unit(c)
 	e := c.edge(peer)
 	if e == nil {
-		return math.Abs(c.mean())
+		e = &edge{}
+	}
+	if c.recent < material*c.limit && math.Abs(e.mean)*unit < material {
+		return 0
 	}
 	off := math.Abs(c.mean() - e.sent)
 	if e.known {
 		off = max(off, math.Abs(c.mean()-e.mean))
 	}
-	return off
+	return off * unit
 }
 
-// exchange moves a key's estimate to the average with the peer's and returns
-// the item to send.
-func (u *Usage) exchange(key Key, peer string) Item {
-	c := u.keys[key]
+// item returns a key's state with a peer, to be sent to it.
+func (c *counter) item(key Key, peer string) Item {
 	e := c.mustEdge(peer)
-	if e.known {
-		average := (c.mean() + e.mean) / 2
-		c.setFlow(e, e.flow+c.mean()-average)
-		e.mean = average
-	}
 	e.sent = c.mean()
 	return Item{Key: key, Flow: float32(e.flow), Mean: float32(e.sent)}
 }
 
-// Receive takes a peer's digest.
-func (u *Usage) Receive(peer string, items []Item) {
+// Receive takes a peer's digest, or its answer to one, and returns the answer
+// to send: the keys whose estimates it moved to the average.
+func (u *Usage) Receive(peer string, items []Item) []Item {
+	var answer []Item
 	for _, i := range items {
 		c := u.counter(i.Key)
 		e := c.mustEdge(peer)
 		c.setFlow(e, -float64(i.Flow))
 		e.mean = float64(i.Mean)
 		e.known = true
+		if math.Abs(c.mean()-e.mean)*u.unit(c) <= settled {
+			continue
+		}
+		average := (c.mean() + e.mean) / 2
+		c.setFlow(e, e.flow+c.mean()-average)
+		e.mean = average
+		answer = append(answer, c.item(i.Key, peer))
+	}
+	return answer
+}
+
+// unit turns an estimate of the mean into a part of the limit; it is 0 without
+// a limit.
+func (u *Usage) unit(c *counter) float64 {
+	if c.limit == 0 {
+		return 0
 	}
+	return float64(u.entries) / c.limit
 }
 
 // Forget drops a peer that is gone.
 func (u *Usage) Forget(peer string) {
 	for key, c := range u.keys {
 		c.net -= c.forget(peer)
-		if c.local == 0 && len(c.edges) == 0 {
+		if c.local == 0 && c.limit == 0 && len(c.edges) == 0 {
 			delete(u.keys, key)
 		}
 	}
--- a/internal/balance/node.go
+++ b/internal/balance/node.go
@@ -27,6 +27,10 @@
 const (
 	// reportAging is the time constant at which a report loses its weight.
 	reportAging = 2 * time.Second
+	// othersWeight is the weight of a new report in the mean of the others'
+	// work. It is low, since entries that all follow a report that lags make a
+	// herd.
+	othersWeight = 0.1
 	// paceAging is the time constant at which a measured pace returns to the
 	// pool's mean, so that a slow upstream is tried again.
 	paceAging = 10 * time.Second
@@ -51,7 +55,7 @@
 
 	capacity   int
 	reportedAt time.Time
-	// others is the reported work less this entry's own at that time.
+	// others is the moving mean of the reported work less this entry's own.
 	others float64
 
 	gap      float64 // mean gap between tokens in seconds, 0 for unknown
@@ -113,8 +117,12 @@
 // Reported takes a report of the upstream's load.
 func (n *Node) Reported(r Load) {
 	now := n.pool.clock.Now()
+	others := float64(max(r.Work-n.inFlight, 0))
+	if n.reportedAt.IsZero() {
+		n.others = others
+	}
+	n.others += othersWeight * (others - n.others)
 	n.reportedAt = now
-	n.others = float64(max(r.Work-n.inFlight, 0))
 	if r.Capacity != n.capacity {
 		n.pool.setCapacity(n, r.Capacity)
 	}
@@ -182,16 +190,9 @@
 	return float64(n.capacity)
 }
 
-// costAt returns the expected time of one more request, in full batches. A
-// request that makes its rank the group's busiest slows the whole group, which
-// counts once more.
+// costAt returns the expected time of one more request, in full batches.
 func (n *Node) costAt(now time.Time) float64 {
-	work := n.workAt(now) + 1
-	straggle := 0.0
-	if n.group != nil {
-		straggle = max(0, work-n.group.peak)
-	}
-	return (work + straggle) / n.slots() * n.paceAt(now)
+	return (n.workAt(now) + 1) / n.slots() * n.paceAt(now)
 }
 
 func (g *group) raise(work float64) {
@@ -212,3 +213,9 @@
 		}
 	}
 }
+
+// straggles says whether one more request would make the rank its group's
+// busiest.
+func (n *Node) straggles(now time.Time) bool {
+	return n.group != nil && n.workAt(now)+1 > n.group.peak
+}
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -69,9 +69,12 @@
 const (
 	// homeBound and homeSlack bound the load of a prefix's home: it is used
 	// while its cost is at most homeBound times that of the better of two
-	// random upstreams and homeSlack more, in full batches.
-	homeBound = 1.25
-	homeSlack = 0.25
+	// random upstreams and homeSlack more, in full batches, and not over
+	// homeFull unless it is the cheaper one. A home that would become the
+	// busiest rank of its group, and slow all of them, is not used.
+	homeBound = 1.1
+	homeSlack = 0.1
+	homeFull  = 0.8
 	// spillCost is the cost of the nearest choice, in full batches, from which
 	// other data centres are considered; spillExtra is what they must save.
 	spillCost  = 1
@@ -100,8 +103,9 @@
 	if r.Prefix == "" {
 		return near
 	}
+	limit := max(cost, min(homeBound*cost+homeSlack, homeFull))
 	for _, home := range p.preferredFor(r.Prefix) {
-		if home != nil && !r.tried(home) && home.costAt(now) <= homeBound*cost+homeSlack {
+		if home != nil && !r.tried(home) && home.costAt(now) <= limit && !home.straggles(now) {
 			return home
 		}
 	}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -44,6 +44,8 @@
 	declareSlopes,
 	declareFit,
 	declareCapacity,
+	declareOverload,
+	declareBalance,
 }
 
 // Main parses the arguments and runs the command. It returns the exit code.
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -16,7 +16,9 @@
 }
 
 // measurements are all of them.
-var measurements = []measurement{}
+var measurements = []measurement{
+	{"policy", PolicySlopes},
+}
 
 func declareSlopes(app *kingpin.Application, e env) (string, command) {
 	cmd := app.Command("slopes", "Measure, in this process, the slopes that docs/CAPACITY.md is made from.")
--- /dev/null
+++ b/internal/bench/slopes_policy.go
@@ -0,0 +1,196 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupreel/kingcupreel/internal/admission"
+	"github.com/kingcupreel/kingcupreel/internal/balance"
+	"github.com/kingcupreel/kingcupreel/internal/membership"
+)
+
+const (
+	// policyModels is the number of models that the upstreams are spread over.
+	policyModels = 28
+	// policyDataCentres is the number of data centres.
+	policyDataCentres = 11
+	// policyPicks, policyOffers and policyDigests are repeated for one figure.
+	policyPicks   = 200_000
+	policyOffers  = 100_000
+	policyDigests = 200
+)
+
+// policyFigure gives a figure at a size.
+type policyFigure struct {
+	name, unit string
+	sizes      []float64
+	at         func(size int) float64
+}
+
+var (
+	upstreamSizes = []float64{650, 1300, 2600, 5200}
+	accountSizes  = []float64{200, 400, 800, 1600}
+	entrySizes    = []float64{30, 90, 330}
+)
+
+// PolicySlopes measures the decision packages at several sizes: time per
+// decision, memory, and bytes of the usage digests.
+func PolicySlopes(context.Context) ([]Slope, error) {
+	list := []policyFigure{
+		{"balance.pick by upstreams", "ns", upstreamSizes, pickTime},
+		{"membership.subset by upstreams", "ns", upstreamSizes, subsetTime},
+		{"balance.memory by upstreams", "bytes", upstreamSizes, poolMemory},
+		{"admission.offer by accounts", "ns", accountSizes, offerTime},
+		{"admission.digest by accounts", "ns", accountSizes, digestTime},
+		{"admission.memory by accounts", "bytes", accountSizes, usageMemory},
+		{"usage bytes out of an entry by entries", "bytes/s", entrySizes, usageOut},
+		{"usage bytes into the busiest entry by entries", "bytes/s", entrySizes, usageIn},
+	}
+	var slopes []Slope
+	for _, m := range list {
+		var values []float64
+		for _, size := range m.sizes {
+			values = append(values, m.at(int(size)))
+		}
+		s, err := Fit(m.name, m.unit, m.sizes, values)
+		if err != nil {
+			return nil, err
+		}
+		slopes = append(slopes, s)
+	}
+	return slopes, nil
+}
+
+// policyTable is what an entry holds at a size: its part of every pool.
+type policyTable struct {
+	members []membership.PoolMember
+	pools   []*balance.Pool
+}
+
+func newMembers(upstreams int) []membership.PoolMember {
+	var members []membership.PoolMember
+	for i := range upstreams {
+		members = append(members, membership.PoolMember{
+			Name: fmt.Sprintf("upstream-%d", i), DataCentre: fmt.Sprintf("dc%d", i/policyModels%policyDataCentres),
+			Pool: fmt.Sprint(i % policyModels),
+		})
+	}
+	return members
+}
+
+func newPolicyTable(upstreams int) *policyTable {
+	t := &policyTable{members: newMembers(upstreams)}
+	chosen := membership.Subset(t.members, "entry", policyDataCentre)
+	pools := map[string]*balance.Pool{}
+	for _, m := range t.members {
+		if !chosen[m.Name] {
+			continue
+		}
+		p := pools[m.Pool]
+		if p == nil {
+			p = balance.NewPool(clockwork.NewRealClock(), rand.New(rand.NewPCG(1, 2)), policyDataCentre)
+			pools[m.Pool] = p
+			t.pools = append(t.pools, p)
+		}
+		n := p.Add(balance.Upstream{Name: m.Name, DataCentre: m.DataCentre})
+		n.SetUsable(true)
+		n.Reported(balance.Load{Work: len(m.Name), Capacity: 64})
+	}
+	return t
+}
+
+// per returns the time of one of n calls of f, in nanoseconds.
+func per(n int, f func(i int)) float64 {
+	start := time.Now()
+	for i := range n {
+		f(i)
+	}
+	return float64(time.Since(start)) / float64(n)
+}
+
+func pickTime(upstreams int) float64 {
+	t := newPolicyTable(upstreams)
+	prefixes := make([]string, 1000)
+	for i := range prefixes {
+		prefixes[i] = fmt.Sprintf("prefix-%d", i)
+	}
+	return per(policyPicks, func(i int) {
+		p := t.pools[i%len(t.pools)]
+		balance.LeastWork{}.Pick(p, balance.Request{Prefix: prefixes[i%len(prefixes)]})
+	})
+}
+
+func subsetTime(upstreams int) float64 {
+	members := newMembers(upstreams)
+	return per(20, func(int) { membership.Subset(members, "entry", policyDataCentre) })
+}
+
+// heapOf returns the memory that f's value holds, in bytes.
+func heapOf[T any](f func() T) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := f()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+func poolMemory(upstreams int) float64 {
+	return heapOf(func() []*balance.Pool { return newPolicyTable(upstreams).pools })
+}
+
+// newPolicyUsage returns the usage of accounts near their limits, after an
+// exchange with a few peers.
+func newPolicyUsage(accounts int) *admission.Usage {
+	u := admission.NewUsage()
+	u.SetEntries(330, 330)
+	for i := range accounts {
+		key := admission.AccountKey(fmt.Sprintf("account-%d", i))
+		u.SetLimit(key, 330)
+		u.Add(key, 1+i%3)
+		for p := range 9 {
+			u.Receive(fmt.Sprintf("peer-%d", p), []admission.Item{{Key: key, Mean: 1}})
+		}
+	}
+	for range 50 {
+		u.Tick()
+	}
+	return u
+}
+
+func offerTime(accounts int) float64 {
+	u := newPolicyUsage(accounts)
+	c := admission.NewController(clockwork.NewRealClock(), rand.New(rand.NewPCG(1, 2)), u, admission.Options{})
+	names := make([]string, accounts)
+	for i := range names {
+		names[i] = fmt.Sprintf("account-%d", i)
+	}
+	c.SetCapacity(policyPool, 1000)
+	return per(policyOffers, func(i int) {
+		t := c.Offer(admission.Request{
+			Pool: policyPool, Account: names[i%accounts], Priority: i % 10, MaxInFlight: 3300,
+			Decided: func(admission.Decision) {},
+		})
+		c.Done(t, true)
+	})
+}
+
+func digestTime(accounts int) float64 {
+	u := newPolicyUsage(accounts)
+	return per(policyDigests, func(i int) { u.Digest(fmt.Sprintf("peer-%d", i%9)) })
+}
+
+func usageMemory(accounts int) float64 {
+	return heapOf(func() *admission.Usage { return newPolicyUsage(accounts) })
+}
+
+func usageOut(entries int) float64 { return RunLimit(1, entries, entries, 1000).OutBytesPerS }
+
+func usageIn(entries int) float64 { return RunLimit(1, entries, entries, 1000).MaxInBytesPerS }
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -83,7 +83,7 @@
 	return m
 }
 
-// usageReceived takes a peer's digest.
+// usageReceived takes a peer's digest and answers it.
 func (e *Entry) usageReceived(c *wire.Conn, m wire.Message) {
 	digest, ok := m.(*wire.UsageDigest)
 	peer := c.Peer().Incarnation
@@ -96,7 +96,9 @@
 	}
 	e.admitter.mu.Lock()
 	defer e.admitter.mu.Unlock()
-	e.admitter.usage.Receive(peer, items)
+	if answer := e.admitter.usage.Receive(peer, items); len(answer) > 0 {
+		_ = c.Send(digestMessage(answer))
+	}
 }
 
 // tickPools ejects silent upstreams and brings admission up to date.
@@ -113,6 +115,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.usage.SetEntries(all, reachable)
+	a.usage.Tick()
 	a.controller.Tick()
 }
 
