--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/provider"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -20,10 +21,12 @@
 	// DefaultStallTimeout and DefaultOrphanTimeout are the defaults of Options.
 	DefaultStallTimeout  = 10 * time.Second
 	DefaultOrphanTimeout = 10 * time.Second
-	// loadInterval is how often the agent reports its engine's load, and
+	// loadInterval is how often the agent asks its engine for the load, and
 	// loadTimeout bounds the engine's answer.
 	loadInterval = 500 * time.Millisecond
 	loadTimeout  = 2 * time.Second
+	// loadRepeat is after how many unchanged answers the load is reported again.
+	loadRepeat = 10
 )
 
 // Options are what an agent is built from.
@@ -66,6 +69,7 @@
 type Agent struct {
 	opts     Options
 	upstream *upstream
+	config   *provider.Learner
 	journal  *journal
 	queue    chan *run
 
@@ -86,6 +90,7 @@
 		opts:     opts,
 		upstream: newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
 		journal:  newJournal(journalLimit),
+		config:   provider.NewLearner(opts.Store, opts.Hello.Upstream, opts.Clock),
 		queue:    make(chan *run, 2*opts.Workers),
 		conns:    map[*wire.Conn]wire.Hello{},
 		runs:     map[wire.AttemptID]*run{},
@@ -147,12 +152,12 @@
 		a.dispatch(c, m)
 	case *wire.Cancel:
 		a.cancel(c, m)
+	case *wire.ConfigState, *wire.ConfigUpdate:
+		a.config.Receive(c, m)
 	case *wire.Attach:
 		a.attach(c, m)
 	case *wire.Release:
 		a.release(m)
-	case *wire.ConfigSnapshot:
-		a.opts.Store.Apply(m.Revision, recordsOf(m))
 	case *wire.EventsRequest:
 		_ = c.Send(&wire.EventsReply{Nonce: m.Nonce, Events: a.opts.Events.Events()})
 	default:
@@ -160,14 +165,6 @@
 	}
 }
 
-func recordsOf(m *wire.ConfigSnapshot) []config.Record {
-	records := make([]config.Record, 0, len(m.Records))
-	for _, r := range m.Records {
-		records = append(records, config.Record(r))
-	}
-	return records
-}
-
 // connected takes a connection's Hello; a second one ends the connection.
 func (a *Agent) connected(c *wire.Conn, hello wire.Hello) {
 	a.mu.Lock()
@@ -199,12 +196,15 @@
 	}
 }
 
-// reportLoad sends the engine's load to every entry, and gives up its
-// attempts when the engine stays silent.
+// reportLoad sends the engine's load to every entry when it has changed, and
+// now and then when it hasn't, and gives up its attempts when the engine stays
+// silent.
 func (a *Agent) reportLoad(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	heard := a.opts.Clock.Now()
+	var last wire.Load
+	unchanged := loadRepeat
 	for {
 		select {
 		case <-ctx.Done():
@@ -220,7 +220,11 @@
 		case err == nil:
 			heard = a.opts.Clock.Now()
 			a.keepLoad(&load)
-			a.broadcast(&load)
+			unchanged++
+			if load != last || unchanged >= loadRepeat {
+				a.broadcast(&load)
+				last, unchanged = load, 0
+			}
 		case a.opts.Clock.Since(heard) >= a.opts.StallTimeout:
 			a.giveUpStalled()
 		}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -35,6 +35,7 @@
 	leaving bool
 	// listLeaving says that the VM list shows the upstream's VM as leaving.
 	listLeaving bool
+	drained     bool
 	inFlight    int
 	boxes       map[wire.AttemptID]*mailbox
 }
@@ -99,7 +100,7 @@
 		l.hello.Revision = m.Revision
 		l.mu.Unlock()
 	case *wire.EventsReply:
-		l.entry.gathered(m)
+		l.entry.gathered(m.Nonce, m)
 	case *wire.Verdict, *wire.Accepted, *wire.Refused, *wire.Head, *wire.Chunk, *wire.Done:
 		l.deliver(c, m)
 	default:
@@ -161,10 +162,16 @@
 	l.update()
 	l.mu.Unlock()
 	l.entry.event(timeline.Event{Kind: timeline.Connected, Object: l.upstream.Name})
-	_ = c.Send(l.entry.snapshotMessage())
 	l.tell(&linkBack{incarnation: hello.Incarnation})
 }
 
+// behind says whether the connected agent has a lower revision in force.
+func (l *link) behind(revision int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil && l.hello.Revision < revision
+}
+
 // tell puts a message into every attempt's mailbox.
 func (l *link) tell(m wire.Message) {
 	l.mu.Lock()
@@ -255,12 +262,22 @@
 
 // takesWork says whether the upstream can be given an attempt. The caller holds
 // mu.
-func (l *link) takesWork() bool { return l.conn != nil && !l.leaving && !l.listLeaving }
+func (l *link) takesWork() bool {
+	return l.conn != nil && !l.leaving && !l.listLeaving && !l.drained
+}
 
 // update tells the balance state whether the upstream can take work. The caller
 // holds mu.
 func (l *link) update() { l.member.setUsable(l.takesWork()) }
 
+// setDrained notes whether the operators' record drains the upstream.
+func (l *link) setDrained(drained bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drained = drained
+	l.update()
+}
+
 // listed notes what the VM list says of the upstream's VM.
 func (l *link) listed(leaving bool) {
 	l.mu.Lock()
--- a/internal/entry/linktable.go
+++ b/internal/entry/linktable.go
@@ -32,7 +32,7 @@
 	defer t.mu.Unlock()
 	for name, l := range t.links {
 		u := s.Upstreams[name]
-		if !wanted[name] || *u != *l.upstream || l.member.pool.name != poolOf(s, u) {
+		if !wanted[name] || !u.SameEndpoint(l.upstream) || l.member.pool.name != poolOf(s, u) {
 			l.stop()
 			l.member.leave()
 			delete(t.links, name)
@@ -42,6 +42,7 @@
 		if t.links[name] == nil {
 			t.start(ctx, e, s.Upstreams[name], poolOf(s, s.Upstreams[name]))
 		}
+		t.links[name].setDrained(s.Upstreams[name].Drain)
 	}
 	for name, p := range t.pools {
 		p.setConfigured(sizes[name])
--- /dev/null
+++ b/internal/membership/change_test.go
@@ -0,0 +1,69 @@
+package membership
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+)
+
+// A view that takes another's changes, from whatever list it has, ends with the
+// same list.
+func TestChangesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var source, copied View
+		ids := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		states := rapid.SampledFrom([]platform.VMState{platform.VMLive, platform.VMLeaving})
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			source.Set(rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) platform.VM {
+				return platform.VM{ID: ids.Draw(t, "id"), State: states.Draw(t, "state")}
+			}), 0, 4, func(vm platform.VM) string { return vm.ID }).Draw(t, "list"))
+			if !rapid.Bool().Draw(t, "pull") {
+				continue
+			}
+			if !copied.Apply(source.Since(copied.Hash())) || copied.Hash() != source.Hash() {
+				t.Fatalf("%v became %v", source.All(), copied.All())
+			}
+		}
+	})
+}
+
+func TestApplyRefusesAGap(t *testing.T) {
+	var v View
+	v.Set([]platform.VM{{ID: "a"}})
+	if v.Apply(Change{From: 1, To: 2, Changed: []platform.VM{{ID: "b"}}}) {
+		t.Fatal("a change of another list was applied")
+	}
+}
+
+func TestDutyFollowsTheView(t *testing.T) {
+	var v View
+	duties := map[string]*Duty{}
+	var vms []platform.VM
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		duties[id] = NewDuty(&v, id, "dc1")
+		vms = append(vms, platform.VM{ID: id, DataCentre: "dc1", Role: RoleEntry, State: platform.VMLive})
+	}
+	if !duties["a"].Watches() || !duties["a"].ReadsVMs() {
+		t.Fatal("an entry that no list shows has to look after itself")
+	}
+	for len(vms) > 0 {
+		v.Set(vms)
+		watchers, readers := 0, 0
+		gone := -1
+		for i, vm := range vms {
+			if duties[vm.ID].Watches() {
+				watchers++
+			}
+			if duties[vm.ID].ReadsVMs() {
+				readers++
+				gone = i
+			}
+		}
+		if watchers != min(len(vms), WatchersPerDataCentre) || readers != 1 {
+			t.Fatalf("of %d entries %d watch and %d read the VM list", len(vms), watchers, readers)
+		}
+		vms = append(vms[:gone:gone], vms[gone+1:]...)
+	}
+}
