Slow the heartbeat of idle links, and report the load by steps

Cause: an entry at the target size has up to 16 links for each of 28 models, 448; at one ping a second each way and a report on every change of the load they cost more than 3 KB/s and 3% of a core, although a few dozen of them are in use at a time. The unchanged load was repeated every 5 s, the very time after which the balance ejects a silent upstream: a steady one was at risk. Ruled out: fewer links (8 near and 2 far of a pool left 1 of 180 upstreams without any entry in TestSubsetIsBoundedAndEven); a slower heartbeat for all, which would delay the notice of a dead connection in use. Change: a link without a frame of a request for 5 s has a heartbeat and a silence bound four times as long; both sides see the same frames, and the first frame of a request brings the quick bound back at once.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,12 +23,6 @@
 	// DefaultStallTimeout and DefaultOrphanTimeout are the defaults of Options.
 	DefaultStallTimeout  = 10 * time.Second
 	DefaultOrphanTimeout = 10 * time.Second
-	// loadInterval is how often the agent asks its engine for the load, and
-	// loadTimeout bounds the engine's answer.
-	loadInterval = 500 * time.Millisecond
-	loadTimeout  = 2 * time.Second
-	// loadRepeat is after how many unchanged answers the load is reported again.
-	loadRepeat = 10
 )
 
 // Options are what an agent is built from.
@@ -95,6 +89,7 @@
 // New returns an agent.
 func New(opts Options) *Agent {
 	opts = opts.withDefaults()
+	opts.Wire.IdleFactor = wire.IdleFactor
 	a := &Agent{
 		opts:       opts,
 		upstream:   newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
@@ -215,48 +210,6 @@
 	}
 }
 
-// reportLoad sends the engine's load to every entry when it has changed, and
-// now and then when it hasn't, and gives up its attempts when the engine stays
-// silent.
-func (a *Agent) reportLoad(ctx context.Context) {
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
-	heard := a.opts.Clock.Now()
-	var last wire.Load
-	unchanged := loadRepeat
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-a.configured:
-		}
-		if !a.servesModel() {
-			continue
-		}
-		load, err := a.upstream.load(ctx)
-		switch {
-		case err == nil:
-			heard = a.opts.Clock.Now()
-			a.keepLoad(&load)
-			unchanged++
-			if load != last || unchanged >= loadRepeat {
-				a.broadcast(&load)
-				last, unchanged = load, 0
-			}
-		case a.opts.Clock.Since(heard) >= a.opts.StallTimeout:
-			a.giveUpStalled()
-		}
-	}
-}
-
-// keepLoad remembers a report for entries that connect before the next one.
-func (a *Agent) keepLoad(load *wire.Load) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.load = load
-}
-
 // servesModel says whether the upstream's record names a model group: only
 // engines are asked for their load.
 func (a *Agent) servesModel() bool {
--- /dev/null
+++ b/internal/agent/load_test.go
@@ -0,0 +1,27 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+func TestLoadReports(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	var r loadReports
+	load := wire.Load{Running: 8, Capacity: 32}
+	g.Expect(r.due(load, start)).To(BeTrue(), "the first")
+	g.Expect(r.due(load, start.Add(time.Second))).To(BeFalse(), "unchanged")
+	load.Running = 11
+	g.Expect(r.due(load, start.Add(time.Second))).To(BeFalse(), "a small change")
+	g.Expect(r.due(load, start.Add(loadRepeat))).To(BeTrue(), "after the longest time")
+	load.Queued = 4
+	g.Expect(r.due(load, start.Add(loadRepeat+time.Second))).To(BeTrue(), "an eighth of the capacity")
+	load.Silent = true
+	g.Expect(r.due(load, start.Add(loadRepeat+time.Second))).To(BeTrue(), "an engine that fell silent")
+	g.Expect(r.due(load, start.Add(loadRepeat+2*time.Second))).To(BeFalse(), "still silent")
+}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -181,16 +181,22 @@
 
 	It("ejects an upstream that alone stops reporting", func() {
 		p, nodes, clock := newTestPool(4, 0, 8)
-		clock.Advance(silenceLimit + time.Second)
+		clock.Advance(reportLimit + time.Second)
 		for _, n := range nodes[1:] {
 			n.Reported(Load{Capacity: 8})
 		}
 		Expect(p.Tick()).To(Equal([]string{"u0"}))
 	})
 
+	It("ejects an upstream whose engine alone doesn't answer", func() {
+		p, nodes, _ := newTestPool(4, 0, 8)
+		nodes[2].Reported(Load{Capacity: 8, Silent: true})
+		Expect(p.Tick()).To(Equal([]string{"u2"}))
+	})
+
 	It("ejects none when most stop reporting", func() {
 		p, nodes, clock := newTestPool(4, 0, 8)
-		clock.Advance(silenceLimit + time.Second)
+		clock.Advance(reportLimit + time.Second)
 		nodes[0].Reported(Load{Capacity: 8})
 		Expect(p.Tick()).To(BeEmpty())
 	})
--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -5,9 +5,11 @@
 const (
 	// maxFailures is the number of consecutive failures that ejects.
 	maxFailures = 5
-	// silenceLimit is how long an upstream may neither report nor make progress
-	// while most others do.
+	// silenceLimit is how long an upstream that never reports may make no
+	// progress, and reportLimit how long one that does may not report, while most
+	// others do.
 	silenceLimit = 5 * time.Second
+	reportLimit  = 3 * reportAging
 	// slowFactor and slowGaps eject an upstream whose gaps between tokens are
 	// this many times the pool's mean, over so many gaps.
 	slowFactor = 4
@@ -67,10 +69,10 @@
 	return ejected
 }
 
-// silentAt says whether an upstream that reported before has stopped, or one
-// with work in flight has made no progress.
+// silentAt says whether an upstream's engine is reported as silent, one that
+// reported before has stopped, or one with work in flight has made no progress.
 func (n *Node) silentAt(now time.Time) bool {
-	if !n.reportedAt.IsZero() && now.Sub(n.reportedAt) > silenceLimit {
+	if n.silent || !n.reportedAt.IsZero() && now.Sub(n.reportedAt) > reportLimit {
 		return true
 	}
 	return n.inFlight > 0 && now.Sub(n.progress) > silenceLimit && n.reportedAt.IsZero()
--- a/internal/balance/node.go
+++ b/internal/balance/node.go
@@ -22,11 +22,14 @@
 	Work int
 	// Capacity is the number of requests that run at once; 0 means unknown.
 	Capacity int
+	// Silent says that the engine doesn't answer.
+	Silent bool
 }
 
 const (
-	// reportAging is the time constant at which a report loses its weight.
-	reportAging = 2 * time.Second
+	// reportAging is the time constant at which a report loses its weight; an
+	// unchanged load is reported again in that time.
+	reportAging = 4 * time.Second
 	// othersWeight is the weight of a new report in the mean of the others'
 	// work. It is low, since entries that all follow a report that lags make a
 	// herd.
@@ -55,6 +58,7 @@
 
 	capacity   int
 	reportedAt time.Time
+	silent     bool
 	// others is the moving mean of the reported work less this entry's own.
 	others float64
 
@@ -123,6 +127,7 @@
 	}
 	n.others += othersWeight * (others - n.others)
 	n.reportedAt = now
+	n.silent = r.Silent
 	if r.Capacity != n.capacity {
 		n.pool.setCapacity(n, r.Capacity)
 	}
--- a/internal/bench/upstreams.go
+++ b/internal/bench/upstreams.go
@@ -27,6 +27,9 @@
 	// hostedEvents and hostedWorkers keep many agents in one process small.
 	hostedEvents  = 64
 	hostedWorkers = 4
+	// hostedPool is the number of upstreams of each hosted model: an entry links
+	// to all of so few.
+	hostedPool = 10
 )
 
 // hostOptions are the flags of the upstreams command.
@@ -66,6 +69,7 @@
 		if err != nil {
 			return err
 		}
+		u.Group = hostedGroup(n)
 		objects = append(objects, u)
 	}
 	kv := kvhttp.New(o.platform, kvhttp.DefaultTimeout)
@@ -93,7 +97,7 @@
 // baseRecords are the records beside the hosted upstreams'.
 func (o hostOptions) baseRecords() []config.Object {
 	objects := []config.Object{
-		&config.ModelGroup{Name: "g", Model: "m", Ranks: max(1, min(o.count, config.MaxRanks))},
+		&config.ModelGroup{Name: "g", Model: "m", Ranks: hostedPool},
 		&config.PlainService{Name: "s", NonIdempotent: []config.CallPattern{{Method: "POST", PathPrefix: "/once"}}},
 		&config.Operator{Name: "op", TokenSHA256: []string{config.HashToken("operator")}},
 	}
@@ -101,6 +105,9 @@
 		name := fmt.Sprintf("account-%d", n)
 		objects = append(objects, &config.ClientAccount{Name: name, TokenSHA256: []string{config.HashToken(name)}, Priority: 5})
 	}
+	for n := hostedPool; n < o.count; n += hostedPool {
+		objects = append(objects, &config.ModelGroup{Name: hostedGroup(n), Model: "m-" + hostedGroup(n), Ranks: hostedPool})
+	}
 	if o.agent != "" {
 		objects = append(objects, &config.Upstream{Name: "u", VM: "vm-u", DataCentre: "dc1", Address: o.agent, Group: "g"})
 	}
@@ -110,6 +117,15 @@
 	return objects
 }
 
+// hostedGroup returns the model group of the n-th hosted upstream; the first one
+// serves model m.
+func hostedGroup(n int) string {
+	if n < hostedPool {
+		return "g"
+	}
+	return fmt.Sprintf("g%d", n/hostedPool)
+}
+
 // hostUpstream starts an engine and its agent and returns their record.
 func hostUpstream(ctx context.Context, name string, tokenTime time.Duration) (*config.Upstream, error) {
 	engineListener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -132,5 +148,5 @@
 		Log:     zap.NewNop(),
 	})
 	go func() { _ = a.Serve(ctx, inner) }()
-	return &config.Upstream{Name: name, VM: "vm-" + name, DataCentre: "dc1", Address: inner.Addr().String(), Group: "g"}, nil
+	return &config.Upstream{Name: name, VM: "vm-" + name, DataCentre: "dc1", Address: inner.Addr().String()}, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,6 +85,14 @@
 	return e
 }
 
+// agentWire returns the options of connections to agents: there are many, and
+// few are in use at a time.
+func (e *Entry) agentWire() wire.Options {
+	o := e.opts.Wire
+	o.IdleFactor = wire.IdleFactor
+	return o
+}
+
 // PeerHandler returns the handler of the other entries' messages.
 func (e *Entry) PeerHandler() wire.Handler { return &e.peerMux }
 
--- a/internal/entry/gather.go
+++ b/internal/entry/gather.go
@@ -105,7 +105,7 @@
 		if err != nil {
 			return nil, fault.Wrap(fault.Unavailable, err, "check the VM and the path to it", "%s takes no connection", t.name)
 		}
-		c = wire.NewConn(nc, &e.inquiryMux, e.opts.Wire)
+		c = wire.NewConn(nc, &e.inquiryMux, e.agentWire())
 		_ = c.Send(e.inquiryHello())
 		go func() { _ = c.Run(ctx) }()
 		defer c.Close()
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -71,7 +71,7 @@
 		}
 		return false
 	}
-	c := wire.NewConn(nc, l, l.entry.opts.Wire)
+	c := wire.NewConn(nc, l, l.entry.agentWire())
 	_ = c.Send(l.entry.Hello())
 	err = c.Run(ctx)
 	l.disconnected(c, err)
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -137,7 +137,7 @@
 
 func (m *member) reported(load *wire.Load) {
 	m.do(func(n *balance.Node) {
-		n.Reported(balance.Load{Work: load.Running + load.Queued, Capacity: load.Capacity})
+		n.Reported(balance.Load{Work: load.Running + load.Queued, Capacity: load.Capacity, Silent: load.Silent})
 	})
 }
 
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,9 @@
 	// Silence is how long the peer may be silent before the connection is
 	// closed.
 	Silence time.Duration
+	// IdleFactor makes heartbeat and silence that many times longer while no
+	// request uses the connection; both sides need the same. 0 means 1.
+	IdleFactor int
 	// Queue is the number of messages that may wait to be sent.
 	Queue int
 	// Meter counts the connection's traffic; nil counts nothing.
@@ -88,6 +92,7 @@
 	once    sync.Once
 	cause   error
 	peer    atomic.Pointer[Hello]
+	active  *activity
 }
 
 // NewConn wraps an established network connection.
@@ -99,6 +104,7 @@
 		handler: handler,
 		queue:   newSendQueue(opts.Queue),
 		closed:  make(chan struct{}),
+		active:  newActivity(opts, time.Now()),
 	}
 }
 
@@ -157,7 +163,7 @@
 }
 
 func (c *Conn) readLoop() error {
-	r := bufio.NewReaderSize(silenceReader{c.nc, c.opts.Silence}, bufferSize)
+	r := bufio.NewReaderSize(silenceReader{c}, bufferSize)
 	for {
 		m, size, err := readFrame(r)
 		if errors.Is(err, errUnknownKind) {
@@ -167,6 +173,7 @@
 			return silenceError(err, c.opts.Silence)
 		}
 		c.opts.Meter.in(m.Kind(), size)
+		c.worked(m)
 		stampIn(c.opts.Clock, m)
 		switch m := m.(type) {
 		case *Ping:
@@ -179,19 +186,35 @@
 	}
 }
 
+// worked notes a frame of a request. It bounds a read that waits on an idle
+// connection anew, since the peer now owes the quick heartbeat.
+func (c *Conn) worked(m Message) {
+	now := time.Now()
+	if isWork(m.Kind()) && c.active.worked(now) {
+		_ = c.nc.SetReadDeadline(c.active.deadline(now))
+	}
+}
+
 // silenceReader bounds the wait for the peer's next bytes, so that a large frame
 // may take longer than the bound as long as it moves.
-type silenceReader struct {
-	nc      net.Conn
-	silence time.Duration
-}
+type silenceReader struct{ c *Conn }
 
 // Read implements io.Reader.
 func (r silenceReader) Read(p []byte) (int, error) {
-	if err := r.nc.SetReadDeadline(time.Now().Add(r.silence)); err != nil {
-		return 0, err
+	for {
+		deadline := r.c.active.deadline(time.Now())
+		if err := r.c.nc.SetReadDeadline(deadline); err != nil {
+			return 0, err
+		}
+		n, err := r.c.nc.Read(p)
+		now := time.Now()
+		if n > 0 {
+			r.c.active.hear(now)
+		}
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !now.Before(r.c.active.deadline(now)) {
+			return n, err
+		}
 	}
-	return r.nc.Read(p)
 }
 
 func silenceError(err error, silence time.Duration) error {
@@ -208,7 +231,6 @@
 	w := bufio.NewWriterSize(c.nc, bufferSize)
 	ticker := time.NewTicker(c.opts.Heartbeat)
 	defer ticker.Stop()
-	sent := false
 	var batch []Message
 	for {
 		select {
@@ -216,18 +238,20 @@
 			return
 		case <-c.queue.wake:
 			batch = c.queue.take(batch[:0])
-			sent = true
 		case <-ticker.C:
 			batch = batch[:0]
-			if !sent {
+			if c.active.pingDue(time.Now()) {
 				batch = append(batch, &Ping{})
 			}
-			sent = false
+		}
+		if len(batch) == 0 {
+			continue
 		}
 		if err := c.write(w, batch); err != nil {
 			c.close(err)
 			return
 		}
+		c.active.send(time.Now())
 		clear(batch)
 	}
 }
@@ -248,6 +272,7 @@
 			return err
 		}
 		c.opts.Meter.out(m.Kind(), len(buf))
+		c.worked(m)
 		if err := c.nc.SetWriteDeadline(time.Now().Add(c.opts.Silence)); err != nil {
 			return err
 		}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -201,6 +201,8 @@
 	Running  int
 	Queued   int
 	Capacity int
+	// Silent says that the engine doesn't answer; the rest is then its last word.
+	Silent bool
 }
 
 // Leaving says that the sender takes no new work.
--- a/internal/wire/meter.go
+++ b/internal/wire/meter.go
@@ -25,7 +25,8 @@
 
 // isWork says whether a kind belongs to a request rather than to control.
 func isWork(k Kind) bool {
-	return k >= KindDispatch && k <= KindVerdict || k == KindAttach || k == KindRelease
+	return k >= KindDispatch && k <= KindVerdict || k == KindAttach || k == KindRelease ||
+		k == KindCallQuery || k == KindCallStatus
 }
 
 func (m *Meter) in(k Kind, bytes int) {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -37,6 +37,8 @@
 connected() {
   "$bin/kingcupreel-bench" await --ops "http://$(address "$1" ops)" --token operator --connected "$2"
 }
+# settle: lets the start's configuration traffic pass before a sample at rest.
+settle() { sleep 10; }
 sample() {
   "$bin/kingcupreel-bench" sample --ops "http://$(address "$1" ops)" --name "$2" --size "$3" --duration 10s
 }
@@ -51,6 +53,7 @@
     start upstreams kingcupreel-bench upstreams --platform "$platform" --count "$n"
     entry 1
     connected entry1 "$n"
+    settle
     sample entry1 entry-links "$n"
     stop_all
   done
@@ -62,6 +65,7 @@
     start upstreams kingcupreel-bench upstreams --platform "$platform" --count 10 --accounts "$n"
     entry 1
     connected entry1 10
+    settle
     sample entry1 entry-accounts "$n"
     stop_all
   done
@@ -81,6 +85,7 @@
     one_upstream
     for i in $(seq "$n"); do entry "$i"; done
     for i in $(seq "$n"); do connected "entry$i" 1; done
+    settle
     sample agent agent-links "$n"
     stop_all
   done
@@ -92,6 +97,7 @@
     one_upstream
     for i in $(seq "$n"); do entry "$i"; listed "$i"; done
     for i in $(seq "$n"); do connected "entry$i" 1; done
+    settle
     sample entry1 entry-peers "$n" &
     local sampling=$!
     "$bin/kingcupreel-bench" calls --platform "$platform" --name kv-entries --size "$n" --duration 10s
@@ -107,6 +113,7 @@
     entry 1
     listed 1
     connected entry1 "$n"
+    settle
     "$bin/kingcupreel-bench" calls --platform "$platform" --name kv-agents --size "$n" --duration 10s
     stop_all
   done
