--- a/test/scenario/flow_test.go
+++ b/test/scenario/flow_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +24,8 @@
 	flowTokens = 40
 	// flowTimeout is the Request-Timeout of a flow's requests, in seconds.
 	flowTimeout = "60"
+	// flowStagger is the time between the starts of two callers.
+	flowStagger = 130 * time.Millisecond
 	// disturbPause is the mean time between two disturbances.
 	disturbPause = 700 * time.Millisecond
 )
@@ -52,6 +55,7 @@
 	var wg sync.WaitGroup
 	for c := range callers {
 		wg.Go(func() {
+			time.Sleep(time.Duration(c) * flowStagger)
 			for n := range requests {
 				f.request(args[3:], fmt.Sprintf("flow-%d-%d", c, n), c+n)
 			}
@@ -189,3 +193,34 @@
 	ts.Check(err)
 	resp.Body.Close()
 }
+
+// checkStamp prints the time.
+func checkStamp([]string) error {
+	fmt.Println(time.Now().Format(time.RFC3339Nano))
+	return nil
+}
+
+// checkNewest is "check newest FILE ENGINE": it prints how long after the stamp
+// in the file the engine's newest run started.
+func checkNewest(args []string) error {
+	data, err := os.ReadFile(args[0])
+	if err != nil {
+		return err
+	}
+	stamp, err := time.Parse(time.RFC3339Nano, strings.TrimSpace(string(data)))
+	if err != nil {
+		return err
+	}
+	var runs []engine.Run
+	if err := fetch(args[1]+"/admin/runs", &runs); err != nil {
+		return err
+	}
+	newest := time.Time{}
+	for _, r := range runs {
+		if r.Started.After(newest) {
+			newest = r.Started
+		}
+	}
+	fmt.Printf("newest=%v\n", newest.Sub(stamp).Round(time.Millisecond))
+	return nil
+}
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -61,6 +61,8 @@
 	{"answer", checkAnswer},
 	{"garbage", checkGarbage},
 	{"flow", checkFlow},
+	{"stamp", checkStamp},
+	{"newest", checkNewest},
 	{"tokens", checkTokens},
 	{"prompt", checkPrompt},
 	{"idle", checkIdle},
