Let a stopping agent finish calls that must not run twice

Cause: what outlasted the drain timeout was cancelled, whatever it was; a non-idempotent call can't go on elsewhere, so its caller was told unknown by a planned stop. Now the agent waits for such calls, to their callers' deadlines.

leaving-once before: status=502 outcome=unknown.

--- a/internal/agent/leave.go
+++ b/internal/agent/leave.go
@@ -20,7 +20,8 @@
 // Leave refuses new work, tells every entry, and waits until the work in
 // flight has ended and the entries have it. What is left when ctx is done is
 // handed on: waiting and running attempts end with an error that lets the
-// entry go on elsewhere.
+// entry go on elsewhere. A call that must not run twice can't be handed on, so
+// Leave waits for it; its caller's deadline bounds that.
 func (a *Agent) Leave(ctx context.Context) error {
 	a.mu.Lock()
 	a.leaving = true
@@ -37,7 +38,13 @@
 		return nil
 	case <-ctx.Done():
 	}
-	a.handOn()
+	for a.handOn() {
+		select {
+		case <-ended:
+			return nil
+		case <-a.opts.Clock.After(handOnTimeout):
+		}
+	}
 	select {
 	case <-ended:
 		return nil
@@ -46,20 +53,26 @@
 	}
 }
 
-// handOn ends every attempt so that its entry can go on elsewhere.
-func (a *Agent) handOn() {
+// handOn ends every attempt that may go on elsewhere, and says whether a call
+// that must not run twice still runs.
+func (a *Agent) handOn() bool {
 	a.mu.Lock()
 	runs := make([]*run, 0, len(a.runs))
 	for _, r := range a.runs {
 		runs = append(runs, r)
 	}
 	a.mu.Unlock()
+	stays := false
 	for _, r := range runs {
-		if r.withdraw() {
+		switch {
+		case r.withdraw():
 			a.journal.set(r.dispatch.ID, wire.NeverRun)
 			a.end(r, outcome.NotRun, errHandOn)
-			continue
+		case !r.dispatch.NonIdempotent:
+			r.cancel(errHandOn)
+		case r.runs():
+			stays = true
 		}
-		r.cancel(errHandOn)
 	}
+	return stays
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -73,6 +73,13 @@
 	return true
 }
 
+// runs says whether the upstream has the run.
+func (r *run) runs() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.phase == running
+}
+
 // withdraw ends a waiting run before the upstream has it; false means that it
 // is too late.
 func (r *run) withdraw() bool {
