--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/claim"
 	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/provider"
 	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
@@ -22,10 +23,12 @@
 	// DefaultStallTimeout and DefaultOrphanTimeout are the defaults of Options.
 	DefaultStallTimeout  = 10 * time.Second
 	DefaultOrphanTimeout = 10 * time.Second
-	// loadInterval is how often the agent reports its engine's load, and
+	// loadInterval is how often the agent asks its engine for the load, and
 	// loadTimeout bounds the engine's answer.
 	loadInterval = 500 * time.Millisecond
 	loadTimeout  = 2 * time.Second
+	// loadRepeat is after how many unchanged answers the load is reported again.
+	loadRepeat = 10
 )
 
 // Options are what an agent is built from.
@@ -68,6 +71,7 @@
 type Agent struct {
 	opts     Options
 	upstream *upstream
+	config   *provider.Learner
 	journal  *journal
 	calls    *claim.Ledger
 	flight   *quarantine.Flight
@@ -76,12 +80,16 @@
 	quarantine *quarantine.Table
 	isolation  sync.Mutex
 	queue      chan *run
+	maps       *mapPart
 
 	mu      sync.Mutex
 	conns   map[*wire.Conn]wire.Hello
 	runs    map[wire.AttemptID]*run
 	leaving bool
-	active  sync.WaitGroup
+	load    *wire.Load // the last report, nil before the first
+	// configured wakes the load report after a change of configuration.
+	configured chan struct{}
+	active     sync.WaitGroup
 }
 
 // New returns an agent.
@@ -91,13 +99,17 @@
 		opts:       opts,
 		upstream:   newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
 		journal:    newJournal(journalLimit),
+		config:     provider.NewLearner(opts.Store, opts.Hello.Upstream, opts.Clock),
 		calls:      claim.NewLedger(opts.Hello.Incarnation, opts.Clock, claim.DefaultCalls, claim.DefaultBytes),
 		flight:     quarantine.NewFlight(),
 		quarantine: quarantine.NewTable(opts.Clock),
 		queue:      make(chan *run, 2*opts.Workers),
 		conns:      map[*wire.Conn]wire.Hello{},
 		runs:       map[wire.AttemptID]*run{},
+
+		configured: make(chan struct{}, 1),
 	}
+	a.maps = newMapPart(a)
 	opts.Store.OnChange(a.configApplied)
 	return a
 }
@@ -110,6 +122,7 @@
 		go a.work(ctx)
 	}
 	go a.reportLoad(ctx)
+	go a.maps.run(ctx)
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -153,6 +166,8 @@
 		a.dispatch(c, m)
 	case *wire.Cancel:
 		a.cancel(c, m)
+	case *wire.ConfigState, *wire.ConfigUpdate:
+		a.config.Receive(c, m)
 	case *wire.Attach:
 		a.attach(c, m)
 	case *wire.CrashReport:
@@ -161,21 +176,11 @@
 		a.queryCall(c, m)
 	case *wire.Release:
 		a.release(m)
-	case *wire.ConfigSnapshot:
-		a.opts.Store.Apply(m.Revision, recordsOf(m))
 	case *wire.EventsRequest:
 		_ = c.Send(&wire.EventsReply{Nonce: m.Nonce, Events: a.opts.Events.Events()})
 	default:
-		a.count("frames.unexpected")
-	}
-}
-
-func recordsOf(m *wire.ConfigSnapshot) []config.Record {
-	records := make([]config.Record, 0, len(m.Records))
-	for _, r := range m.Records {
-		records = append(records, config.Record(r))
+		a.maps.receive(c, m)
 	}
-	return records
 }
 
 // connected takes a connection's Hello; a second one ends the connection.
@@ -190,6 +195,9 @@
 	a.conns[c] = hello
 	a.opts.Events.Add(timeline.Event{Kind: timeline.Connected, Object: hello.Process})
 	a.tellCrashes(c)
+	if a.load != nil {
+		_ = c.Send(a.load)
+	}
 	if a.leaving {
 		_ = c.Send(&wire.Leaving{})
 	}
@@ -207,17 +215,21 @@
 	}
 }
 
-// reportLoad sends the engine's load to every entry, and gives up its
-// attempts when the engine stays silent.
+// reportLoad sends the engine's load to every entry when it has changed, and
+// now and then when it hasn't, and gives up its attempts when the engine stays
+// silent.
 func (a *Agent) reportLoad(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	heard := a.opts.Clock.Now()
+	var last wire.Load
+	unchanged := loadRepeat
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-a.configured:
 		}
 		if !a.servesModel() {
 			continue
@@ -226,13 +238,25 @@
 		switch {
 		case err == nil:
 			heard = a.opts.Clock.Now()
-			a.broadcast(&load)
+			a.keepLoad(&load)
+			unchanged++
+			if load != last || unchanged >= loadRepeat {
+				a.broadcast(&load)
+				last, unchanged = load, 0
+			}
 		case a.opts.Clock.Since(heard) >= a.opts.StallTimeout:
 			a.giveUpStalled()
 		}
 	}
 }
 
+// keepLoad remembers a report for entries that connect before the next one.
+func (a *Agent) keepLoad(load *wire.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.load = load
+}
+
 // servesModel says whether the upstream's record names a model group: only
 // engines are asked for their load.
 func (a *Agent) servesModel() bool {
@@ -262,6 +286,10 @@
 func (a *Agent) configApplied(s *config.Snapshot) {
 	a.opts.Events.Add(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision})
 	a.broadcast(&wire.ConfigDigest{Revision: s.Revision})
+	select {
+	case a.configured <- struct{}{}:
+	default:
+	}
 }
 
 func (a *Agent) count(name string) { telemetry.Counter(a.opts.Metrics, name).Inc(1) }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -117,7 +117,8 @@
 		r.end.Reason, r.end.Message = e.Kind, e.Error()
 	}
 	r.endOnce(o, err)
-	r.send(r.end)
+	end := *r.end
+	r.send(&end)
 }
 
 // send passes a message to the entry, if there is one. The caller holds mu.
@@ -147,7 +148,8 @@
 		r.send(chunk)
 	}
 	if r.end != nil {
-		r.send(r.end)
+		end := *r.end
+		r.send(&end)
 	}
 	return true
 }
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
@@ -27,6 +26,7 @@
 	entry    *Entry
 	upstream *config.Upstream
 	stop     context.CancelFunc
+	member   *member
 
 	mu      sync.Mutex
 	conn    *wire.Conn
@@ -35,6 +35,7 @@
 	leaving bool
 	// listLeaving says that the VM list shows the upstream's VM as leaving.
 	listLeaving bool
+	drained     bool
 	inFlight    int
 	boxes       map[wire.AttemptID]*mailbox
 }
@@ -86,9 +87,12 @@
 		l.mu.Lock()
 		l.load = *m
 		l.mu.Unlock()
+		l.member.reported(m)
+		l.entry.passCapacity(l.member.pool)
 	case *wire.Leaving:
 		l.mu.Lock()
 		l.leaving = true
+		l.update()
 		l.mu.Unlock()
 		l.entry.event(timeline.Event{Kind: timeline.UpstreamLeaving, Object: l.upstream.Name})
 	case *wire.ConfigDigest:
@@ -96,7 +100,7 @@
 		l.hello.Revision = m.Revision
 		l.mu.Unlock()
 	case *wire.EventsReply:
-		l.entry.gathered(m)
+		l.entry.gathered(m.Nonce, m)
 	case *wire.Verdict, *wire.Accepted, *wire.Refused, *wire.Head, *wire.Chunk, *wire.Done:
 		l.deliver(c, m)
 	default:
@@ -140,6 +144,7 @@
 	case box == nil:
 		l.entry.count("frames.foreign")
 	default:
+		l.member.received(m)
 		box.put(m)
 	}
 }
@@ -154,12 +159,19 @@
 	l.conn = c
 	l.hello = hello
 	l.leaving = false
+	l.update()
 	l.mu.Unlock()
 	l.entry.event(timeline.Event{Kind: timeline.Connected, Object: l.upstream.Name})
-	_ = c.Send(l.entry.snapshotMessage())
 	l.tell(&linkBack{incarnation: hello.Incarnation})
 }
 
+// behind says whether the connected agent has a lower revision in force.
+func (l *link) behind(revision int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil && l.hello.Revision < revision
+}
+
 // tell puts a message into every attempt's mailbox.
 func (l *link) tell(m wire.Message) {
 	l.mu.Lock()
@@ -178,6 +190,7 @@
 	known := l.conn == c
 	if known {
 		l.conn = nil
+		l.update()
 	}
 	l.mu.Unlock()
 	if known {
@@ -224,6 +237,7 @@
 		l.inFlight--
 		return nil, err
 	}
+	l.member.dispatched()
 	return box, nil
 }
 
@@ -233,6 +247,7 @@
 	defer l.mu.Unlock()
 	delete(l.boxes, id)
 	l.inFlight--
+	l.member.finished(id)
 }
 
 // send passes a message to the agent, if it is connected.
@@ -245,90 +260,32 @@
 	return l.conn.Send(m)
 }
 
-// candidate returns the link's state for a decision; false means that it can
-// take no work.
-func (l *link) candidate() (balance.Candidate, bool) {
+// takesWork says whether the upstream can be given an attempt. The caller holds
+// mu.
+func (l *link) takesWork() bool {
+	return l.conn != nil && !l.leaving && !l.listLeaving && !l.drained
+}
+
+// update tells the balance state whether the upstream can take work. The caller
+// holds mu.
+func (l *link) update() { l.member.setUsable(l.takesWork()) }
+
+// setDrained notes whether the operators' record drains the upstream.
+func (l *link) setDrained(drained bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := balance.Candidate{
-		Name:       l.upstream.Name,
-		DataCentre: l.upstream.DataCentre,
-		InFlight:   l.inFlight,
-		Reported:   float64(l.load.Running + l.load.Queued),
-		Capacity:   l.load.Capacity,
-	}
-	return c, l.takesWork()
+	l.drained = drained
+	l.update()
 }
 
-// takesWork says whether the upstream can be given an attempt. The caller holds
-// mu.
-func (l *link) takesWork() bool { return l.conn != nil && !l.leaving && !l.listLeaving }
-
 // listed notes what the VM list says of the upstream's VM.
 func (l *link) listed(leaving bool) {
 	l.mu.Lock()
 	changed := l.listLeaving != leaving
 	l.listLeaving = leaving
+	l.update()
 	l.mu.Unlock()
 	if changed && leaving {
 		l.entry.event(timeline.Event{Kind: timeline.UpstreamLeaving, Object: l.upstream.Name, Detail: "VM list"})
 	}
 }
-
-// linkTable holds the links by upstream name.
-type linkTable struct {
-	mu    sync.Mutex
-	links map[string]*link
-}
-
-// reconcile starts and stops links so that they match the snapshot.
-func (t *linkTable) reconcile(ctx context.Context, e *Entry, s *config.Snapshot) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for name, l := range t.links {
-		if u := s.Upstreams[name]; u == nil || *u != *l.upstream {
-			l.stop()
-			delete(t.links, name)
-		}
-	}
-	for name, u := range s.Upstreams {
-		if t.links[name] != nil {
-			continue
-		}
-		linkCtx, stop := context.WithCancel(ctx)
-		l := newLink(e, u, stop)
-		t.links[name] = l
-		l.listed(e.vmLeaving(u.VM))
-		go l.run(linkCtx)
-	}
-}
-
-// get returns the links of the given upstreams that can take work.
-func (t *linkTable) get(upstreams []*config.Upstream, except map[string]bool) ([]*link, []balance.Candidate) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var links []*link
-	var candidates []balance.Candidate
-	for _, u := range upstreams {
-		l := t.links[u.Name]
-		if l == nil || except[u.Name] {
-			continue
-		}
-		if c, ok := l.candidate(); ok {
-			links = append(links, l)
-			candidates = append(candidates, c)
-		}
-	}
-	return links, candidates
-}
-
-// all returns every link.
-func (t *linkTable) all() []*link {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	links := make([]*link, 0, len(t.links))
-	for _, l := range t.links {
-		links = append(links, l)
-	}
-	return links
-}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,8 +81,9 @@
 // Count implements claim.Events.
 func (e *Entry) Count(event string) { e.count(event) }
 
-// runOnce brings a non-idempotent call to its end and writes the answer.
-func (x *exchange) runOnce(ctx context.Context) {
+// runOnce brings a non-idempotent call to its end, writes the answer and
+// returns its outcome.
+func (x *exchange) runOnce(ctx context.Context) outcome.Outcome {
 	d := &x.req.dispatch
 	r := claim.Runner{Store: &x.entry.once.claims, Upstreams: onceUpstreams{x}, Events: x.entry, Completed: x.entry.completed}
 	res := r.Run(ctx, claim.Call{
@@ -92,13 +94,14 @@
 	x.entry.event(timeline.Event{Kind: timeline.Answered, Request: x.req.id, Detail: string(res.Answer.Outcome)})
 	if res.Err != nil {
 		writeError(x.answer.w, res.Answer.Outcome, res.Err)
-		return
+		return res.Answer.Outcome
 	}
 	if res.Replayed {
 		x.answer.w.Header().Set(headerReplayed, "true")
 	}
 	x.answer.status, x.answer.contentType, x.answer.body = res.Answer.Status, res.Answer.ContentType, res.Answer.Body
 	x.answer.finish(result{outcome: outcome.Completed})
+	return outcome.Completed
 }
 
 // onceUpstreams implements claim.Upstreams for one exchange.
@@ -161,6 +164,8 @@
 	e := u.x.entry
 	nonce, answers := e.once.expect(2)
 	defer e.once.forget(nonce)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	timer := time.NewTimer(askTimeout)
 	defer timer.Stop()
 	q := &wire.CallQuery{Nonce: nonce, Account: r.Account, Key: r.Key, Ticket: ticketOf(r), Fence: fence, Wait: wait}
@@ -200,7 +205,8 @@
 // sendWhenConnected sends a question as soon as the agent is connected.
 func (e *Entry) sendWhenConnected(ctx context.Context, timer *time.Timer, upstream string, m wire.Message) error {
 	for {
-		if l := e.links.byName(upstream); l != nil && l.send(m) == nil {
+		l := e.links.byName(upstream)
+		if l != nil && l.send(m) == nil || l == nil && e.sendDirect(ctx, upstream, m) {
 			return nil
 		}
 		select {
@@ -213,6 +219,23 @@
 	}
 }
 
+// sendDirect asks an agent that is not in the entry's part of the upstreams, on
+// a connection that lasts as long as ctx.
+func (e *Entry) sendDirect(ctx context.Context, upstream string, m wire.Message) bool {
+	u := e.opts.Store.Current().Upstreams[upstream]
+	if u == nil {
+		return false
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", u.Address)
+	if err != nil {
+		return false
+	}
+	c := wire.NewConn(nc, &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){wire.KindCallStatus: e.once.answered}}, e.opts.Wire)
+	go func() { _ = c.Run(ctx) }()
+	return c.Send(e.Hello()) == nil && c.Send(m) == nil
+}
+
 // Lost implements claim.Upstreams: the upstream's record or its VM has gone.
 // An agent that was replaced on its VM says so itself.
 func (u onceUpstreams) Lost(r claim.Record) bool {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -100,7 +100,7 @@
 			if l == nil || x.tried[name] || slices.Contains(x.suspect.Crashed, name) {
 				continue
 			}
-			if _, ok := l.candidate(); ok {
+			if l.usable() {
 				return l
 			}
 		}
@@ -108,6 +108,13 @@
 	return nil
 }
 
+// usable says whether the link takes new work.
+func (l *link) usable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.takesWork()
+}
+
 // places returns the names of the upstreams that could serve the request, in
 // the entry's data centre and in others.
 func (x *exchange) places() (near, far []string) {
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -31,6 +31,10 @@
 	Answered        Kind = "answered"
 	UpstreamLeaving Kind = "upstream-leaving"
 	UpstreamCrashed Kind = "upstream-crashed"
+	MapActive       Kind = "map-active"
+	MapPlanned      Kind = "map-planned"
+	LeaseTaken      Kind = "lease-taken"
+	OrderRefused    Kind = "order-refused"
 )
 
 // Stamp is a hybrid logical clock value: wall time in microseconds and a
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -32,13 +32,17 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start":   cmdStart,
-			"restart": cmdRestart,
-			"storm":   cmdStorm,
-			"fleet":   cmdFleet,
-			"signal":  cmdSignal,
-			"exited":  cmdExited,
-			"until":   cmdUntil,
+			"start":      cmdStart,
+			"fleet":      cmdFleet,
+			"signal":     cmdSignal,
+			"exited":     cmdExited,
+			"until":      cmdUntil,
+			"ranks":      cmdRanks,
+			"leader":     cmdLeader,
+			"startagent": cmdStartAgent,
+			"disturb":    cmdDisturb,
+			"restart":    cmdRestart,
+			"storm":      cmdStorm,
 		},
 	})
 }
