Let a starting entry learn from its peers before the service

Ruled out: a node cannot tell a restored service from its listing alone, since nothing in it is newer than itself. Change: at revision 0 an entry waits 0.3 to 0.5 s for its peers, a store at revision 0 takes what they have although the service was restored, and a source applies nothing from a restored service. config-restore passes.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -81,7 +81,7 @@
 	if err := u.check(s.current); err != nil {
 		return nil, nil, err
 	}
-	if s.restored != nil && u.Base == s.current.Base {
+	if s.restored != nil && u.Base == s.current.Base && s.current.Revision > 0 {
 		return nil, nil, s.restored
 	}
 	if u.Base > s.current.Base {
@@ -124,7 +124,8 @@
 }
 
 // Restored returns the error that tells of a service restored from an older
-// copy, or nil. While it is set, only an adopted epoch is taken.
+// copy, or nil. While it is set, only an adopted epoch is taken; a store at
+// revision 0 takes what peers have.
 func (s *Store) Restored() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/provider/source.go
+++ b/internal/provider/source.go
@@ -27,10 +27,12 @@
 	// not watch asks the service itself, after a jitter of up to staleJitter.
 	staleAfter  = 4 * time.Second
 	staleJitter = 1 * time.Second
-	// startAfter is staleAfter for an entry without a configuration.
-	startAfter = 1 * time.Second
+	// startAfter is how long an entry without a configuration waits for its
+	// peers before it asks the service, after a jitter of up to startJitter.
+	startAfter  = 300 * time.Millisecond
+	startJitter = 200 * time.Millisecond
 	// followPoll is how often an entry checks whether it has to ask.
-	followPoll = 100 * time.Millisecond
+	followPoll = 50 * time.Millisecond
 
 	// minRetry and maxRetry bound the delay after a failed call of a watcher.
 	minRetry = 200 * time.Millisecond
@@ -101,17 +103,15 @@
 // patience is how old the configuration may get before this entry asks itself.
 func (s *Source) patience() time.Duration {
 	if s.store().Current().Revision == 0 {
-		return startAfter + rand.N(staleJitter)
+		return startAfter + rand.N(startJitter)
 	}
 	return staleAfter + rand.N(staleJitter)
 }
 
 func (s *Source) mustFollow(patience time.Duration) bool {
-	if s.IsWatcher() {
-		return true
-	}
 	age, _ := s.Exchange.Heard.Get()
-	return age > patience
+	starting := s.store().Current().Revision == 0
+	return (s.IsWatcher() && !starting) || age > patience
 }
 
 func (s *Source) store() *config.Store { return s.Exchange.Store }
@@ -179,8 +179,10 @@
 
 // take applies an update that came from the service.
 func (s *Source) take(u config.Update) {
-	err := s.store().Update(u)
-	if fault.KindOf(err) == fault.Conflict && s.store().Restored() == nil {
+	if s.store().Restored() != nil && u.Base == s.store().Current().Base {
+		return
+	}
+	if err := s.store().Update(u); fault.KindOf(err) == fault.Conflict {
 		s.store().MarkRestored(u.Base)
 		s.Log.Error("key-value service restored from an older copy", zap.Error(err))
 	}
