--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -37,6 +37,7 @@
 type upstream struct {
 	base  string
 	http  *http.Client
+	once  *http.Client
 	stall time.Duration
 	clock clockwork.Clock
 }
@@ -50,7 +51,7 @@
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
-	return &upstream{base: base, http: &http.Client{Transport: transport}, stall: stall, clock: clock}
+	return &upstream{base: base, http: &http.Client{Transport: transport}, once: newOnceClient(), stall: stall, clock: clock}
 }
 
 // run executes an attempt and reports it through r. It returns when the
@@ -61,7 +62,7 @@
 		return outcome.NotRun, err
 	}
 	first := u.watchFirst(r)
-	resp, err := u.http.Do(req)
+	resp, err := u.client(r.dispatch).Do(req)
 	first.Stop()
 	if err != nil {
 		return callError(r, err)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -48,6 +48,7 @@
 	go exchange.Run(work)
 	go exchange.VMs.Run(work, kv, s.VMListInterval, duty.ReadsVMs)
 	go source.Run(work)
+	go e.RunPlanners(work, s.Planner)
 	caller := httpServer(listeners["caller"], e.CallerHandler())
 	ops := httpServer(listeners["ops"], e.OperatorHandler())
 	inner := newInnerServer(listeners["inner"], peers.Serve)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
@@ -49,6 +50,14 @@
 	req    *request
 	answer *answer
 	tried  map[string]bool
+	// fingerprint names the request's content once it has been asked for;
+	// suspect is what was known of it before the present attempt.
+	fingerprint quarantine.Fingerprint
+	suspect     quarantine.Record
+	// release and refused are a non-idempotent call's word from admission; both
+	// are nil before it.
+	release func(served bool)
+	refused error
 }
 
 // run makes attempts until one ends the request, writes the final answer and
@@ -57,6 +66,10 @@
 	last := result{outcome: outcome.NotRun}
 	var earlier outcome.Outcome
 	for n := uint32(1); n <= maxAttempts; n++ {
+		if err := x.judge(); err != nil {
+			last = result{outcome.NotRun, err}
+			break
+		}
 		l := x.choose(ctx, earlier)
 		if l == nil {
 			break
@@ -83,6 +96,7 @@
 	}
 	if last.outcome == outcome.Completed {
 		x.entry.budget.Succeeded()
+		x.clear()
 	}
 	x.entry.count("requests." + string(last.outcome))
 	x.entry.event(timeline.Event{Kind: timeline.Answered, Request: x.req.id, Detail: string(last.outcome)})
@@ -123,7 +137,7 @@
 		return x.resumable()
 	}
 	x.answer.reset()
-	return x.entry.budget.Spend()
+	return x.suspected() || x.entry.budget.Spend()
 }
 
 // resumable prepares the dispatch to go on with a stream that has begun. A
@@ -157,6 +171,11 @@
 
 // pick chooses an upstream that has not been tried, or nil.
 func (x *exchange) pick() *link {
+	if x.suspect.State == quarantine.Suspected {
+		if l := x.isolated(); l != nil {
+			return l
+		}
+	}
 	return x.entry.links.pick(x.entry.opts.Picker, x.req, x.tried)
 }
 
@@ -166,6 +185,7 @@
 	d.ID = wire.AttemptID{Request: x.req.id, Attempt: n}
 	d.Account = x.req.account.Name
 	d.Priority = x.req.account.Priority
+	d.Isolated = x.suspect.State == quarantine.Suspected
 	if deadline, ok := ctx.Deadline(); ok {
 		d.TimeoutMS = time.Until(deadline).Milliseconds()
 	}
@@ -187,6 +207,10 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, req *request, stream bool) {
 	e.event(timeline.Event{Kind: timeline.Admitted, Object: req.account.Name, Request: req.id})
 	x := &exchange{entry: e, req: req, answer: newAnswer(w, req.id, stream), tried: map[string]bool{}}
+	if req.dispatch.NonIdempotent {
+		x.runOnce(r.Context())
+		return
+	}
 	release, err := e.admit(r.Context(), req)
 	if err != nil {
 		x.finish(result{outcome.NotRun, err})
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -32,12 +32,17 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start":   cmdStart,
-			"fleet":   cmdFleet,
-			"signal":  cmdSignal,
-			"exited":  cmdExited,
-			"until":   cmdUntil,
-			"disturb": cmdDisturb,
+			"start":      cmdStart,
+			"fleet":      cmdFleet,
+			"signal":     cmdSignal,
+			"exited":     cmdExited,
+			"until":      cmdUntil,
+			"ranks":      cmdRanks,
+			"leader":     cmdLeader,
+			"startagent": cmdStartAgent,
+			"disturb":    cmdDisturb,
+			"restart":    cmdRestart,
+			"storm":      cmdStorm,
 		},
 	})
 }
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -73,6 +73,12 @@
 	{"replace", checkReplace},
 	{"causal", checkCausal},
 	{"race", checkRace},
+	{"maps", checkMaps},
+	{"forge", checkForge},
+	{"drill", checkDrill},
+	{"moving", checkMoving},
+	{"crashes", checkCrashes},
+	{"claims", checkClaims},
 }
 
 // checkMain is the program "check WHAT ARGS...": the judge, which reads what
@@ -133,6 +139,7 @@
 }
 
 // checkOnce fails when any idempotency key ran twice over the plain services.
+// Calls without a key are idempotent and may.
 func checkOnce(urls []string) error {
 	seen := map[string]int{}
 	for _, url := range urls {
@@ -141,6 +148,9 @@
 			return err
 		}
 		for _, c := range calls {
+			if c.Key == "" {
+				continue
+			}
 			seen[c.Key]++
 			if seen[c.Key] > 1 {
 				return fmt.Errorf("key %q ran twice", c.Key)
