--- a/internal/entry/operators_config.go
+++ b/internal/entry/operators_config.go
@@ -162,13 +162,17 @@
 
 // adopt puts what the restored service holds into force everywhere.
 func (e *Entry) adopt(r *http.Request) (any, error) {
-	highest := e.opts.Store.Current().Revision
+	highest, restored := e.opts.Store.Current().Revision, e.opts.Store.Restored() != nil
 	replies, _ := e.ask(r.Context(), e.entryTargets(), func(nonce uint64) wire.Message { return &wire.StatusRequest{Nonce: nonce} })
 	for _, reply := range replies {
 		for _, p := range decodeProcesses(reply.message) {
 			highest = max(highest, p.Revision)
+			restored = restored || p.Restored != ""
 		}
 	}
+	if !restored {
+		return nil, fault.New(fault.Invalid, "adopt only when status shows restored", "no entry has seen the key-value service restored")
+	}
 	revision, err := provider.Adopt(r.Context(), e.opts.KV, highest)
 	return opapi.Written{Revision: highest + revision, RecordRevision: revision}, err
 }
