--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -102,8 +103,20 @@
 	}
 }
 
+// rejectedDetail names the records of a snapshot that are not in force.
+func rejectedDetail(s *config.Snapshot) string {
+	keys := make([]string, 0, len(s.Rejected))
+	for _, r := range s.Rejected {
+		keys = append(keys, r.Key)
+	}
+	if len(keys) == 0 {
+		return ""
+	}
+	return "rejected " + strings.Join(keys, ", ")
+}
+
 func (e *Entry) configApplied(ctx context.Context, s *config.Snapshot) {
-	e.event(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision})
+	e.event(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision, Detail: rejectedDetail(s)})
 	e.links.reconcile(ctx, e, s)
 }
 
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -63,7 +63,7 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(operatorReadTimeout))
 		out, err := f(w, r)
 		if err != nil {
-			writeError(w, outcome.NotRun, err)
+			writeError(w, outcome.NotRun, withCause(err))
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
@@ -71,6 +71,16 @@
 	}
 }
 
+// withCause puts the cause into the message, which is all that travels.
+func withCause(err error) error {
+	known := fault.As(err)
+	if known.Cause == nil {
+		return known
+	}
+	flat := fault.New(known.Kind, known.Remedy, "%s: %v", known.Message, known.Cause)
+	return flat.After(known.RetryAfter)
+}
+
 func (e *Entry) isOperator(token string) bool {
 	if token == "" {
 		return false
--- a/internal/entry/operators_config.go
+++ b/internal/entry/operators_config.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -104,10 +106,13 @@
 	if err := e.refuseRestored(); err != nil {
 		return nil, err
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, codec.MaxRecord)
-	body, err := readBody(w, r)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, codec.MaxRecord))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.New(fault.TooLarge, "split the record", "record over %d bytes", codec.MaxRecord)
+	}
 	if err != nil {
-		return nil, err
+		return nil, fault.Wrap(fault.Invalid, err, "send the whole record", "reading the record")
 	}
 	_, err = codec.Decode(key, body)
 	return body, err
--- a/test/scenario/checks_config_test.go
+++ b/test/scenario/checks_config_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	v2 "github.com/kingcupreel/kingcupreel/internal/config/v2"
 	"github.com/kingcupreel/kingcupreel/internal/ctl"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/membership"
 	"github.com/kingcupreel/kingcupreel/internal/opapi"
 	"github.com/kingcupreel/kingcupreel/internal/platform"
 	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
@@ -234,3 +236,16 @@
 	fmt.Printf("requests=%d ordered\n", len(seen))
 	return nil
 }
+
+// checkWatchers is "check watchers DATA_CENTRE VM...": it prints which of the
+// VMs watch the key-value service for the data centre.
+func checkWatchers(args []string) error {
+	var vms []platform.VM
+	for _, id := range args[1:] {
+		vms = append(vms, platform.VM{ID: id, DataCentre: args[0], Role: membership.RoleEntry, State: platform.VMLive})
+	}
+	watchers := membership.Watchers(vms, args[0])
+	slices.Sort(watchers)
+	fmt.Println(strings.Join(watchers, " "))
+	return nil
+}
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -73,6 +73,7 @@
 	{"replace", checkReplace},
 	{"causal", checkCausal},
 	{"race", checkRace},
+	{"watchers", checkWatchers},
 	{"maps", checkMaps},
 	{"forge", checkForge},
 	{"drill", checkDrill},
