Bound the wait in the queue and steady the parts of a limit

The floor of a limit's part followed the raw estimate, whose noise kept an account of limit 100 over 330 entries at 166 in flight. Ruled out: a longer queue, which only moves the refusal.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -52,6 +52,7 @@
 	Request
 	account Key
 	state   ticketState
+	offered time.Time
 	started time.Time
 }
 
@@ -65,7 +66,8 @@
 
 // Options set a controller's limits. Zero values mean the defaults.
 type Options struct {
-	// MaxWait bounds a queue by the time that it takes to drain.
+	// MaxWait bounds a queue by the time that it takes to drain, and how long
+	// a request waits that more urgent ones keep overtaking.
 	MaxWait time.Duration
 	// Headroom is what may be in flight over the capacity, as a factor, so that
 	// no upstream runs dry while another has a queue.
@@ -149,7 +151,7 @@
 // Offer decides on a new request. A refusal has been told through Decided when
 // Offer returns; a waiting request is told later.
 func (c *Controller) Offer(r Request) *Ticket {
-	t := &Ticket{Request: r, account: AccountKey(r.Account)}
+	t := &Ticket{Request: r, account: AccountKey(r.Account), offered: c.clock.Now()}
 	p := c.pool(r.Pool)
 	p.rate.advance(c.clock.Now())
 	if r.MaxInFlight > 0 && !c.takes(t.account, r.MaxInFlight) {
@@ -278,17 +280,30 @@
 	c.tickParts()
 	for _, p := range c.pools {
 		p.rate.advance(now)
-		latest := now.Add(p.service.bound())
-		for _, t := range p.queue.late(latest) {
+		c.expire(p, now)
+		c.bound(p)
+		c.fill(p)
+	}
+}
+
+// expire refuses the requests that can no longer make their deadline or have
+// waited for too long.
+func (c *Controller) expire(p *pool, now time.Time) {
+	latest := now.Add(p.service.bound())
+	oldest := now.Add(-c.opts.MaxWait)
+	for _, t := range p.queue.all() {
+		switch {
+		case t.endsBefore(latest):
 			p.queue.remove(t)
 			c.drop(p, t, Deadline)
+		case t.offered.Before(oldest):
+			p.queue.remove(t)
+			c.drop(p, t, QueueFull)
 		}
-		c.bound(p)
-		c.fill(p)
 	}
 }
 
-// Waiting and InFlight return a pool's state.
+// Waiting returns the waiting requests of a pool.
 func (c *Controller) Waiting(name string) int { return c.pool(name).queue.len() }
 
 // InFlight returns the started requests of a pool.
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -133,15 +133,24 @@
 	It("refuses a waiting request as soon as it can't make its deadline", func() {
 		d := newDesk(1, Options{})
 		d.offer(Request{Account: "x"})
-		t := d.offer(Request{Account: "x", Deadline: d.clock.Now().Add(10 * time.Second)})
+		t := d.offer(Request{Account: "x", Deadline: d.clock.Now().Add(time.Second)})
 		d.Tick()
 		Expect(d.refused).To(BeEmpty())
-		d.clock.Advance(11 * time.Second)
+		d.clock.Advance(1100 * time.Millisecond)
 		d.Tick()
 		Expect(d.refused[t].Reason).To(Equal(Deadline))
 		Expect(d.Waiting("p")).To(Equal(0))
 	})
 
+	It("refuses a waiting request that is overtaken for too long", func() {
+		d := newDesk(1, Options{})
+		d.offer(Request{Account: "x"})
+		t := d.offer(Request{Account: "x"})
+		d.clock.Advance(DefaultMaxWait + time.Millisecond)
+		d.Tick()
+		Expect(d.refused[t].Reason).To(Equal(QueueFull))
+	})
+
 	It("enforces an account's limit", func() {
 		d := newDesk(0, Options{})
 		first := d.offer(Request{Account: "x", MaxInFlight: 1})
--- a/internal/admission/part.go
+++ b/internal/admission/part.go
@@ -29,7 +29,7 @@
 	p := c.parts[key]
 	if p == nil {
 		p = &part{limit: float64(limit)}
-		p.allowed = p.initial(c.usage, c.usage.Total(key))
+		p.allowed = p.initial(c.usage, c.usage.recent(key))
 		c.parts[key] = p
 		c.round(p)
 	}
@@ -78,7 +78,7 @@
 			delete(c.parts, key)
 			continue
 		}
-		p.correct(c.usage, local, c.usage.Total(key))
+		p.correct(c.usage, key)
 		p.demanded = false
 		c.round(p)
 	}
@@ -86,12 +86,13 @@
 
 // correct moves the part by its fraction of the slack. Without demand it keeps
 // only what is in flight and room for new requests.
-func (p *part) correct(u *Usage, local int, total float64) {
-	p.allowed = partDecay*p.allowed + partGain*(p.limit-total)/float64(u.entries)
+func (p *part) correct(u *Usage, key Key) {
+	recent := u.recent(key)
+	p.allowed = partDecay*p.allowed + partGain*(p.limit-u.Total(key))/float64(u.entries)
 	if !p.demanded {
-		p.allowed = min(p.allowed, float64(local)+p.initial(u, total))
+		p.allowed = min(p.allowed, float64(u.Local(key))+p.initial(u, recent))
 	}
-	if 2*total < p.limit {
+	if 2*recent < p.limit {
 		p.allowed = max(p.allowed, p.equal(u))
 	}
 	p.allowed = min(max(p.allowed, 0), p.limit)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // priorities is the number of priorities.
@@ -158,16 +157,12 @@
 	return n + int(before)
 }
 
-// late returns the tickets whose deadline is before the given time.
-func (q *queue) late(latest time.Time) []*Ticket {
-	var out []*Ticket
+// all returns the waiting tickets.
+func (q *queue) all() []*Ticket {
+	out := make([]*Ticket, 0, q.size)
 	for i := range q.levels {
 		for _, b := range q.levels[i].active {
-			for _, t := range b.tickets {
-				if t.endsBefore(latest) {
-					out = append(out, t)
-				}
-			}
+			out = append(out, b.tickets...)
 		}
 	}
 	return out
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -155,6 +155,14 @@
 // as this one, so that each starts with an equal part of a limit.
 func (u *Usage) Total(key Key) float64 { return u.total(key, u.entries) }
 
+// recent returns the moving mean of the estimate of the total.
+func (u *Usage) recent(key Key) float64 {
+	if c := u.keys[key]; c != nil {
+		return c.recent
+	}
+	return 0
+}
+
 // Reachable returns the estimate of the count over the entries of the
 // reachable data centres.
 func (u *Usage) Reachable(key Key) float64 { return u.total(key, u.reachable) }
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/kingcupreel/kingcupreel/internal/admission"
+	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 )
 
@@ -17,13 +18,26 @@
 	mu         sync.Mutex
 	controller *admission.Controller
 	usage      *admission.Usage
+	rand       *rand.Rand
 }
 
 func newAdmitter() *admitter {
 	usage := admission.NewUsage()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	controller := admission.NewController(clockwork.NewRealClock(), rng, usage, admission.Options{})
-	return &admitter{controller: controller, usage: usage}
+	return &admitter{controller: controller, usage: usage, rand: rng}
+}
+
+// setLimits takes the client accounts' limits, so that this entry answers
+// digests also of accounts that it has no requests of.
+func (a *admitter) setLimits(s *config.Snapshot) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, account := range s.Accounts {
+		if account.MaxInFlight > 0 {
+			a.usage.SetLimit(admission.AccountKey(account.Name), account.MaxInFlight)
+		}
+	}
 }
 
 // admit waits until the request may start, or refuses it. release must be
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,6 +97,7 @@
 func (e *Entry) configApplied(ctx context.Context, s *config.Snapshot) {
 	e.event(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision})
 	e.links.reconcile(ctx, e, s)
+	e.admitter.setLimits(s)
 }
 
 // Hello returns what the entry says of itself now.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -185,12 +185,12 @@
 
 // serve runs a request to its end.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, req *request, stream bool) {
-	e.event(timeline.Event{Kind: timeline.Admitted, Object: req.account.Name, Request: req.id})
 	x := &exchange{entry: e, req: req, answer: newAnswer(w, req.id, stream), tried: map[string]bool{}}
 	release, err := e.admit(r.Context(), req)
 	if err != nil {
 		x.finish(result{outcome.NotRun, err})
 		return
 	}
+	e.event(timeline.Event{Kind: timeline.Admitted, Object: req.account.Name, Request: req.id})
 	release(x.run(r.Context()) == outcome.Completed)
 }
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -10,13 +10,9 @@
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
-const (
-	// usageInterval is the time between two rounds of usage exchange, with a
-	// jitter of half of it.
-	usageInterval = 500 * time.Millisecond
-	// usageFanout is the number of peers that a round sends a digest to.
-	usageFanout = 1
-)
+// usageInterval is the time between two digests, with a jitter of a quarter of
+// it on both sides.
+const usageInterval = 500 * time.Millisecond
 
 // upstreamEjected is the event of an upstream that is out of use for a while.
 const upstreamEjected timeline.Kind = "upstream-ejected"
@@ -35,8 +31,7 @@
 	}
 }
 
-// sendUsage sends a digest to a few random peers and forgets those that are
-// gone. known is the peers of the last round.
+// sendUsage sends a digest to a random peer and forgets those that are gone. known is the peers of the last round.
 func (e *Entry) sendUsage(known map[string]bool) {
 	conns := map[string]*wire.Conn{}
 	if e.opts.Peers != nil {
@@ -55,7 +50,7 @@
 			delete(known, id)
 		}
 	}
-	for _, id := range sample(conns, usageFanout) {
+	if id := e.choosePeer(conns); id != "" {
 		if items := a.usage.Digest(id); len(items) > 0 {
 			_ = conns[id].Send(digestMessage(items))
 		}
@@ -65,14 +60,19 @@
 	}
 }
 
-// sample returns up to n random keys.
-func sample(conns map[string]*wire.Conn, n int) []string {
+// choosePeer returns the peer of the next digest, or "".
+func (e *Entry) choosePeer(conns map[string]*wire.Conn) string {
 	ids := make([]string, 0, len(conns))
-	for id := range conns {
+	remote := make([]bool, 0, len(conns))
+	for id, c := range conns {
 		ids = append(ids, id)
+		remote = append(remote, c.Peer().DataCentre != e.opts.Hello.DataCentre)
+	}
+	i := admission.ChoosePeer(e.admitter.rand, remote)
+	if i < 0 {
+		return ""
 	}
-	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	return ids[:min(n, len(ids))]
+	return ids[i]
 }
 
 func digestMessage(items []admission.Item) *wire.UsageDigest {
