--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -126,6 +126,7 @@
 func (e *Entry) configApplied(ctx context.Context, s *config.Snapshot) {
 	e.event(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision, Detail: rejectedDetail(s)})
 	e.links.reconcile(ctx, e, s)
+	e.admitter.setLimits(s)
 }
 
 // Hello returns what the entry says of itself now.
