Connect the entry that plans for a group to all of its ranks

Cause: an entry connects to 12 near and 4 far upstreams of a pool, so a planner did not reach every rank of a larger group.

--- a/internal/entry/linktable.go
+++ b/internal/entry/linktable.go
@@ -28,6 +28,7 @@
 func (t *linkTable) reconcile(ctx context.Context, e *Entry, s *config.Snapshot) {
 	members, sizes := poolMembers(s)
 	wanted := membership.Subset(members, e.opts.Hello.Process, t.dataCentre)
+	e.addPlannedRanks(s, wanted)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, l := range t.links {
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -71,9 +71,24 @@
 // until ctx is done.
 func (e *Entry) RunPlanners(ctx context.Context, s settings.Planner) {
 	e.planners.settings = s
+	var stands []string
 	for ctx.Err() == nil {
-		for group := range e.opts.Store.Current().Plans {
+		snap := e.opts.Store.Current()
+		var now []string
+		for group := range snap.Plans {
 			e.startPlanner(ctx, group)
+			if e.standsFor(group) {
+				now = append(now, group)
+			}
+		}
+		slices.Sort(now)
+		if !slices.Equal(now, stands) {
+			e.links.reconcile(ctx, e, snap)
+			// A newer snapshot may have come between: look again.
+			if e.opts.Store.Current() == snap {
+				stands = now
+			}
+			continue
 		}
 		select {
 		case <-ctx.Done():
@@ -82,6 +97,16 @@
 	}
 }
 
+// addPlannedRanks adds every rank of the groups that the entry stands for to
+// the upstreams that it connects to.
+func (e *Entry) addPlannedRanks(s *config.Snapshot, wanted map[string]bool) {
+	for name, u := range s.Upstreams {
+		if s.Plans[u.Group] != nil && s.Groups[u.Group] != nil && e.standsFor(u.Group) {
+			wanted[name] = true
+		}
+	}
+}
+
 func (e *Entry) startPlanner(ctx context.Context, group string) {
 	e.planners.mu.Lock()
 	defer e.planners.mu.Unlock()
