--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -74,6 +74,7 @@
 	{"causal", checkCausal},
 	{"race", checkRace},
 	{"maps", checkMaps},
+	{"balance", checkBalance},
 	{"forge", checkForge},
 	{"drill", checkDrill},
 	{"moving", checkMoving},
--- a/test/scenario/ranks_test.go
+++ b/test/scenario/ranks_test.go
@@ -12,8 +12,10 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/ctl"
+	"github.com/kingcupreel/kingcupreel/internal/engineapi"
 	"github.com/kingcupreel/kingcupreel/internal/membership"
 	"github.com/kingcupreel/kingcupreel/internal/opapi"
+	"github.com/kingcupreel/kingcupreel/internal/planner"
 	"github.com/kingcupreel/kingcupreel/internal/platform"
 	"github.com/kingcupreel/kingcupreel/internal/standin/ranks"
 )
@@ -175,3 +177,31 @@
 	fmt.Println("standing")
 	return nil
 }
+
+// balancedSkew is the skew under which "check balance" calls a group balanced.
+const balancedSkew = 0.1
+
+// checkBalance is "check balance RANKS N": it prints whether the ranks' loads
+// are balanced, by what the N ranks report.
+func checkBalance(args []string) error {
+	n, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	loads := make([]float64, n)
+	for r := range loads {
+		var s engineapi.MapStatus
+		if err := fetch(fmt.Sprintf("%s/rank/%d%s", args[0], r, engineapi.PathMapStatus), &s); err != nil {
+			return err
+		}
+		for _, t := range s.Tokens {
+			loads[r] += t
+		}
+	}
+	if planner.Skew(loads) < balancedSkew {
+		fmt.Println("balanced")
+		return nil
+	}
+	fmt.Printf("skewed by %.3f\n", planner.Skew(loads))
+	return nil
+}
