--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,8 +10,10 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/kingcupreel/kingcupreel/internal/claim"
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/provider"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -71,8 +73,14 @@
 	upstream *upstream
 	config   *provider.Learner
 	journal  *journal
-	queue    chan *run
 	maps     *mapPart
+	calls    *claim.Ledger
+	flight   *quarantine.Flight
+	// quarantine has the crashes of this agent's upstream; isolation is held by
+	// the suspect that runs.
+	quarantine *quarantine.Table
+	isolation  sync.Mutex
+	queue      chan *run
 
 	mu      sync.Mutex
 	conns   map[*wire.Conn]wire.Hello
@@ -88,13 +96,16 @@
 func New(opts Options) *Agent {
 	opts = opts.withDefaults()
 	a := &Agent{
-		opts:     opts,
-		upstream: newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
-		journal:  newJournal(journalLimit),
-		config:   provider.NewLearner(opts.Store, opts.Hello.Upstream, opts.Clock),
-		queue:    make(chan *run, 2*opts.Workers),
-		conns:    map[*wire.Conn]wire.Hello{},
-		runs:     map[wire.AttemptID]*run{},
+		opts:       opts,
+		upstream:   newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
+		journal:    newJournal(journalLimit),
+		calls:      claim.NewLedger(opts.Hello.Incarnation, opts.Clock, claim.DefaultCalls, claim.DefaultBytes),
+		flight:     quarantine.NewFlight(),
+		config:     provider.NewLearner(opts.Store, opts.Hello.Upstream, opts.Clock),
+		quarantine: quarantine.NewTable(opts.Clock),
+		queue:      make(chan *run, 2*opts.Workers),
+		conns:      map[*wire.Conn]wire.Hello{},
+		runs:       map[wire.AttemptID]*run{},
 
 		configured: make(chan struct{}, 1),
 	}
@@ -159,6 +170,10 @@
 		a.config.Receive(c, m)
 	case *wire.Attach:
 		a.attach(c, m)
+	case *wire.CrashReport:
+		a.quarantine.Add(quarantine.Report(*m))
+	case *wire.CallQuery:
+		a.queryCall(c, m)
 	case *wire.Release:
 		a.release(m)
 	case *wire.EventsRequest:
@@ -182,6 +197,7 @@
 	if a.load != nil {
 		_ = c.Send(a.load)
 	}
+	a.tellCrashes(c)
 	if a.leaving {
 		_ = c.Send(&wire.Leaving{})
 	}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -45,6 +45,8 @@
 	declareFit,
 	declareCapacity,
 	declarePlanner,
+	declareOverload,
+	declareBalance,
 }
 
 // Main parses the arguments and runs the command. It returns the exit code.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/membership"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -51,6 +52,8 @@
 	budget     *outcome.Budget
 	gather     gatherTable
 	planners   *planners
+	once       *onceCalls
+	quarantine *quarantine.Table
 	// peerMux routes the messages of other entries, agentMux those of agents
 	// that belong to no attempt. Both are filled before the entry starts.
 	peerMux  wire.Mux
@@ -72,6 +75,8 @@
 	e.planners = newPlanners()
 	e.routePlanner()
 	e.registerInquiries()
+	e.startOnce(ctx)
+	e.startQuarantine()
 	opts.Store.OnChange(func(s *config.Snapshot) { e.configApplied(ctx, s) })
 	if opts.View != nil {
 		opts.View.OnChange(e.viewChanged)
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -266,6 +266,13 @@
 	return l.conn != nil && !l.leaving && !l.listLeaving && !l.drained
 }
 
+// usable says whether the upstream can be given an attempt now.
+func (l *link) usable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.takesWork()
+}
+
 // update tells the balance state whether the upstream can take work. The caller
 // holds mu.
 func (l *link) update() { l.member.setUsable(l.takesWork()) }
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -78,6 +78,8 @@
 	{"forge", checkForge},
 	{"drill", checkDrill},
 	{"moving", checkMoving},
+	{"crashes", checkCrashes},
+	{"claims", checkClaims},
 }
 
 // checkMain is the program "check WHAT ARGS...": the judge, which reads what
@@ -138,6 +140,7 @@
 }
 
 // checkOnce fails when any idempotency key ran twice over the plain services.
+// Calls without a key are idempotent and may.
 func checkOnce(urls []string) error {
 	seen := map[string]int{}
 	for _, url := range urls {
@@ -146,6 +149,9 @@
 			return err
 		}
 		for _, c := range calls {
+			if c.Key == "" {
+				continue
+			}
 			seen[c.Key]++
 			if seen[c.Key] > 1 {
 				return fmt.Errorf("key %q ran twice", c.Key)
