--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -67,9 +67,15 @@
 
 func (h *Holder) forget() { h.lease, h.fence = 0, 0 }
 
-// take creates the key. When the answer is lost, the key is read back: the
+// take creates the key, if nobody has it. When the answer is lost, the key is read back: the
 // lease in it tells whose it is.
 func (h *Holder) take(ctx context.Context) error {
+	if process, _, err := Read(ctx, h.KV, h.Key); err != nil || process != "" {
+		if err == nil {
+			err = fault.New(fault.Conflict, "wait until its lease has lapsed", "%s holds %s", process, h.Key)
+		}
+		return err
+	}
 	start := h.Clock.Now()
 	id, err := h.KV.Grant(ctx, h.Term)
 	if err != nil {
--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -21,17 +21,20 @@
 	for _, v := range row {
 		total += v
 	}
-	if total <= 0 {
-		return
-	}
 	if f.level == nil {
 		f.level = make([]float64, len(row))
 		f.trend = make([]float64, len(row))
+		if total <= 0 {
+			total = 1
+		}
 		for e, v := range row {
 			f.level[e] = v / total
 		}
 		return
 	}
+	if total <= 0 {
+		return
+	}
 	for e, v := range row {
 		predicted := f.level[e] + trendDamping*f.trend[e]
 		level := predicted + levelGain*(v/total-predicted)
--- a/internal/planner/incremental.go
+++ b/internal/planner/incremental.go
@@ -57,6 +57,9 @@
 // Incremental changes the map in force where the predicted skew falls most a
 // byte moved. It returns nil when the map in force should stay.
 func Incremental(current *expertmap.Map, load []float64, split Split, p Preset, b Budget) *Plan {
+	if !slices.ContainsFunc(load, func(l float64) bool { return l > 0 }) {
+		return nil
+	}
 	before := Skew(RankLoads(current, load))
 	s := newState(current, load, split)
 	s.balance()
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -164,6 +164,19 @@
 	}
 }
 
+func TestAnIdleGroupIsLeftAlone(t *testing.T) {
+	m := Scratch(Shape{Ranks: 2, Experts: 3, Slots: 2}, []float64{0, 0, 0}, SplitWeighted)
+	var f Forecast
+	f.Add([]float64{0, 0, 0})
+	if plan := Incremental(m, f.Ahead(5), SplitWeighted, Teranga, Budget{Slots: 2}); plan != nil {
+		t.Errorf("a plan without load: %+v", plan)
+	}
+	f.Add([]float64{0, 4, 0})
+	if ahead := f.Ahead(5); ahead[1] <= ahead[0] {
+		t.Errorf("forecast %v after the first load", ahead)
+	}
+}
+
 // BenchmarkPlan measures one plan and its memory.
 func BenchmarkPlan(b *testing.B) {
 	sizes := map[string]Shape{"12x64": {Ranks: 12, Experts: 64, Slots: 7}, "64x256": {Ranks: 64, Experts: 256, Slots: 6}}
