--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -79,6 +79,7 @@
 	{"race", checkRace},
 	{"watchers", checkWatchers},
 	{"maps", checkMaps},
+	{"balance", checkBalance},
 	{"forge", checkForge},
 	{"drill", checkDrill},
 	{"moving", checkMoving},
