Measure configuration, changes and planning, and sum the capacity page's figures

Cause: the page needs what a node spends in all, not link by link, and the slopes of configuration and planning were missing. Ruled out: one cell a slope, which hides that several small costs together break a limit. Change: a cell is a sum of terms, each a slope at a size; slopes of the whole configuration, of one change and of one plan in this process; the traffic of changes at an entry's links with real processes.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -40,6 +40,7 @@
 	declareCalls,
 	declareUpstreams,
 	declareAwait,
+	declareChanges,
 	declareListVM,
 	declareSlopes,
 	declareFit,
--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -7,28 +7,50 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 )
 
-// cell is one figure of the capacity page: a slope at a size.
+// cell is one figure of the capacity page: the sum of its terms.
 type cell struct {
 	role string
 	what string
-	// slope names the measured slope; empty means not measured, for reason.
-	slope  string
+	// terms are empty for a figure that is not measured, for reason.
+	terms  []term
 	reason string
-	size   float64
 	sizeOf string
-	// perSize leaves the line's base out: the cost that the size adds.
-	perSize bool
-	// limit is the bound in the slope's unit; 0 means none is stated.
+	// unit is the sum's.
+	unit string
+	// limit is the bound; 0 means none is stated.
 	limit     float64
 	mechanism string
 }
 
+// term is a slope at a size, times a factor; a factor of 0 means 1.
+type term struct {
+	slope  string
+	size   float64
+	factor float64
+	// added leaves the line's base out: what the size adds.
+	added bool
+}
+
+// value returns the term's value, or false without a measured slope.
+func (t term) value(slopes map[string]Slope) (float64, bool) {
+	s, ok := slopes[t.slope]
+	v := s.At(t.size)
+	if t.added {
+		v = s.PerSize * t.size
+	}
+	if t.factor != 0 {
+		v *= t.factor
+	}
+	return v, ok
+}
+
 func declareCapacity(app *kingpin.Application, e env) (string, command) {
 	cmd := app.Command("capacity", "Print the tables of docs/CAPACITY.md from slopes.")
 	file := cmd.Flag("slopes", "File of slope lines.").Required().ExistingFile()
@@ -77,27 +99,42 @@
 
 // row is the cell's line of the table.
 func (c cell) row(slopes map[string]Slope) string {
-	s, ok := slopes[c.slope]
-	if !ok {
-		reason := c.reason
-		if reason == "" {
-			reason = "no run of " + c.slope
+	value, err := c.value(slopes)
+	if err != "" {
+		return fmt.Sprintf("| %s | %s | not measured: %s | %s | | | %s |", c.what, c.sizeOf, err, c.limitText(), c.mechanism)
+	}
+	return fmt.Sprintf("| %s | %s | %s | %s | %s | %s | %s |",
+		c.what, c.sizeOf, quantity(value, c.unit), c.limitText(), c.fits(value), c.slopeNames(), c.mechanism)
+}
+
+// value sums the terms, or says why it can't.
+func (c cell) value(slopes map[string]Slope) (sum float64, missing string) {
+	if len(c.terms) == 0 {
+		return 0, c.reason
+	}
+	for _, t := range c.terms {
+		v, ok := t.value(slopes)
+		if !ok {
+			return 0, "no run of " + t.slope
 		}
-		return fmt.Sprintf("| %s | %s | not measured: %s | %s | | | %s |", c.what, c.sizeOf, reason, c.limitText(""), c.mechanism)
+		sum += v
 	}
-	value := s.At(c.size)
-	if c.perSize {
-		value = s.PerSize * c.size
+	return sum, ""
+}
+
+func (c cell) slopeNames() string {
+	names := make([]string, 0, len(c.terms))
+	for _, t := range c.terms {
+		names = append(names, "`"+t.slope+"`")
 	}
-	return fmt.Sprintf("| %s | %s | %s | %s | %s | `%s` | %s |",
-		c.what, c.sizeOf, quantity(value, s.Unit), c.limitText(s.Unit), c.fits(value), c.slope, c.mechanism)
+	return strings.Join(names, ", ")
 }
 
-func (c cell) limitText(unit string) string {
+func (c cell) limitText() string {
 	if c.limit == 0 {
 		return "none stated"
 	}
-	return quantity(c.limit, unit)
+	return quantity(c.limit, c.unit)
 }
 
 func (c cell) fits(value float64) string {
--- a/internal/bench/cells.go
+++ b/internal/bench/cells.go
@@ -1,13 +1,5 @@
 package bench
 
-// The sizes that the mechanisms leave to a node.
-const (
-	// linksPerEntry is the number of upstreams that an entry connects to, and
-	// linksPerAgent the number of entries at an agent.
-	linksPerEntry = 128.0
-	linksPerAgent = linksPerEntry * targetNodes / targetUpstreams
-)
-
 // The roles of the page.
 const (
 	roleEntry    = "Entry"
@@ -18,27 +10,189 @@
 	roleEngine   = "Engine-facing side"
 )
 
+// Units of the page.
+const (
+	unitCore    = "% of a core"
+	unitBytes   = "bytes"
+	unitTraffic = "bytes/s"
+	unitCalls   = "calls/s"
+	unitMS      = "ms"
+	unitUS      = "us"
+)
+
+const (
+	// coreOfMS turns milliseconds a second into % of a core, coreOfNS nanoseconds
+	// a second.
+	coreOfMS = 0.1
+	coreOfNS = 1e-7
+	// microsecond turns nanoseconds into microseconds.
+	microsecond = 1e-3
+	// ticksPerSecond is how often an entry exchanges usage.
+	ticksPerSecond = 2.0
+	// planInterval is the time between two plans of a group, in seconds.
+	planInterval = 60.0
+)
+
+// changeTraffic is what the target's changes add to an entry's traffic of a
+// direction ("in" or "out"): the traffic at a change a second less that at rest.
+func changeTraffic(direction string) []term {
+	figure := ".control_" + direction + "_bytes_per_s"
+	return []term{
+		{slope: "entry-changes" + figure, size: linksPerEntry, factor: targetChanges},
+		{slope: "entry-links" + figure, size: linksPerEntry, factor: -targetChanges},
+	}
+}
+
+// entryTraffic is an entry's control traffic of a direction.
+func entryTraffic(direction, usage string) []term {
+	figure := ".control_" + direction + "_bytes_per_s"
+	terms := []term{
+		{slope: "entry-links" + figure, size: linksPerEntry},
+		{slope: "entry-peers" + figure, size: entriesPerDataCentre},
+		{slope: usage, size: targetNodes},
+	}
+	return append(terms, changeTraffic(direction)...)
+}
+
 // cells are the figures of the page, by role.
 var cells = []cell{
-	{role: roleEntry, what: "control: processor, heartbeats and load reports", slope: "entry-links.core_percent", size: linksPerEntry, sizeOf: "128 links", perSize: true, limit: limitCorePercent, mechanism: "subset of upstreams"},
-	{role: roleEntry, what: "control: bytes in, heartbeats and load reports", slope: "entry-links.control_in_bytes_per_s", size: linksPerEntry, sizeOf: "128 links", limit: limitControl, mechanism: "subset of upstreams"},
-	{role: roleEntry, what: "control: bytes out, heartbeats", slope: "entry-links.control_out_bytes_per_s", size: linksPerEntry, sizeOf: "128 links", limit: limitControl, mechanism: "subset of upstreams"},
-	{role: roleEntry, what: "control: memory of links", slope: "entry-links.heap_bytes", size: linksPerEntry, sizeOf: "128 links", perSize: true, limit: limitMemory, mechanism: "subset of upstreams"},
-	{role: roleEntry, what: "control: memory of client accounts", slope: "entry-accounts.heap_bytes", size: targetAccounts, sizeOf: "1,600 accounts", perSize: true, limit: limitMemory, mechanism: "one snapshot a process"},
-	{role: roleEntry, what: "control: bytes between entries, in", slope: "entry-peers.control_in_bytes_per_s", size: entriesPerDataCentre, sizeOf: "30 entries in its data centre", limit: limitControl, mechanism: "bounded set of peers"},
-	{role: roleEntry, what: "work: processor for tokens", slope: "entry-tokens.core_percent", size: tokensPerNode, sizeOf: "3,333 tokens/s", mechanism: "frames share system calls under load"},
-	{role: roleEntry, what: "work: memory under load", slope: "entry-tokens.rss_bytes", size: tokensPerNode, sizeOf: "3,333 tokens/s", mechanism: "bounded mailboxes"},
-	{role: roleEntry, what: "process, idle", slope: "entry-links.rss_bytes", size: 0, sizeOf: "no links", mechanism: "one small process"},
-	{role: roleAgent, what: "control: processor, heartbeats and load reports", slope: "agent-links.core_percent", size: linksPerAgent, sizeOf: "8 links", perSize: true, limit: limitCorePercent, mechanism: "subset of upstreams"},
-	{role: roleAgent, what: "control: bytes out", slope: "agent-links.control_out_bytes_per_s", size: linksPerAgent, sizeOf: "8 links", limit: limitControl, mechanism: "subset of upstreams"},
-	{role: roleAgent, what: "control: bytes in", slope: "agent-links.control_in_bytes_per_s", size: linksPerAgent, sizeOf: "8 links", limit: limitControl, mechanism: "subset of upstreams"},
-	{role: roleAgent, what: "work: processor for tokens", slope: "agent-tokens.core_percent", size: tokensPerUpstream, sizeOf: "212 tokens/s", mechanism: "one agent an upstream"},
-	{role: roleAgent, what: "process, idle", slope: "agent-links.rss_bytes", size: 0, sizeOf: "no links", mechanism: "one small process"},
-	{role: roleKeyValue, what: "reads at rest", slope: "kv-entries.reads_per_s", size: watchers, sizeOf: "33 watchers", limit: limitKVReads, mechanism: "few watchers a data centre"},
-	{role: roleKeyValue, what: "watches at rest", slope: "kv-entries.watches_per_s", size: watchers, sizeOf: "33 watchers", limit: limitKVReads, mechanism: "few watchers a data centre"},
-	{role: roleKeyValue, what: "reads, by agents", slope: "kv-agents.reads_per_s", size: targetUpstreams, sizeOf: "5,200 agents", perSize: true, limit: limitKVReads, mechanism: "agents never call the service"},
-	{role: roleKeyValue, what: "writes of configuration", reason: "8,300 changes a day are 0.1 writes/s, one write each", sizeOf: "8,300 changes a day", limit: limitKVWrites, mechanism: "one write a change"},
-	{role: roleKeyValue, what: "writes of claims", slope: "kv-claims.writes_per_s", size: targetRequests, sizeOf: "3,000 calls/s, were all non-idempotent", perSize: true, limit: limitKVWrites, mechanism: "claims for non-idempotent calls only"},
-	{role: rolePlanner, what: "one plan", reason: "measured by the planner's own benchmark", sizeOf: "64 ranks, 256 experts", mechanism: "incremental plan"},
-	{role: roleEngine, what: "connections at an engine", reason: "by construction: one agent, as many connections as running requests", sizeOf: "one agent", mechanism: "the agent is the only gateway"},
+	{
+		role: roleEntry, what: "control: processor time in all", unit: unitCore, limit: limitCorePercent,
+		sizeOf: "448 links, 30 entries beside it, 8,300 changes a day, 1,600 accounts",
+		terms: []term{
+			{slope: "entry-links.core_percent", size: linksPerEntry, added: true},
+			{slope: "config.change by records", size: targetRecords, factor: coreOfMS * targetChanges},
+			{slope: "admission.digest by accounts", size: targetAccounts, factor: coreOfNS * ticksPerSecond},
+			{slope: "balance.pick by upstreams", size: targetUpstreams, factor: coreOfNS * requestsPerNode},
+			{slope: "admission.offer by accounts", size: targetAccounts, factor: coreOfNS * requestsPerNode},
+		},
+		mechanism: "subset of upstreams, slow heartbeat of idle links, changes as deltas",
+	},
+	{
+		role: roleEntry, what: "control: traffic in", unit: unitTraffic, limit: limitControl,
+		sizeOf: "448 links, 30 entries beside it, 330 entries, 8,300 changes a day", terms: entryTraffic("in", "usage bytes into the busiest entry by entries"),
+		mechanism: "subset, load reports by steps, digests of what is near its limit",
+	},
+	{
+		role: roleEntry, what: "control: traffic out", unit: unitTraffic, limit: limitControl,
+		sizeOf: "448 links, 30 entries beside it, 330 entries, 8,300 changes a day", terms: entryTraffic("out", "usage bytes out of an entry by entries"),
+		mechanism: "slow heartbeat of idle links, one announcement of a change to each agent that lags",
+	},
+	{
+		role: roleEntry, what: "control: memory in all", unit: unitBytes, limit: limitMemory,
+		sizeOf: "448 links, 6,900 records, 1,600 accounts",
+		terms: []term{
+			{slope: "entry-links.heap_bytes", size: linksPerEntry, added: true},
+			{slope: "config.memory by records", size: targetRecords},
+			{slope: "admission.memory by accounts", size: targetAccounts},
+			{slope: "balance.memory by upstreams", size: targetUpstreams},
+		},
+		mechanism: "one snapshot a process, small buffers, bounded tables",
+	},
+	{
+		role: roleEntry, what: "time of a decision: admission and choice of an upstream", unit: unitUS,
+		sizeOf: "1,600 accounts, 5,200 upstreams",
+		terms: []term{
+			{slope: "balance.pick by upstreams", size: targetUpstreams, factor: microsecond},
+			{slope: "admission.offer by accounts", size: targetAccounts, factor: microsecond},
+		},
+		mechanism: "pools with an index, no scan of the fleet",
+	},
+	{
+		role: roleEntry, what: "choice of its upstreams, at a change of the list", unit: unitMS, sizeOf: "5,200 upstreams",
+		terms: []term{{slope: "membership.subset by upstreams", size: targetUpstreams, factor: 1e-6}}, mechanism: "rendezvous hash",
+	},
+	{
+		role: roleEntry, what: "a start: the whole configuration", unit: unitBytes, sizeOf: "6,900 records",
+		terms: []term{{slope: "config.snapshot by records", size: targetRecords}}, mechanism: "once, from a peer or the service, in chunks",
+	},
+	{
+		role: roleEntry, what: "a start: putting it into force", unit: unitMS, sizeOf: "6,900 records",
+		terms: []term{{slope: "config.apply by records", size: targetRecords}}, mechanism: "one snapshot",
+	},
+	{
+		role: roleEntry, what: "work: processor time for answers", unit: unitCore, sizeOf: "3,333 tokens/s",
+		terms: []term{{slope: "entry-tokens.core_percent", size: tokensPerNode}}, mechanism: "frames under load share system calls",
+	},
+	{
+		role: roleEntry, what: "work: resident memory under load", unit: unitBytes, sizeOf: "3,333 tokens/s",
+		terms: []term{{slope: "entry-tokens.rss_bytes", size: tokensPerNode}}, mechanism: "bounded mailboxes",
+	},
+	{
+		role: roleEntry, what: "resident memory of the process without links", unit: unitBytes, sizeOf: "no links",
+		terms: []term{{slope: "entry-links.rss_bytes"}}, mechanism: "one small process",
+	},
+	{
+		role: roleAgent, what: "control: processor time", unit: unitCore, limit: limitCorePercent, sizeOf: "28 links",
+		terms: []term{{slope: "agent-links.core_percent", size: linksPerAgent}}, mechanism: "each entry links to a subset",
+	},
+	{
+		role: roleAgent, what: "control: traffic in", unit: unitTraffic, limit: limitControl, sizeOf: "28 links",
+		terms: []term{{slope: "agent-links.control_in_bytes_per_s", size: linksPerAgent}}, mechanism: "slow heartbeat of idle links; its own part of the configuration",
+	},
+	{
+		role: roleAgent, what: "control: traffic out", unit: unitTraffic, limit: limitControl, sizeOf: "28 links",
+		terms: []term{{slope: "agent-links.control_out_bytes_per_s", size: linksPerAgent}}, mechanism: "load reports by steps",
+	},
+	{
+		role: roleAgent, what: "control: memory of links", unit: unitBytes, limit: limitMemory, sizeOf: "28 links",
+		terms: []term{{slope: "agent-links.heap_bytes", size: linksPerAgent}}, mechanism: "small buffers, bounded journal",
+	},
+	{
+		role: roleAgent, what: "resident memory of the process", unit: unitBytes, sizeOf: "28 links",
+		terms: []term{{slope: "agent-links.rss_bytes", size: linksPerAgent}}, mechanism: "one small process",
+	},
+	{
+		role: roleAgent, what: "work: processor time for answers", unit: unitCore, sizeOf: "212 tokens/s",
+		terms: []term{{slope: "agent-tokens.core_percent", size: tokensPerUpstream}}, mechanism: "one agent an upstream",
+	},
+	{
+		role: roleWatcher, what: "calls to the key-value service at rest, each", unit: unitCalls, sizeOf: "3 watchers of a data centre",
+		terms: []term{
+			{slope: "kv-entries.watches_per_s", size: entriesPerDataCentre, factor: 1.0 / 3},
+			{slope: "kv-entries.reads_per_s", size: entriesPerDataCentre, factor: 1.0 / 3},
+		},
+		mechanism: "one watch each, bounded in time; one of them reads the VM list",
+	},
+	{
+		role: roleWatcher, what: "control traffic beside an entry's", unit: unitTraffic, sizeOf: "10 other data centres",
+		reason: "one more peer for each other data centre; no run spans 11 data centres", mechanism: "one watcher of each other data centre as a peer",
+	},
+	{
+		role: rolePlanner, what: "slowest plan of a group", unit: unitMS, sizeOf: "64 ranks, 256 experts",
+		terms: []term{{slope: "planner.slowest plan by experts", size: 256}}, mechanism: "incremental plan",
+	},
+	{
+		role: rolePlanner, what: "processor time of a group's plans, one a minute", unit: unitCore, limit: limitCorePercent, sizeOf: "64 ranks, 256 experts",
+		terms: []term{{slope: "planner.mean plan by experts", size: 256, factor: coreOfMS / planInterval}}, mechanism: "one lease a group, spread over the entries",
+	},
+	{
+		role: roleKeyValue, what: "reads and watches at rest", unit: unitCalls, limit: limitKVReads, sizeOf: "11 data centres of 30 entries",
+		terms: []term{
+			{slope: "kv-entries.watches_per_s", size: entriesPerDataCentre, factor: targetDataCentres},
+			{slope: "kv-entries.reads_per_s", size: entriesPerDataCentre, factor: targetDataCentres},
+		},
+		mechanism: "few watchers a data centre",
+	},
+	{
+		role: roleKeyValue, what: "what agents add", unit: unitCalls, limit: limitKVReads, sizeOf: "5,200 agents",
+		terms: []term{
+			{slope: "kv-agents.reads_per_s", size: targetUpstreams, added: true},
+			{slope: "kv-agents.watches_per_s", size: targetUpstreams, added: true},
+		},
+		mechanism: "agents learn from entries only",
+	},
+	{
+		role: roleKeyValue, what: "writes of claims, were one call in ten non-idempotent", unit: unitCalls, limit: limitKVWrites, sizeOf: "300 calls/s",
+		terms:     []term{{slope: "kv-claims.writes_per_s", size: targetRequests / 10, added: true}},
+		mechanism: "one write a claim; completions at a bounded rate",
+	},
+	{
+		role: roleKeyValue, what: "writes of configuration", unit: unitCalls, limit: limitKVWrites, sizeOf: "8,300 changes a day",
+		reason: "by construction one write a change: 0.1 a second", mechanism: "one compare-and-swap a change",
+	},
+	{
+		role: roleEngine, what: "connections to the agent and the engine", unit: unitCalls, sizeOf: "one agent, its running requests",
+		reason: "by construction: an engine has one agent beside it, and one connection for each running request", mechanism: "the agent is the only gateway",
+	},
 }
--- /dev/null
+++ b/internal/bench/changes.go
@@ -0,0 +1,46 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
+)
+
+// Changed is the line that the changes command prints.
+type Changed struct {
+	Changes int `json:"changes"`
+}
+
+func declareChanges(app *kingpin.Application, e env) (string, command) {
+	cmd := app.Command("changes", "Change a configuration record at a rate.")
+	url := cmd.Flag("platform", "Base URL of the key-value stand-in.").Required().String()
+	interval := cmd.Flag("interval", "Time between two changes.").Default("1s").Duration()
+	duration := cmd.Flag("duration", "Time over which to change.").Default("10s").Duration()
+	return cmd.FullCommand(), func(ctx context.Context) error {
+		n, err := change(ctx, *url, *interval, *duration)
+		if err != nil {
+			return err
+		}
+		return e.print(Changed{Changes: n})
+	}
+}
+
+func change(ctx context.Context, url string, interval, duration time.Duration) (int, error) {
+	kv := kvhttp.New(url, kvhttp.DefaultTimeout)
+	n := 0
+	for end := time.Now().Add(duration); time.Now().Before(end); n++ {
+		calls := []config.CallPattern{{Method: "POST", PathPrefix: fmt.Sprintf("/once-%d", n)}}
+		if err := writeRecord(ctx, kv, &config.PlainService{Name: "changing", NonIdempotent: calls}); err != nil {
+			return n, err
+		}
+		if err := pause(ctx, interval); err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -18,6 +18,8 @@
 // measurements are all of them.
 var measurements = []measurement{
 	{"policy", PolicySlopes},
+	{"config", configSlopes},
+	{"planner", plannerSlopes},
 }
 
 func declareSlopes(app *kingpin.Application, e env) (string, command) {
--- a/internal/bench/target.go
+++ b/internal/bench/target.go
@@ -17,17 +17,24 @@
 	targetRequests    = 3000.0
 	targetTokens      = 1.1e6
 	targetAccounts    = 1600.0
+	targetModels      = 28.0
 	targetDataCentres = 11.0
 	secondsPerDay     = 86400.0
 	targetChanges     = 8300.0 / secondsPerDay
-	// tokensPerNode and requestsPerNode are an entry's part at the peak.
-	tokensPerNode   = targetTokens / targetNodes
-	requestsPerNode = targetRequests / targetNodes
-	// tokensPerUpstream is an agent's part.
+	// tokensPerNode and requestsPerNode are an entry's part at the peak, and
+	// tokensPerUpstream an agent's.
+	tokensPerNode     = targetTokens / targetNodes
+	requestsPerNode   = targetRequests / targetNodes
 	tokensPerUpstream = targetTokens / targetUpstreams
 	// entriesPerDataCentre is the number of entries beside each other.
 	entriesPerDataCentre = targetNodes / targetDataCentres
 	watchers             = targetDataCentres * membership.WatchersPerDataCentre
+	// linksPerEntry is the most upstreams that an entry connects to, and
+	// linksPerAgent the mean number of entries at an agent.
+	linksPerEntry = targetModels * (membership.NearUpstreams + membership.FarUpstreams)
+	linksPerAgent = linksPerEntry * targetNodes / targetUpstreams
+	// targetRecords are the upstreams, client accounts and a few others.
+	targetRecords = 6900.0
 )
 
 // The limits of control per node, and of the key-value service.
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -59,6 +59,23 @@
   done
 }
 
+# changes: the traffic of an entry's links at one change a second.
+changes() {
+  for n in 50 100 200; do
+    platform
+    start upstreams kingcupreel-bench upstreams --platform "$platform" --count "$n"
+    entry 1
+    connected entry1 "$n"
+    settle
+    "$bin/kingcupreel-bench" changes --platform "$platform" --duration 14s >/dev/null &
+    local changing=$!
+    sleep 2
+    sample entry1 entry-changes "$n"
+    wait "$changing"
+    stop_all
+  done
+}
+
 accounts() {
   for n in 100 400 1600; do
     platform
@@ -153,7 +170,7 @@
   stop_all
 }
 
-for concern in ${CONCERNS:-links accounts agent_links peers agents_calls tokens claims}; do
+for concern in ${CONCERNS:-links changes accounts agent_links peers agents_calls tokens claims}; do
   "$concern" >>"$dir/samples"
 done
 "$bin/kingcupreel-bench" fit <"$dir/samples"
