--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// attach makes c the sink and repeats the answer after number seq; false means
-// that the run no longer keeps all of it.
+// attach makes c the sink, says so with an Accepted and repeats the answer after
+// number seq; false means that the run no longer keeps all of it.
 func (r *run) attach(c *wire.Conn, seq uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -148,6 +148,7 @@
 	if r.phase != ended {
 		r.stopTimer()
 	}
+	r.send(&wire.Accepted{ID: r.dispatch.ID})
 	if r.head != nil {
 		r.send(r.head)
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -180,6 +180,9 @@
 	case wire.NeverSeen:
 		return result{outcome.NotRun, fault.New(fault.Unavailable, "send the request again", "the upstream never had the request").After(unavailableRetry)}, true
 	case wire.NeverRun:
+		if a.attaching {
+			return result{outcome.NotRun, fault.New(fault.Unavailable, "send the request again", "the upstream refused the request").After(unavailableRetry)}, true
+		}
 		return result{outcome.NotRun, fault.New(fault.Timeout, "allow more time with Request-Timeout", "the request was withdrawn before it ran")}, true
 	case wire.Running, wire.Ended:
 		a.ran = true
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -74,8 +74,7 @@
 	c := wire.NewConn(nc, l, l.entry.opts.Wire)
 	_ = c.Send(l.entry.Hello())
 	err = c.Run(ctx)
-	l.disconnected(c, err)
-	return true
+	return l.disconnected(c, err)
 }
 
 // Receive implements wire.Handler.
@@ -185,7 +184,9 @@
 	}
 }
 
-func (l *link) disconnected(c *wire.Conn, err error) {
+// disconnected ends a connection; false means that its agent had not said
+// Hello.
+func (l *link) disconnected(c *wire.Conn, err error) bool {
 	l.mu.Lock()
 	known := l.conn == c
 	if known {
@@ -197,6 +198,7 @@
 		l.tell(&linkLost{})
 		l.entry.event(timeline.Event{Kind: timeline.Disconnected, Object: l.upstream.Name, Detail: err.Error()})
 	}
+	return known
 }
 
 // linkLost tells an attempt that its connection ended. It never travels.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -115,7 +115,7 @@
 	Isolated bool
 }
 
-// Accepted says that the agent will run the attempt.
+// Accepted says that the agent will run the attempt, or still has it.
 type Accepted struct{ ID AttemptID }
 
 // Refused says that the agent has not run the attempt and never will.
@@ -162,8 +162,8 @@
 }
 
 // Attach asks for an attempt's answer on this connection, from the chunk after
-// After. The agent repeats Head, Chunks and Done, or answers with a Verdict when
-// it no longer can; an attempt that it has never seen is fenced.
+// After. The agent repeats Accepted, Head, Chunks and Done, or answers with a
+// Verdict when it no longer can; an attempt that it has never seen is fenced.
 type Attach struct {
 	ID    AttemptID
 	After uint64
--- a/test/scenario/flow_test.go
+++ b/test/scenario/flow_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,8 +23,6 @@
 const (
 	// flowTokens is the length of a flow's answers.
 	flowTokens = 40
-	// flowTimeout is the Request-Timeout of a flow's requests, in seconds.
-	flowTimeout = "60"
 	// flowStagger is the time between the starts of two callers.
 	flowStagger = 130 * time.Millisecond
 	// disturbPause is the mean time between two disturbances.
@@ -32,16 +31,19 @@
 
 // flowCounts are what a flow's callers were told.
 type flowCounts struct {
+	// timeout is the requests' Request-Timeout, in seconds.
+	timeout string
+
 	mu       sync.Mutex
 	outcomes map[string]int
-	notRun   map[string]bool
+	notRun   []string
 	wrong    []string
 }
 
-// checkFlow is "check flow CALLERS REQUESTS ENGINES CALLER=OPS...": each caller
+// checkFlow is "check flow CALLERS REQUESTS TIMEOUT CALLER=OPS...": each caller
 // sends its streaming requests one after the other to an entry whose readiness
-// is positive, as the platform's balancer does. It prints the outcomes, and
-// fails when an answer is wrong or when an engine ran what was called not-run.
+// is positive, as the platform's balancer does. It prints the outcomes and what
+// was called not-run, and fails when an answer is wrong.
 func checkFlow(args []string) error {
 	callers, err := strconv.Atoi(args[0])
 	if err != nil {
@@ -51,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	f := &flowCounts{outcomes: map[string]int{}, notRun: map[string]bool{}}
+	f := &flowCounts{timeout: args[2], outcomes: map[string]int{}}
 	var wg sync.WaitGroup
 	for c := range callers {
 		wg.Go(func() {
@@ -62,10 +64,8 @@
 		})
 	}
 	wg.Wait()
-	if err := f.judgeNotRun(strings.Split(args[2], ",")); err != nil {
-		return err
-	}
 	fmt.Printf("requests=%d outcomes=%v wrong=%v\n", callers*requests, f.outcomes, f.wrong)
+	fmt.Printf("not-run: %s\n", strings.Join(f.notRun, " "))
 	if len(f.wrong) > 0 {
 		return fmt.Errorf("%d wrong answers", len(f.wrong))
 	}
@@ -81,7 +81,7 @@
 		return
 	}
 	req.Header.Set("Authorization", "Bearer account-1")
-	req.Header.Set("Request-Timeout", flowTimeout)
+	req.Header.Set("Request-Timeout", f.timeout)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		f.count(prompt, "none", err.Error())
@@ -131,25 +131,35 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.outcomes[outcome]++
-	f.notRun[prompt] = outcome == "not-run"
+	if outcome == "not-run" {
+		f.notRun = append(f.notRun, prompt)
+	}
 	if fault != "" {
 		f.wrong = append(f.wrong, prompt+": "+fault)
 	}
 }
 
-// judgeNotRun compares what was called not-run with the engines' records.
-func (f *flowCounts) judgeNotRun(engines []string) error {
-	for _, url := range engines {
+// checkNeverRan is "check never-ran FILE ENGINE...": it fails when an engine ran
+// a prompt that a flow, whose output is in the file, was told was not run.
+func checkNeverRan(args []string) error {
+	data, err := os.ReadFile(args[0])
+	if err != nil {
+		return err
+	}
+	_, list, _ := strings.Cut(string(data), "not-run: ")
+	notRun := strings.Fields(list)
+	for _, url := range args[1:] {
 		var runs []engine.Run
-		if err := fetch("http://"+url+"/admin/runs", &runs); err != nil {
+		if err := fetch(url+"/admin/runs", &runs); err != nil {
 			return err
 		}
 		for _, r := range runs {
-			if f.notRun[r.Prompt] {
-				f.wrong = append(f.wrong, r.Prompt+": called not-run and ran")
+			if slices.Contains(notRun, r.Prompt) {
+				return fmt.Errorf("%s was called not-run and ran", r.Prompt)
 			}
 		}
 	}
+	fmt.Printf("never-ran=%d\n", len(notRun))
 	return nil
 }
 
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -61,6 +61,7 @@
 	{"answer", checkAnswer},
 	{"garbage", checkGarbage},
 	{"flow", checkFlow},
+	{"never-ran", checkNeverRan},
 	{"stamp", checkStamp},
 	{"newest", checkNewest},
 	{"tokens", checkTokens},
