--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -85,6 +86,14 @@
 	return e
 }
 
+// agentWire returns the options of connections to agents: there are many, and
+// few are in use at a time.
+func (e *Entry) agentWire() wire.Options {
+	o := e.opts.Wire
+	o.IdleFactor = wire.IdleFactor
+	return o
+}
+
 // PeerHandler returns the handler of the other entries' messages.
 func (e *Entry) PeerHandler() wire.Handler { return &e.peerMux }
 
@@ -102,9 +111,22 @@
 	}
 }
 
+// rejectedDetail names the records of a snapshot that are not in force.
+func rejectedDetail(s *config.Snapshot) string {
+	keys := make([]string, 0, len(s.Rejected))
+	for _, r := range s.Rejected {
+		keys = append(keys, r.Key)
+	}
+	if len(keys) == 0 {
+		return ""
+	}
+	return "rejected " + strings.Join(keys, ", ")
+}
+
 func (e *Entry) configApplied(ctx context.Context, s *config.Snapshot) {
-	e.event(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision})
+	e.event(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision, Detail: rejectedDetail(s)})
 	e.links.reconcile(ctx, e, s)
+	e.admitter.setLimits(s)
 }
 
 // Hello returns what the entry says of itself now.
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -186,6 +187,8 @@
 	e := u.x.entry
 	nonce, answers := e.once.expect(2)
 	defer e.once.forget(nonce)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	timer := time.NewTimer(askTimeout)
 	defer timer.Stop()
 	q := &wire.CallQuery{Nonce: nonce, Account: r.Account, Key: r.Key, Ticket: ticketOf(r), Fence: fence, Wait: wait}
@@ -225,7 +228,8 @@
 // sendWhenConnected sends a question as soon as the agent is connected.
 func (e *Entry) sendWhenConnected(ctx context.Context, timer *time.Timer, upstream string, m wire.Message) error {
 	for {
-		if l := e.links.byName(upstream); l != nil && l.send(m) == nil {
+		l := e.links.byName(upstream)
+		if l != nil && l.send(m) == nil || l == nil && e.sendDirect(ctx, upstream, m) {
 			return nil
 		}
 		select {
@@ -238,6 +242,23 @@
 	}
 }
 
+// sendDirect asks an agent that is not in the entry's part of the upstreams, on
+// a connection that lasts as long as ctx.
+func (e *Entry) sendDirect(ctx context.Context, upstream string, m wire.Message) bool {
+	u := e.opts.Store.Current().Upstreams[upstream]
+	if u == nil {
+		return false
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", u.Address)
+	if err != nil {
+		return false
+	}
+	c := wire.NewConn(nc, &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){wire.KindCallStatus: e.once.answered}}, e.opts.Wire)
+	go func() { _ = c.Run(ctx) }()
+	return c.Send(e.Hello()) == nil && c.Send(m) == nil
+}
+
 // Lost implements claim.Upstreams: the upstream's record or its VM has gone.
 // An agent that was replaced on its VM says so itself.
 func (u onceUpstreams) Lost(r claim.Record) bool {
--- a/internal/entry/operators_config.go
+++ b/internal/entry/operators_config.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -104,10 +106,13 @@
 	if err := e.refuseRestored(); err != nil {
 		return nil, err
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, codec.MaxRecord)
-	body, err := readBody(w, r)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, codec.MaxRecord))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.New(fault.TooLarge, "split the record", "record over %d bytes", codec.MaxRecord)
+	}
 	if err != nil {
-		return nil, err
+		return nil, fault.Wrap(fault.Invalid, err, "send the whole record", "reading the record")
 	}
 	_, err = codec.Decode(key, body)
 	return body, err
@@ -162,13 +167,17 @@
 
 // adopt puts what the restored service holds into force everywhere.
 func (e *Entry) adopt(r *http.Request) (any, error) {
-	highest := e.opts.Store.Current().Revision
+	highest, restored := e.opts.Store.Current().Revision, e.opts.Store.Restored() != nil
 	replies, _ := e.ask(r.Context(), e.entryTargets(), func(nonce uint64) wire.Message { return &wire.StatusRequest{Nonce: nonce} })
 	for _, reply := range replies {
 		for _, p := range decodeProcesses(reply.message) {
 			highest = max(highest, p.Revision)
+			restored = restored || p.Restored != ""
 		}
 	}
+	if !restored {
+		return nil, fault.New(fault.Invalid, "adopt only when status shows restored", "no entry has seen the key-value service restored")
+	}
 	revision, err := provider.Adopt(r.Context(), e.opts.KV, highest)
 	return opapi.Written{Revision: highest + revision, RecordRevision: revision}, err
 }
