--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -215,6 +215,5 @@
 		x.finish(result{outcome.NotRun, err})
 		return
 	}
-	e.event(timeline.Event{Kind: timeline.Admitted, Object: req.account.Name, Request: req.id})
 	release(x.run(r.Context()) == outcome.Completed)
 }
