Keep an entry that does not watch from asking the service every half second

Cause: the patience of a start, 0.3 to 0.5 s, stayed until the first call of the entry itself; one that learned from its peers kept it, and asked whenever the last announcement was older. Patience follows from the state now, with a unit test on a fake clock.

--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -201,6 +201,26 @@
 	})
 })
 
+var _ = Describe("an entry that does not watch", func() {
+	It("asks the service at a start without peers, and when it hears nothing", func() {
+		clock := clockwork.NewFakeClock()
+		x := NewExchange(config.NewStore(codec.Decode), &membership.View{}, clock)
+		source := &Source{Exchange: x, IsWatcher: func() bool { return false }}
+		Expect(source.mustFollow()).To(BeFalse())
+		clock.Advance(startAfter + startJitter)
+		Expect(source.mustFollow()).To(BeTrue())
+
+		Expect(x.Store.Update(config.WholeUpdate([]config.Record{record("a", 5)}))).To(Succeed())
+		x.Heard.Observe(0)
+		clock.Advance(staleAfter)
+		Expect(source.mustFollow()).To(BeFalse())
+		clock.Advance(staleJitter)
+		Expect(source.mustFollow()).To(BeTrue())
+		x.Heard.Observe(0)
+		Expect(source.mustFollow()).To(BeFalse())
+	})
+})
+
 var _ = Describe("the age", func() {
 	It("passes between processes without their clocks agreeing", func() {
 		far, near := clockwork.NewFakeClockAt(time.Unix(1e9, 0)), clockwork.NewFakeClock()
--- a/internal/provider/source.go
+++ b/internal/provider/source.go
@@ -63,15 +63,17 @@
 	down    bool
 	// listed counts the listings: they don't follow each other without a delay.
 	listed int
+	// jitter is the share of the jitters that patience adds, 0 to 1.
+	jitter float64
 }
 
 // Run follows the service, while this entry has to, until ctx is done.
 func (s *Source) Run(ctx context.Context) {
 	retry := minRetry
+	s.jitter = rand.Float64()
 	s.deleted = map[string]int64{}
-	patience := s.patience()
 	for ctx.Err() == nil {
-		if !s.mustFollow(patience) {
+		if !s.mustFollow() {
 			s.after = 0
 			clear(s.deleted)
 			sleep(ctx, followPoll)
@@ -79,7 +81,7 @@
 		}
 		listed := s.listed
 		err := s.step(ctx)
-		patience = s.patience()
+		s.jitter = rand.Float64()
 		if ctx.Err() != nil {
 			return
 		}
@@ -103,15 +105,18 @@
 // patience is how old the configuration may get before this entry asks itself.
 func (s *Source) patience() time.Duration {
 	if s.store().Current().Revision == 0 {
-		return startAfter + rand.N(startJitter)
+		return startAfter + time.Duration(s.jitter*float64(startJitter))
 	}
-	return staleAfter + rand.N(staleJitter)
+	return staleAfter + time.Duration(s.jitter*float64(staleJitter))
 }
 
-func (s *Source) mustFollow(patience time.Duration) bool {
+// mustFollow says whether this entry has to ask the service: it watches, or it
+// has heard nothing for too long. One without a configuration gives its peers a
+// moment first.
+func (s *Source) mustFollow() bool {
 	age, _ := s.Exchange.Heard.Get()
 	starting := s.store().Current().Revision == 0
-	return (s.IsWatcher() && !starting) || age > patience
+	return (s.IsWatcher() && !starting) || age > s.patience()
 }
 
 func (s *Source) store() *config.Store { return s.Exchange.Store }
