--- a/internal/entry/operators_status.go
+++ b/internal/entry/operators_status.go
@@ -176,7 +176,7 @@
 	var missing []opapi.Missing
 	for name := range e.opts.Store.Current().Upstreams {
 		if !connected[name] {
-			missing = append(missing, opapi.Missing{Process: "agent of " + name, Reason: "no entry is connected to it; check the VM, the path to it and the record's address"})
+			missing = append(missing, opapi.Missing{Process: "agent of " + name, Reason: "no entry is connected to it; check the VM, the path to it, the record's address, and that the data centre has entries enough for its upstreams"})
 		}
 	}
 	return missing
