--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,14 @@
 	return e
 }
 
+// agentWire returns the options of connections to agents: there are many, and
+// few are in use at a time.
+func (e *Entry) agentWire() wire.Options {
+	o := e.opts.Wire
+	o.IdleFactor = wire.IdleFactor
+	return o
+}
+
 // PeerHandler returns the handler of the other entries' messages.
 func (e *Entry) PeerHandler() wire.Handler { return &e.peerMux }
 
@@ -118,6 +126,7 @@
 func (e *Entry) configApplied(ctx context.Context, s *config.Snapshot) {
 	e.event(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision, Detail: rejectedDetail(s)})
 	e.links.reconcile(ctx, e, s)
+	e.admitter.setLimits(s)
 }
 
 // Hello returns what the entry says of itself now.
