--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -188,6 +188,47 @@
 		Expect(p.Tick()).To(Equal([]string{"u0"}))
 	})
 
+	It("takes a silent upstream back with its next report, and not before", func() {
+		p, nodes, clock := newTestPool(4, 0, 8)
+		clock.Advance(silenceLimit + time.Second)
+		for _, n := range nodes[1:] {
+			n.Reported(Load{Capacity: 8})
+		}
+		p.Tick()
+		clock.Advance(2 * ejectionTime)
+		p.refresh(clock.Now())
+		Expect(p.near).NotTo(ContainElement(nodes[0]))
+		nodes[0].Reported(Load{Capacity: 8})
+		Expect(p.near).To(ContainElement(nodes[0]))
+	})
+
+	It("ejects an upstream that alone has never reported", func() {
+		p, nodes, clock := newTestPool(4, 0, 8)
+		nodes[0].SetUsable(false)
+		nodes[0].SetUsable(true)
+		clock.Advance(silenceLimit + time.Second)
+		for _, n := range nodes[1:] {
+			n.Reported(Load{Capacity: 8})
+		}
+		Expect(p.Tick()).To(Equal([]string{"u0"}))
+	})
+
+	It("ejects an upstream without reports whose work makes no progress", func() {
+		clock := clockwork.NewFakeClock()
+		p := NewPool(clock, rand.New(rand.NewPCG(5, 6)), "dc1")
+		var nodes []*Node
+		for i := range 3 {
+			n := p.Add(Upstream{Name: fmt.Sprintf("u%d", i), DataCentre: "dc1"})
+			n.SetUsable(true)
+			n.Dispatched()
+			nodes = append(nodes, n)
+		}
+		clock.Advance(silenceLimit + time.Second)
+		nodes[1].Progressed(0)
+		nodes[2].Progressed(0)
+		Expect(p.Tick()).To(Equal([]string{"u0"}))
+	})
+
 	It("ejects none when most stop reporting", func() {
 		p, nodes, clock := newTestPool(4, 0, 8)
 		clock.Advance(silenceLimit + time.Second)
--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -61,17 +61,22 @@
 	var ejected []string
 	for _, n := range silent {
 		if p.eject(n, now) {
+			n.silent = true
 			ejected = append(ejected, n.Name)
 		}
 	}
 	return ejected
 }
 
-// silentAt says whether an upstream that reported before has stopped, or one
-// with work in flight has made no progress.
+// silentAt says whether an upstream of a pool that reports has not, or one with
+// work in flight has made no progress.
 func (n *Node) silentAt(now time.Time) bool {
-	if !n.reportedAt.IsZero() && now.Sub(n.reportedAt) > silenceLimit {
-		return true
+	heard := n.usableAt
+	if n.reportedAt.After(heard) {
+		heard = n.reportedAt
 	}
-	return n.inFlight > 0 && now.Sub(n.progress) > silenceLimit && n.reportedAt.IsZero()
+	if n.pool.reporting {
+		return now.Sub(heard) > silenceLimit
+	}
+	return n.inFlight > 0 && now.Sub(n.progress) > silenceLimit
 }
--- a/internal/balance/node.go
+++ b/internal/balance/node.go
@@ -51,6 +51,7 @@
 	hash  uint64
 
 	usable   bool
+	usableAt time.Time
 	inFlight int
 
 	capacity   int
@@ -66,6 +67,8 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	// silent says that the ejection lasts until the next report.
+	silent bool
 }
 
 // group is what the ranks of a model group share.
@@ -91,10 +94,13 @@
 		return
 	}
 	n.usable = usable
+	n.usableAt = n.pool.clock.Now()
 	n.failures = 0
 	n.gaps = 0
 	n.reportedAt = time.Time{}
 	n.others = 0
+	n.silent = false
+	n.ejectedUntil = time.Time{}
 	n.pool.index()
 }
 
@@ -123,6 +129,12 @@
 	}
 	n.others += othersWeight * (others - n.others)
 	n.reportedAt = now
+	n.pool.reporting = true
+	if n.silent {
+		n.silent = false
+		n.ejectedUntil = time.Time{}
+		n.pool.index()
+	}
 	if r.Capacity != n.capacity {
 		n.pool.setCapacity(n, r.Capacity)
 	}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -37,7 +37,9 @@
 
 	meanOthers float64
 	meanGap    float64
-	next       int // for RoundRobin
+	// reporting says that any upstream has reported its load.
+	reporting bool
+	next      int // for RoundRobin
 }
 
 // NewPool returns an empty pool as seen from a data centre.
@@ -129,11 +131,18 @@
 	}
 }
 
-// refresh takes upstreams back whose ejection has ended.
+// refresh takes upstreams back whose ejection has ended, but for those that
+// are still silent.
 func (p *Pool) refresh(now time.Time) {
-	if !p.nextReturn.IsZero() && !now.Before(p.nextReturn) {
-		p.index()
+	if p.nextReturn.IsZero() || now.Before(p.nextReturn) {
+		return
 	}
+	for _, n := range p.nodes {
+		if n.silent {
+			n.ejectedUntil = now.Add(ejectionTime)
+		}
+	}
+	p.index()
 }
 
 // preferredFor returns the homes of a prefix by rendezvous hash, the first one
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -138,11 +138,11 @@
 }
 
 func (e *Engine) release(run *Run) {
-	e.batch.leave()
-	e.lagged.keep(e.present())
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	run.Left = time.Now()
+	e.mu.Unlock()
+	e.batch.leave()
+	e.lagged.keep(e.present())
 }
 
 func (e *Engine) count(n *int, d int) {
