--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -63,17 +63,25 @@
 	var ejected []string
 	for _, n := range silent {
 		if p.eject(n, now) {
+			n.silent = true
 			ejected = append(ejected, n.Name)
 		}
 	}
 	return ejected
 }
 
-// silentAt says whether an upstream's engine is reported as silent, one that
-// reported before has stopped, or one with work in flight has made no progress.
+// silentAt says whether an upstream's engine is reported as silent, one of a pool
+// that reports has not, or one with work in flight has made no progress.
 func (n *Node) silentAt(now time.Time) bool {
-	if n.silent || !n.reportedAt.IsZero() && now.Sub(n.reportedAt) > reportLimit {
+	if n.mute {
 		return true
 	}
-	return n.inFlight > 0 && now.Sub(n.progress) > silenceLimit && n.reportedAt.IsZero()
+	heard := n.usableAt
+	if n.reportedAt.After(heard) {
+		heard = n.reportedAt
+	}
+	if n.pool.reporting {
+		return now.Sub(heard) > reportLimit
+	}
+	return n.inFlight > 0 && now.Sub(n.progress) > silenceLimit
 }
--- a/internal/balance/node.go
+++ b/internal/balance/node.go
@@ -54,11 +54,13 @@
 	hash  uint64
 
 	usable   bool
+	usableAt time.Time
 	inFlight int
 
 	capacity   int
 	reportedAt time.Time
-	silent     bool
+	// mute says that the engine is reported as not answering.
+	mute bool
 	// others is the moving mean of the reported work less this entry's own.
 	others float64
 
@@ -70,6 +72,8 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	// silent says that the ejection lasts until the next report.
+	silent bool
 }
 
 // group is what the ranks of a model group share.
@@ -95,10 +99,13 @@
 		return
 	}
 	n.usable = usable
+	n.usableAt = n.pool.clock.Now()
 	n.failures = 0
 	n.gaps = 0
 	n.reportedAt = time.Time{}
 	n.others = 0
+	n.silent = false
+	n.ejectedUntil = time.Time{}
 	n.pool.index()
 }
 
@@ -127,7 +134,13 @@
 	}
 	n.others += othersWeight * (others - n.others)
 	n.reportedAt = now
-	n.silent = r.Silent
+	n.pool.reporting = true
+	n.mute = r.Silent
+	if n.silent && !r.Silent {
+		n.silent = false
+		n.ejectedUntil = time.Time{}
+		n.pool.index()
+	}
 	if r.Capacity != n.capacity {
 		n.pool.setCapacity(n, r.Capacity)
 	}
