--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -97,6 +97,7 @@
 		calls:      claim.NewLedger(opts.Hello.Incarnation, opts.Clock, claim.DefaultCalls, claim.DefaultBytes),
 		flight:     quarantine.NewFlight(),
 		quarantine: quarantine.NewTable(opts.Clock),
+		config:     provider.NewLearner(opts.Store, opts.Hello.Upstream, opts.Clock),
 		queue:      make(chan *run, 2*opts.Workers),
 		conns:      map[*wire.Conn]wire.Hello{},
 		runs:       map[wire.AttemptID]*run{},
