--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -96,7 +96,6 @@
 		journal:    newJournal(journalLimit),
 		calls:      claim.NewLedger(opts.Hello.Incarnation, opts.Clock, claim.DefaultCalls, claim.DefaultBytes),
 		flight:     quarantine.NewFlight(),
-		config:     provider.NewLearner(opts.Store, opts.Hello.Upstream, opts.Clock),
 		quarantine: quarantine.NewTable(opts.Clock),
 		queue:      make(chan *run, 2*opts.Workers),
 		conns:      map[*wire.Conn]wire.Hello{},
