Compare a listing with what was in force before it was asked for

Cause: a peer's news that came in while a listing was under way put a higher revision in force, and the listing then looked like that of a restored service; the note would have spread and stopped all changes until an operator adopted. Found by reading; the test failed first ("restored from an older copy; revision 5 stays in force") and passes.

--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -32,14 +32,19 @@
 	platform.KV
 	store         *kv.Store
 	before, after error
-	// meanwhile runs before the answer of a Put.
+	// meanwhile runs before the answer of a Put or a List.
 	meanwhile func()
 }
 
 func (s *service) Get(_ context.Context, key string) (platform.Item, error) { return s.store.Get(key) }
 
 func (s *service) List(_ context.Context, prefix string) (platform.Listing, error) {
-	return s.store.List(prefix), nil
+	l := s.store.List(prefix)
+	if s.meanwhile != nil {
+		s.meanwhile()
+		s.meanwhile = nil
+	}
+	return l, nil
 }
 
 func (s *service) Put(_ context.Context, p platform.Put) (int64, error) {
@@ -201,6 +206,21 @@
 	})
 })
 
+var _ = Describe("a listing", func() {
+	It("is no sign of a restore when a peer's news overtakes it", func() {
+		s := &service{store: kv.NewStore(clockwork.NewFakeClock())}
+		x := NewExchange(config.NewStore(codec.Decode), &membership.View{}, clockwork.NewFakeClock())
+		source := &Source{KV: s, Exchange: x, IsWatcher: func() bool { return true }, Log: zap.NewNop(), deleted: map[string]int64{}}
+		s.meanwhile = func() {
+			Expect(x.Store.Update(config.WholeUpdate([]config.Record{record("a", 5)}))).To(Succeed())
+		}
+		Expect(source.list(context.Background())).To(Succeed())
+		Expect(x.Store.Restored()).To(BeNil())
+		Expect(source.list(context.Background())).To(Succeed())
+		Expect(x.Store.Restored()).NotTo(BeNil(), "the service is behind what was in force before the listing")
+	})
+})
+
 var _ = Describe("an entry that does not watch", func() {
 	It("asks the service at a start without peers, and when it hears nothing", func() {
 		clock := clockwork.NewFakeClock()
--- a/internal/provider/source.go
+++ b/internal/provider/source.go
@@ -161,11 +161,11 @@
 // longer has the events since the revision in force.
 func (s *Source) list(ctx context.Context) error {
 	s.listed++
+	before := s.store().Current()
 	l, err := s.KV.List(ctx, config.Prefix)
 	if err != nil {
 		return err
 	}
-	before := s.store().Current()
 	records := make([]config.Record, 0, len(l.Items))
 	for _, i := range l.Items {
 		records = append(records, config.Record{Key: i.Key, Value: i.Value, Revision: i.ModRevision})
