--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -11,6 +11,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/admission"
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
 )
 
 // admitter guards the admission state. Its lock is a leaf.
@@ -57,6 +58,7 @@
 	if !d.Start {
 		return nil, e.refusal(req, d)
 	}
+	e.event(timeline.Event{Kind: timeline.Admitted, Object: req.account.Name, Request: req.id})
 	return func(served bool) { e.released(t, served) }, nil
 }
 
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -135,7 +135,11 @@
 func (u onceUpstreams) Pick(tried map[string]bool) (claim.Target, bool) {
 	x := u.x
 	x.tried = tried
-	if x.judge() != nil || !x.enterAdmission(u.ctx) {
+	if err := x.judge(); err != nil {
+		x.refused = err
+		return claim.Target{}, false
+	}
+	if !x.enterAdmission(u.ctx) {
 		return claim.Target{}, false
 	}
 	l := x.pick()
