--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -143,6 +143,21 @@
 		Expect(LeastWork{}.Pick(p, Request{Prefix: "p"})).To(Equal(home))
 	})
 
+	It("assumes a low capacity of ranks until they report", func() {
+		clock := clockwork.NewFakeClock()
+		p := NewPool(clock, rand.New(rand.NewPCG(5, 6)), "dc1")
+		a := p.Add(Upstream{Name: "a", DataCentre: "dc1", Group: "g"})
+		b := p.Add(Upstream{Name: "b", DataCentre: "dc1", Group: "g"})
+		a.SetUsable(true)
+		b.SetUsable(true)
+		Expect(p.Capacity()).To(Equal(2 * assumedCapacity))
+		a.Reported(Load{Capacity: 64})
+		Expect(p.Capacity()).To(Equal(64 + assumedCapacity))
+		plain := NewPool(clock, rand.New(rand.NewPCG(5, 6)), "dc1")
+		plain.Add(Upstream{Name: "s", DataCentre: "dc1"}).SetUsable(true)
+		Expect(plain.Capacity()).To(BeZero())
+	})
+
 	It("does not allocate", func() {
 		p, _, _ := newTestPool(100, 20, 32)
 		r := Request{Prefix: "prefix", Tried: []string{"u1"}}
--- a/internal/balance/node.go
+++ b/internal/balance/node.go
@@ -42,6 +42,9 @@
 	// minPace and maxPace bound an upstream's pace relative to the pool's.
 	minPace = 0.5
 	maxPace = 8
+	// assumedCapacity stands for the capacity of a rank that has not reported
+	// yet. It is low, so that an entry that has just started does not flood it.
+	assumedCapacity = 4
 	// defaultCapacity stands for an unknown capacity, in requests.
 	defaultCapacity = 32
 )
@@ -59,8 +62,7 @@
 
 	capacity   int
 	reportedAt time.Time
-	// mute says that the engine is reported as not answering.
-	mute bool
+	silent     bool
 	// others is the moving mean of the reported work less this entry's own.
 	others float64
 
@@ -72,8 +74,8 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
-	// silent says that the ejection lasts until the next report.
-	silent bool
+	// held says that the ejection lasts until a report that isn't silent.
+	held bool
 }
 
 // group is what the ranks of a model group share.
@@ -105,6 +107,7 @@
 	n.reportedAt = time.Time{}
 	n.others = 0
 	n.silent = false
+	n.held = false
 	n.ejectedUntil = time.Time{}
 	n.pool.index()
 }
@@ -135,9 +138,9 @@
 	n.others += othersWeight * (others - n.others)
 	n.reportedAt = now
 	n.pool.reporting = true
-	n.mute = r.Silent
-	if n.silent && !r.Silent {
-		n.silent = false
+	n.silent = r.Silent
+	if n.held && !n.silent {
+		n.held = false
 		n.ejectedUntil = time.Time{}
 		n.pool.index()
 	}
@@ -208,6 +211,15 @@
 	return float64(n.capacity)
 }
 
+// firstCapacity returns the reported capacity, or what is assumed of a rank
+// before; 0 for a plain service, which reports none.
+func (n *Node) firstCapacity() int {
+	if n.capacity == 0 && n.group != nil {
+		return assumedCapacity
+	}
+	return n.capacity
+}
+
 // costAt returns the expected time of one more request, in full batches.
 func (n *Node) costAt(now time.Time) float64 {
 	return (n.workAt(now) + 1) / n.slots() * n.paceAt(now)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -75,8 +75,8 @@
 // Len returns the number of upstreams, usable or not.
 func (p *Pool) Len() int { return len(p.nodes) }
 
-// Capacity returns the sum of the capacities of the usable upstreams; 0 means
-// that one of them is unknown.
+// Capacity returns the sum of the capacities of the upstreams in use; 0 means
+// that one of them reports none.
 func (p *Pool) Capacity() int { return p.capacity }
 
 func (p *Pool) setCapacity(n *Node, capacity int) {
@@ -86,15 +86,15 @@
 
 func (p *Pool) sumCapacity() {
 	p.capacity = 0
-	for _, n := range p.nodes {
-		if !n.usable {
-			continue
-		}
-		if n.capacity == 0 {
-			p.capacity = 0
-			return
+	for _, list := range [][]*Node{p.near, p.far} {
+		for _, n := range list {
+			capacity := n.firstCapacity()
+			if capacity == 0 {
+				p.capacity = 0
+				return
+			}
+			p.capacity += capacity
 		}
-		p.capacity += n.capacity
 	}
 }
 
@@ -138,7 +138,7 @@
 		return
 	}
 	for _, n := range p.nodes {
-		if n.silent {
+		if n.held {
 			n.ejectedUntil = now.Add(ejectionTime)
 		}
 	}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -160,6 +160,7 @@
 	l.leaving = false
 	l.update()
 	l.mu.Unlock()
+	l.entry.passCapacity(l.member.pool)
 	l.entry.event(timeline.Event{Kind: timeline.Connected, Object: l.upstream.Name})
 	l.tell(&linkBack{incarnation: hello.Incarnation})
 }
