Switch groups whose engines can't hold a step by a restart

Cause: an engine that can't hold votes no on every switch, so its group never took up a planned map.

Change: an order with the restart step starts the group's next round; every rank that has the map staged wants it, and the group forms under it if all do. A rank that has formed and gets reports that do not fit starts the next round, and a round's first step begins when all ranks have joined it under one map.

Ruled out: the next round's number alone.

--- a/internal/agent/mapengine.go
+++ b/internal/agent/mapengine.go
@@ -58,6 +58,8 @@
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
 	kind := fault.Unavailable
 	switch resp.StatusCode {
+	case http.StatusConflict:
+		kind = fault.Conflict
 	case http.StatusGone:
 		kind = fault.Stale
 	case http.StatusBadRequest:
@@ -101,9 +103,9 @@
 }
 
 // Stop implements expertmap.Engine.
-func (e *mapEngine) Stop(round int64) (expertmap.Report, error) {
+func (e *mapEngine) Stop(round, want int64) (expertmap.Report, error) {
 	var r expertmap.Report
-	err := e.call(engineapi.PathMapStop, engineapi.MapStop{Round: round}, &r)
+	err := e.call(engineapi.PathMapStop, engineapi.MapStop{Round: round, Want: want}, &r)
 	return r, err
 }
 
--- a/internal/entry/planmove.go
+++ b/internal/entry/planmove.go
@@ -56,7 +56,7 @@
 // happen ends the move: the group runs on the map it has.
 func (g *groupPlanner) watchSwitch(ctx context.Context, ranks []*wire.MapAnswer) {
 	id := *g.move.ordered
-	passed := every(ranks, func(a *wire.MapAnswer) bool { return a.Status.Completed >= id.Step && a.Status.Active < id.Version })
+	passed := id.Step != expertmap.RestartStep && every(ranks, func(a *wire.MapAnswer) bool { return a.Status.Completed >= id.Step && a.Status.Active < id.Version })
 	if passed || ranks[0].Status.Round != id.Round {
 		g.move = nil
 		g.entry.count("planner.switches_failed")
@@ -87,8 +87,11 @@
 }
 
 // switchStep chooses the step of a switch so far ahead that the votes arrive
-// first.
+// first. A group with an engine that can't hold is restarted instead.
 func switchStep(ranks []*wire.MapAnswer) int64 {
+	if !every(ranks, func(a *wire.MapAnswer) bool { return !a.Status.NoHold }) {
+		return expertmap.RestartStep
+	}
 	var next, micros int64
 	for _, a := range ranks {
 		next = max(next, a.Status.Next)
--- a/internal/expertmap/gate.go
+++ b/internal/expertmap/gate.go
@@ -17,21 +17,26 @@
 	// Status says what the engine holds.
 	Status() (Status, error)
 	// Stop ends the rank's part in rounds before the given one and returns
-	// the rank's report, the same for each call in a round.
-	Stop(round int64) (Report, error)
+	// the rank's report, the same for each call in a round. It wants the given
+	// map if that is staged; 0 wants none.
+	Stop(round, want int64) (Report, error)
 	// Form joins the group in a round under a map, from the step after
-	// completed.
+	// completed; once formed, another map or step is an error of kind Conflict.
+	// As with any collective, the round's first step begins when every rank has
+	// joined it under the same map, and not before.
 	Form(round, version, completed int64) error
 }
 
 // Status is what an engine holds.
 type Status struct {
 	// Instance names the engine's run.
-	Instance  string `json:"instance"`
-	Round     int64  `json:"round"`
-	Formed    bool   `json:"formed"`
-	Active    int64  `json:"active"`
-	Completed int64  `json:"completed"`
+	Instance string `json:"instance"`
+	Round    int64  `json:"round"`
+	Formed   bool   `json:"formed"`
+	// Joined says that every rank has formed with this one.
+	Joined    bool  `json:"joined"`
+	Active    int64 `json:"active"`
+	Completed int64 `json:"completed"`
 	// Next is the next step to begin.
 	Next int64 `json:"next"`
 	// Staged lists the versions whose weights are in place.
@@ -42,6 +47,8 @@
 	HeldFence int64     `json:"heldFence,omitempty"`
 	// Fence is the highest fencing number seen, 0 when the engine keeps none.
 	Fence int64 `json:"fence"`
+	// NoHold says that the engine can't hold a step.
+	NoHold bool `json:"noHold,omitempty"`
 }
 
 // hold is a step that waits for the outcome of a switch.
@@ -61,9 +68,12 @@
 	Instance string
 	// ChecksFencing makes the gate refuse orders with an old number.
 	ChecksFencing bool
+	// NoHold makes the gate vote no on every hold.
+	NoHold bool
 
 	round     int64
 	formed    bool
+	joined    bool
 	active    int64
 	completed int64
 	next      int64
@@ -117,7 +127,7 @@
 		return vote, nil
 	}
 	stale := g.CheckFence(fence) != nil
-	yes := !stale && g.held == nil && g.staged[id.Version] && id.Step >= g.next && id.Version > g.active
+	yes := !stale && !g.NoHold && g.held == nil && g.staged[id.Version] && id.Step >= g.next && id.Version > g.active
 	if yes {
 		g.held = &hold{id: id, fence: fence}
 	}
@@ -158,7 +168,7 @@
 
 // Status implements Engine.
 func (g *Gate) Status() (Status, error) {
-	s := Status{Instance: g.Instance, Round: g.round, Formed: g.formed, Active: g.active, Completed: g.completed, Next: g.next, Fence: g.fence}
+	s := Status{Instance: g.Instance, Round: g.round, Formed: g.formed, Joined: g.joined, Active: g.active, Completed: g.completed, Next: g.next, Fence: g.fence, NoHold: g.NoHold}
 	for v := range g.staged {
 		s.Staged = append(s.Staged, v)
 	}
@@ -170,16 +180,20 @@
 }
 
 // Stop implements Engine.
-func (g *Gate) Stop(round int64) (Report, error) {
+func (g *Gate) Stop(round, want int64) (Report, error) {
 	if round < g.round {
 		return Report{}, fault.New(fault.Stale, "stop in the present round", "round %d, the rank is in round %d", round, g.round)
 	}
 	if round > g.round {
 		g.round = round
 		g.formed = false
+		g.joined = false
 		g.held = nil
 		g.votes = nil
 		g.report = Report{Round: g.round, Rank: g.Rank, Active: g.active, Completed: g.completed}
+		if g.staged[want] {
+			g.report.Want = want
+		}
 	}
 	return g.report, nil
 }
@@ -190,7 +204,7 @@
 		return fault.New(fault.Stale, "form in the present round", "round %d, the rank is in round %d", round, g.round)
 	}
 	if g.formed {
-		return nil
+		return g.formedAs(version, completed)
 	}
 	g.formed = true
 	g.active = version
@@ -200,11 +214,19 @@
 	return nil
 }
 
+// formedAs checks a second call to form, which changes nothing.
+func (g *Gate) formedAs(version, completed int64) error {
+	if g.joined || (version == g.active && completed == g.completed) {
+		return nil
+	}
+	return fault.New(fault.Conflict, "start the next round", "the rank has formed under map %d after step %d", g.active, g.completed)
+}
+
 // Begin starts the next step and returns it with the map's version; false
 // means that the rank waits: it is in no group, the step before is not
 // complete, or the step is held.
 func (g *Gate) Begin() (step, version int64, ok bool) {
-	if !g.formed || g.next > g.completed+1 {
+	if !g.joined || g.next > g.completed+1 {
 		return 0, 0, false
 	}
 	if g.held != nil && g.held.id.Step == g.next {
@@ -230,6 +252,19 @@
 	}
 }
 
+// Join lets the ranks of a group begin the first step of a round, if all have
+// formed in it under one map. It stands for the group's collective.
+func Join(gates []*Gate) {
+	for _, g := range gates {
+		if !g.formed || g.joined || g.round != gates[0].round || g.active != gates[0].active || g.completed != gates[0].completed {
+			return
+		}
+	}
+	for _, g := range gates {
+		g.joined = true
+	}
+}
+
 // Round returns the rank's round and whether it has formed.
 func (g *Gate) Round() (int64, bool) { return g.round, g.formed }
 
--- a/internal/expertmap/member.go
+++ b/internal/expertmap/member.go
@@ -66,6 +66,9 @@
 	if err := m.CheckFence(o.Fence); err != nil {
 		return nil, err
 	}
+	if o.ID.Step == RestartStep {
+		return m.restart(o)
+	}
 	yes, err := m.engine.Hold(o.ID, o.Fence)
 	if err != nil {
 		return nil, err
@@ -73,6 +76,18 @@
 	return m.voted(o.ID, o.Fence, yes, true), nil
 }
 
+// restart starts the next round, in which this rank wants the order's map.
+func (m *Member) restart(o Order) ([]Message, error) {
+	s, err := m.status()
+	if err != nil {
+		return nil, err
+	}
+	if !s.Formed || s.Round != o.ID.Round {
+		return nil, fault.New(fault.Stale, "order a switch in the group's present round", "restart of round %d, the rank is in round %d", o.ID.Round, s.Round)
+	}
+	return m.report(s.Round+1, o.ID.Version, true), nil
+}
+
 // voted records the rank's own vote, decides if it can, and returns the vote.
 func (m *Member) voted(id SwitchID, fence int64, yes, ask bool) []Message {
 	b := m.ballot(id, fence)
@@ -156,7 +171,7 @@
 		m.LearnFence(s.Fence)
 	}
 	m.forget(s)
-	if !s.Formed {
+	if !s.Joined {
 		return m.reform(s)
 	}
 	if s.Held == nil {
--- a/internal/expertmap/message.go
+++ b/internal/expertmap/message.go
@@ -1,7 +1,12 @@
 package expertmap
 
+// RestartStep in place of a switch's step stops the group for a round and forms
+// it again under the map, for engines that can't hold.
+const RestartStep int64 = 0
+
 // SwitchID names one switch: the map that a group takes up, the step that is
-// the first under it, and the group's round in which it may happen.
+// the first under it or RestartStep, and the group's round in which it may
+// happen.
 type SwitchID struct {
 	Round   int64 `json:"round"`
 	Version int64 `json:"version"`
@@ -35,6 +40,9 @@
 	// the rank knows as complete.
 	Active    int64
 	Completed int64
+	// Want is the version of a staged map that the group was ordered to form
+	// under, 0 for none. The group does if all ranks want the same.
+	Want int64
 	// Ask wants the receiver's own report in return.
 	Ask bool
 }
--- a/internal/expertmap/protocol_test.go
+++ b/internal/expertmap/protocol_test.go
@@ -54,8 +54,8 @@
 	return lost(f, f.gate.Status)
 }
 
-func (f *flaky) Stop(round int64) (Report, error) {
-	return lost(f, func() (Report, error) { return f.gate.Stop(round) })
+func (f *flaky) Stop(round, want int64) (Report, error) {
+	return lost(f, func() (Report, error) { return f.gate.Stop(round, want) })
 }
 
 func (f *flaky) Form(round, version, completed int64) error {
@@ -157,6 +157,7 @@
 
 // begin lets a rank begin its step and judges the map.
 func (g *group) begin(r int) {
+	Join(g.gates)
 	step, version, ok := g.gates[r].Begin()
 	if !ok {
 		return
@@ -225,6 +226,9 @@
 	gate := g.gates[g.anyRank("order like")]
 	o := Order{Fence: rapid.Int64Range(1, 3).Draw(g.t, "fence")}
 	o.ID = SwitchID{Round: gate.round, Version: rapid.Int64Range(1, 4).Draw(g.t, "version"), Step: gate.next + rapid.Int64Range(-1, 4).Draw(g.t, "ahead")}
+	if rapid.IntRange(0, 3).Draw(g.t, "restart") == 0 {
+		o.ID.Step = RestartStep
+	}
 	g.ordered = append(g.ordered, o)
 	for r := range g.gates {
 		if rapid.IntRange(0, 4).Draw(g.t, "reaches") > 0 {
--- a/internal/expertmap/reform.go
+++ b/internal/expertmap/reform.go
@@ -1,56 +1,78 @@
 package expertmap
 
+import "github.com/kingcupreel/kingcupreel/internal/fault"
+
 // A rank that restarts has lost its place in the group. Its agent asks every
 // other member for the round and starts the next one: all ranks stop and report
 // in it, and form again under the newest map that any of them has begun a step
 // under. A report is final for its round, as a vote is for its switch.
+//
+// The same way serves engines that can't hold a step: an order to restart under
+// a staged map starts a round in which every rank that has it staged wants it.
 
 // reform moves a rank without a group towards the next round.
 func (m *Member) reform(s Status) []Message {
 	if s.Round > 0 {
-		return m.report(s.Round, true)
+		return m.report(s.Round, 0, true)
 	}
 	if len(m.asked) < m.ranks-1 {
 		return []Message{RoundAsk{Rank: m.rank, Instance: s.Instance}}
 	}
-	next := m.round + 1
+	newest := m.round
 	for _, round := range m.asked {
-		next = max(next, round+1)
+		newest = max(newest, round)
 	}
-	return m.report(next, true)
+	return m.report(newest+1, 0, true)
 }
 
 // report stops the engine in a round and returns its report.
-func (m *Member) report(round int64, ask bool) []Message {
-	own, err := m.engine.Stop(round)
+func (m *Member) report(round, want int64, ask bool) []Message {
+	own, err := m.engine.Stop(round, want)
 	if err != nil {
 		return nil
 	}
-	m.collect(own)
 	own.Ask = ask
-	return []Message{own}
+	return append([]Message{own}, m.collect(own)...)
 }
 
 // collect keeps a report of the newest round, and forms the group when all are
-// there.
-func (m *Member) collect(r Report) {
+// there. An engine that started a round and died before anyone heard of it may
+// choose the same number again and report something else; whoever has formed on
+// the first report then finds that it does not fit, and starts the next round.
+func (m *Member) collect(r Report) []Message {
 	if r.Round > m.round {
 		m.round = r.Round
 		m.reports = map[int]Report{}
 	}
 	if r.Round < m.round {
-		return
+		return nil
 	}
 	m.reports[r.Rank] = r
 	if len(m.reports) < m.ranks {
-		return
+		return nil
 	}
 	var version, completed int64
 	for _, other := range m.reports {
 		version = max(version, other.Active)
 		completed = max(completed, other.Completed)
 	}
-	_ = m.engine.Form(m.round, version, completed)
+	err := m.engine.Form(m.round, max(version, wanted(m.reports)), completed)
+	if fault.KindOf(err) == fault.Conflict {
+		return m.report(m.round+1, 0, true)
+	}
+	return nil
+}
+
+// wanted returns the map that all reports want, or 0.
+func wanted(reports map[int]Report) int64 {
+	want := int64(-1)
+	for _, r := range reports {
+		if want >= 0 && r.Want != want {
+			return 0
+		}
+		want = r.Want
+	}
+	return max(want, 0)
 }
 
 // RoundAsk answers a member whose engine has no round.
@@ -80,12 +102,12 @@
 	}
 	ask := r.Ask
 	r.Ask = false
-	m.collect(r)
+	out := m.collect(r)
 	switch {
 	case r.Round > s.Round:
-		return m.report(r.Round, true)
+		return append(out, m.report(r.Round, r.Want, true)...)
 	case ask && r.Round == s.Round:
-		return m.report(r.Round, false)
+		return append(out, m.report(r.Round, 0, false)...)
 	}
-	return nil
+	return out
 }
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -54,6 +54,7 @@
 	ranksCmd.Flag("slots", "Slots a rank.").Default("6").IntVar(&group.Slots)
 	ranksCmd.Flag("step-time", "Time of a step.").Default("10ms").DurationVar(&group.StepTime)
 	ranksCmd.Flag("stage-time", "Time to load one expert's weights.").Default("20ms").DurationVar(&group.StageTime)
+	ranksCmd.Flag("no-hold", "Be unable to hold a step: switches stop the group.").BoolVar(&group.NoHold)
 	ranksCmd.Flag("checks-fencing", "Refuse old fencing numbers.").BoolVar(&group.ChecksFencing)
 
 	linkCmd := app.Command("link", "Network path that can be cut.")
--- a/internal/standin/ranks/group.go
+++ b/internal/standin/ranks/group.go
@@ -28,6 +28,8 @@
 	StageTime time.Duration
 	// ChecksFencing makes the engines refuse old fencing numbers.
 	ChecksFencing bool
+	// NoHold makes the engines unable to hold a step.
+	NoHold bool
 }
 
 // Step is the record of one step at one rank.
@@ -87,7 +89,7 @@
 	g.runs++
 	first := firstMap(g.opts)
 	g.ranks[r] = &rank{
-		gate: &expertmap.Gate{Rank: r, Instance: strconv.Itoa(g.runs), ChecksFencing: g.opts.ChecksFencing},
+		gate: &expertmap.Gate{Rank: r, Instance: strconv.Itoa(g.runs), ChecksFencing: g.opts.ChecksFencing, NoHold: g.opts.NoHold},
 		maps: map[int64]*expertmap.Map{0: first},
 	}
 }
@@ -125,6 +127,11 @@
 func (g *Group) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	gates := make([]*expertmap.Gate, 0, len(g.ranks))
+	for _, k := range g.ranks {
+		gates = append(gates, k.gate)
+	}
+	expertmap.Join(gates)
 	for r, k := range g.ranks {
 		if k.stalled {
 			continue
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -74,6 +74,7 @@
 	{"causal", checkCausal},
 	{"race", checkRace},
 	{"maps", checkMaps},
+	{"gap", checkGap},
 	{"balance", checkBalance},
 	{"forge", checkForge},
 	{"drill", checkDrill},
--- a/test/scenario/ranks_test.go
+++ b/test/scenario/ranks_test.go
@@ -205,3 +205,34 @@
 	fmt.Printf("skewed by %.3f\n", planner.Skew(loads))
 	return nil
 }
+
+// checkGap is "check gap RANKS": it prints how long the group's first switch
+// lasted, from the last step under the old map to the first under the new one,
+// beside the median time of a step.
+func checkGap(urls []string) error {
+	var record ranks.Record
+	if err := fetch(urls[0]+"/admin/record", &record); err != nil {
+		return err
+	}
+	var began []ranks.Step
+	for _, s := range record.Steps {
+		if s.Rank == 0 {
+			began = append(began, s)
+		}
+	}
+	var gaps []int64
+	first := int64(-1)
+	for i := 1; i < len(began); i++ {
+		gap := began[i].Micros - began[i-1].Micros
+		gaps = append(gaps, gap)
+		if first < 0 && began[i].Version != began[i-1].Version {
+			first = gap
+		}
+	}
+	if first < 0 {
+		return fmt.Errorf("no switch in %d steps", len(began))
+	}
+	slices.Sort(gaps)
+	fmt.Printf("switch=%.1fms step=%.1fms\n", float64(first)/1000, float64(gaps[len(gaps)/2])/1000)
+	return nil
+}
