--- a/internal/agent/once.go
+++ b/internal/agent/once.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"net"
 	"net/http"
 	"time"
 
@@ -15,27 +14,9 @@
 // allows less.
 const onceTimeout = 10 * time.Minute
 
-// newOnceClient returns the client of non-idempotent calls. Each call has a
-// connection of its own and follows no redirect: on a reused connection that
-// breaks, net/http sends a call with an Idempotency-Key again by itself.
-func newOnceClient() *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
-// client returns the client that may make the dispatch's call.
-func (u *upstream) client(d *wire.Dispatch) *http.Client {
-	if d.NonIdempotent {
-		return u.once
-	}
-	return u.http
-}
+// keepRedirect leaves a redirect to the caller: following it would send a call
+// a second time.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func callID(d *wire.Dispatch) claim.ID { return claim.ID{Account: d.Account, Key: d.Key} }
 
--- a/internal/balance/node.go
+++ b/internal/balance/node.go
@@ -22,11 +22,14 @@
 	Work int
 	// Capacity is the number of requests that run at once; 0 means unknown.
 	Capacity int
+	// Silent says that the engine doesn't answer.
+	Silent bool
 }
 
 const (
-	// reportAging is the time constant at which a report loses its weight.
-	reportAging = 2 * time.Second
+	// reportAging is the time constant at which a report loses its weight; an
+	// unchanged load is reported again in that time.
+	reportAging = 4 * time.Second
 	// othersWeight is the weight of a new report in the mean of the others'
 	// work. It is low, since entries that all follow a report that lags make a
 	// herd.
@@ -51,10 +54,13 @@
 	hash  uint64
 
 	usable   bool
+	usableAt time.Time
 	inFlight int
 
 	capacity   int
 	reportedAt time.Time
+	// mute says that the engine is reported as not answering.
+	mute bool
 	// others is the moving mean of the reported work less this entry's own.
 	others float64
 
@@ -66,6 +72,8 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	// silent says that the ejection lasts until the next report.
+	silent bool
 }
 
 // group is what the ranks of a model group share.
@@ -91,10 +99,13 @@
 		return
 	}
 	n.usable = usable
+	n.usableAt = n.pool.clock.Now()
 	n.failures = 0
 	n.gaps = 0
 	n.reportedAt = time.Time{}
 	n.others = 0
+	n.silent = false
+	n.ejectedUntil = time.Time{}
 	n.pool.index()
 }
 
@@ -123,6 +134,13 @@
 	}
 	n.others += othersWeight * (others - n.others)
 	n.reportedAt = now
+	n.pool.reporting = true
+	n.mute = r.Silent
+	if n.silent && !r.Silent {
+		n.silent = false
+		n.ejectedUntil = time.Time{}
+		n.pool.index()
+	}
 	if r.Capacity != n.capacity {
 		n.pool.setCapacity(n, r.Capacity)
 	}
--- a/test/scenario/flow_test.go
+++ b/test/scenario/flow_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,24 +23,27 @@
 const (
 	// flowTokens is the length of a flow's answers.
 	flowTokens = 40
-	// flowTimeout is the Request-Timeout of a flow's requests, in seconds.
-	flowTimeout = "60"
+	// flowStagger is the time between the starts of two callers.
+	flowStagger = 130 * time.Millisecond
 	// disturbPause is the mean time between two disturbances.
 	disturbPause = 700 * time.Millisecond
 )
 
 // flowCounts are what a flow's callers were told.
 type flowCounts struct {
+	// timeout is the requests' Request-Timeout, in seconds.
+	timeout string
+
 	mu       sync.Mutex
 	outcomes map[string]int
-	notRun   map[string]bool
+	notRun   []string
 	wrong    []string
 }
 
-// checkFlow is "check flow CALLERS REQUESTS ENGINES CALLER=OPS...": each caller
+// checkFlow is "check flow CALLERS REQUESTS TIMEOUT CALLER=OPS...": each caller
 // sends its streaming requests one after the other to an entry whose readiness
-// is positive, as the platform's balancer does. It prints the outcomes, and
-// fails when an answer is wrong or when an engine ran what was called not-run.
+// is positive, as the platform's balancer does. It prints the outcomes and what
+// was called not-run, and fails when an answer is wrong.
 func checkFlow(args []string) error {
 	callers, err := strconv.Atoi(args[0])
 	if err != nil {
@@ -48,20 +53,19 @@
 	if err != nil {
 		return err
 	}
-	f := &flowCounts{outcomes: map[string]int{}, notRun: map[string]bool{}}
+	f := &flowCounts{timeout: args[2], outcomes: map[string]int{}}
 	var wg sync.WaitGroup
 	for c := range callers {
 		wg.Go(func() {
+			time.Sleep(time.Duration(c) * flowStagger)
 			for n := range requests {
 				f.request(args[3:], fmt.Sprintf("flow-%d-%d", c, n), c+n)
 			}
 		})
 	}
 	wg.Wait()
-	if err := f.judgeNotRun(strings.Split(args[2], ",")); err != nil {
-		return err
-	}
 	fmt.Printf("requests=%d outcomes=%v wrong=%v\n", callers*requests, f.outcomes, f.wrong)
+	fmt.Printf("not-run: %s\n", strings.Join(f.notRun, " "))
 	if len(f.wrong) > 0 {
 		return fmt.Errorf("%d wrong answers", len(f.wrong))
 	}
@@ -77,7 +81,7 @@
 		return
 	}
 	req.Header.Set("Authorization", "Bearer account-1")
-	req.Header.Set("Request-Timeout", flowTimeout)
+	req.Header.Set("Request-Timeout", f.timeout)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		f.count(prompt, "none", err.Error())
@@ -127,25 +131,35 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.outcomes[outcome]++
-	f.notRun[prompt] = outcome == "not-run"
+	if outcome == "not-run" {
+		f.notRun = append(f.notRun, prompt)
+	}
 	if fault != "" {
 		f.wrong = append(f.wrong, prompt+": "+fault)
 	}
 }
 
-// judgeNotRun compares what was called not-run with the engines' records.
-func (f *flowCounts) judgeNotRun(engines []string) error {
-	for _, url := range engines {
+// checkNeverRan is "check never-ran FILE ENGINE...": it fails when an engine ran
+// a prompt that a flow, whose output is in the file, was told was not run.
+func checkNeverRan(args []string) error {
+	data, err := os.ReadFile(args[0])
+	if err != nil {
+		return err
+	}
+	_, list, _ := strings.Cut(string(data), "not-run: ")
+	notRun := strings.Fields(list)
+	for _, url := range args[1:] {
 		var runs []engine.Run
-		if err := fetch("http://"+url+"/admin/runs", &runs); err != nil {
+		if err := fetch(url+"/admin/runs", &runs); err != nil {
 			return err
 		}
 		for _, r := range runs {
-			if f.notRun[r.Prompt] {
-				f.wrong = append(f.wrong, r.Prompt+": called not-run and ran")
+			if slices.Contains(notRun, r.Prompt) {
+				return fmt.Errorf("%s was called not-run and ran", r.Prompt)
 			}
 		}
 	}
+	fmt.Printf("never-ran=%d\n", len(notRun))
 	return nil
 }
 
@@ -189,3 +203,34 @@
 	ts.Check(err)
 	resp.Body.Close()
 }
+
+// checkStamp prints the time.
+func checkStamp([]string) error {
+	fmt.Println(time.Now().Format(time.RFC3339Nano))
+	return nil
+}
+
+// checkNewest is "check newest FILE ENGINE": it prints how long after the stamp
+// in the file the engine's newest run started.
+func checkNewest(args []string) error {
+	data, err := os.ReadFile(args[0])
+	if err != nil {
+		return err
+	}
+	stamp, err := time.Parse(time.RFC3339Nano, strings.TrimSpace(string(data)))
+	if err != nil {
+		return err
+	}
+	var runs []engine.Run
+	if err := fetch(args[1]+"/admin/runs", &runs); err != nil {
+		return err
+	}
+	newest := time.Time{}
+	for _, r := range runs {
+		if r.Started.After(newest) {
+			newest = r.Started
+		}
+	}
+	fmt.Printf("newest=%v\n", newest.Sub(stamp).Round(time.Millisecond))
+	return nil
+}
