--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -28,6 +28,9 @@
 	unknownTurn = 10 * time.Millisecond
 	// serviceWeight is the weight of a new service time in the means.
 	serviceWeight = 0.05
+	// maxOutlier bounds what one service time counts, as a factor of the mean, so
+	// that a few stalled requests don't make all others look hopeless.
+	maxOutlier = 4
 	// deviations is how many mean deviations over the mean a request is given.
 	deviations = 3
 )
@@ -78,7 +81,7 @@
 		s.mean, s.deviation = d, d/2
 		return
 	}
-	off := d - s.mean
+	off := min(d, maxOutlier*s.mean) - s.mean
 	s.mean += time.Duration(serviceWeight * float64(off))
 	s.deviation += time.Duration(serviceWeight * float64(off.Abs()-s.deviation))
 }
--- a/internal/balance/eject.go
+++ b/internal/balance/eject.go
@@ -63,17 +63,17 @@
 	var ejected []string
 	for _, n := range silent {
 		if p.eject(n, now) {
-			n.silent = true
+			n.held = true
 			ejected = append(ejected, n.Name)
 		}
 	}
 	return ejected
 }
 
-// silentAt says whether an upstream's engine is reported as silent, one of a pool
-// that reports has not, or one with work in flight has made no progress.
+// silentAt says whether an upstream's engine is reported as silent, one of a
+// pool that reports has not, or one with work in flight has made no progress.
 func (n *Node) silentAt(now time.Time) bool {
-	if n.mute {
+	if n.silent {
 		return true
 	}
 	heard := n.usableAt
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -78,6 +78,7 @@
 	{"race", checkRace},
 	{"watchers", checkWatchers},
 	{"maps", checkMaps},
+	{"gap", checkGap},
 	{"balance", checkBalance},
 	{"forge", checkForge},
 	{"drill", checkDrill},
