Let make capacity rewrite the page's tables in place

Cause: the tables stood in a file of their own that nobody would read. Ruled out: a page generated as a whole, whose prose would be lost. Change: the command replaces what stands between two marker lines. Conclusion: the page has one source for its figures.

--- a/Makefile
+++ b/Makefile
@@ -19,4 +19,4 @@
 
 capacity: build
 	scripts/capacity.sh bin > docs/capacity-slopes.jsonl
-	bin/kingcupreel-bench capacity --slopes docs/capacity-slopes.jsonl > docs/capacity-tables.md
+	bin/kingcupreel-bench capacity --slopes docs/capacity-slopes.jsonl --page docs/CAPACITY.md
--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -51,18 +51,44 @@
 	return v, ok
 }
 
-func declareCapacity(app *kingpin.Application, e env) (string, command) {
-	cmd := app.Command("capacity", "Print the tables of docs/CAPACITY.md from slopes.")
+// The lines of the page between which the tables stand.
+const (
+	tablesBegin = "<!-- tables: made by make capacity -->\n"
+	tablesEnd   = "<!-- end of tables -->\n"
+)
+
+func declareCapacity(app *kingpin.Application, _ env) (string, command) {
+	cmd := app.Command("capacity", "Make the tables of docs/CAPACITY.md from slopes.")
 	file := cmd.Flag("slopes", "File of slope lines.").Required().ExistingFile()
+	page := cmd.Flag("page", "Page whose tables are replaced.").Required().ExistingFile()
 	return cmd.FullCommand(), func(context.Context) error {
 		slopes, err := readSlopes(*file)
 		if err != nil {
 			return err
 		}
-		writeSlopeTable(e.out, slopes)
-		writeRoleTables(e.out, slopes)
-		return nil
+		var tables strings.Builder
+		writeRoleTables(&tables, slopes)
+		writeSlopeTable(&tables, slopes)
+		return replaceTables(*page, tables.String())
+	}
+}
+
+// replaceTables rewrites the page with new tables.
+func replaceTables(page, tables string) error {
+	data, err := os.ReadFile(page)
+	if err != nil {
+		return fault.Wrap(fault.Invalid, err, "give a readable file", "reading the page")
+	}
+	before, rest, begun := strings.Cut(string(data), tablesBegin)
+	_, after, ended := strings.Cut(rest, tablesEnd)
+	if !begun || !ended {
+		return fault.New(fault.Invalid, "put the two marker lines into the page", "%s has no place for the tables", page)
+	}
+	text := before + tablesBegin + tables + "\n" + tablesEnd + after
+	if err := os.WriteFile(page, []byte(text), 0o644); err != nil {
+		return fault.Wrap(fault.Invalid, err, "make the page writable", "writing the page")
 	}
+	return nil
 }
 
 func readSlopes(file string) (map[string]Slope, error) {
--- a/internal/bench/target.go
+++ b/internal/bench/target.go
@@ -48,6 +48,7 @@
 
 // writeSlopeTable writes the slopes themselves.
 func writeSlopeTable(w io.Writer, slopes map[string]Slope) {
+	fmt.Fprintln(w)
 	fmt.Fprintln(w, "### Slopes")
 	fmt.Fprintln(w)
 	fmt.Fprintln(w, "| slope | sizes measured | base | per size | fit R2 |")
