Cover every upstream by at least two entries of its data centre

Ruled out: a larger part for each entry, which only moves the size at which it fails; the operators' choice. Change: an entry also connects to each upstream that ranks it among the first two entries of the upstream's data centre, or of all where it has none. A link that leaves the part takes no new work and closes with its last attempt, where it used to be cut with work in flight.

--- a/internal/bench/slopes_policy.go
+++ b/internal/bench/slopes_policy.go
@@ -12,6 +12,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/admission"
 	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/membership"
+	"github.com/kingcupreel/kingcupreel/internal/platform"
 )
 
 const (
@@ -85,7 +86,7 @@
 
 func newPolicyTable(upstreams int) *policyTable {
 	t := &policyTable{members: newMembers(upstreams)}
-	chosen := membership.Subset(t.members, "entry", policyDataCentre)
+	chosen := membership.Subset(t.members, nil, "entry", policyDataCentre)
 	pools := map[string]*balance.Pool{}
 	for _, m := range t.members {
 		if !chosen[m.Name] {
@@ -125,9 +126,19 @@
 	})
 }
 
+// policyEntries returns the target's entries, in the data centres of the
+// upstreams.
+func policyEntries() []platform.VM {
+	entries := make([]platform.VM, 0, targetNodes)
+	for i := range int(targetNodes) {
+		entries = append(entries, platform.VM{ID: fmt.Sprintf("entry-%d", i), DataCentre: fmt.Sprintf("dc%d", i%targetDataCentres)})
+	}
+	return entries
+}
+
 func subsetTime(upstreams int) float64 {
 	members := newMembers(upstreams)
-	return per(20, func(int) { membership.Subset(members, "entry", policyDataCentre) })
+	return per(20, func(int) { membership.Subset(members, policyEntries(), "entry", policyDataCentre) })
 }
 
 // heapOf returns the memory that f's value holds, in bytes.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,7 +80,7 @@
 	e.startQuarantine()
 	opts.Store.OnChange(func(s *config.Snapshot) { e.configApplied(ctx, s) })
 	if opts.View != nil {
-		opts.View.OnChange(e.viewChanged)
+		opts.View.OnChange(func() { e.viewChanged(ctx) })
 	}
 	go e.exchangeUsage(ctx)
 	return e
@@ -137,9 +137,26 @@
 	return &h
 }
 
+// id returns the entry's VM id, or its name where the VM list has none for it.
+func (e *Entry) id() string {
+	if vm := e.opts.Hello.VM; vm != "" {
+		return vm
+	}
+	return e.opts.Hello.Process
+}
+
+// listedEntries returns the entries that the VM list shows.
+func (e *Entry) listedEntries() []platform.VM {
+	if e.opts.View == nil {
+		return nil
+	}
+	return e.opts.View.Entries()
+}
+
 // viewChanged stops new work to upstreams whose VM the VM list shows as leaving,
-// and drains the entry when its own VM is.
-func (e *Entry) viewChanged() {
+// drains the entry when its own VM is, and chooses its upstreams anew.
+func (e *Entry) viewChanged(ctx context.Context) {
+	e.links.reconcile(ctx, e, e.opts.Store.Current())
 	if e.opts.Peers != nil && e.vmLeaving(e.opts.Peers.Self) {
 		e.Drain()
 	}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -36,8 +36,10 @@
 	// listLeaving says that the VM list shows the upstream's VM as leaving.
 	listLeaving bool
 	drained     bool
-	inFlight    int
-	boxes       map[wire.AttemptID]*mailbox
+	// retired says that the link closes with its last attempt.
+	retired  bool
+	inFlight int
+	boxes    map[wire.AttemptID]*mailbox
 }
 
 func newLink(e *Entry, u *config.Upstream, stop context.CancelFunc) *link {
@@ -251,6 +253,9 @@
 	delete(l.boxes, id)
 	l.inFlight--
 	l.member.finished(id)
+	if l.retired && l.inFlight == 0 {
+		l.stop()
+	}
 }
 
 // send passes a message to the agent, if it is connected.
@@ -266,7 +271,7 @@
 // takesWork says whether the upstream can be given an attempt. The caller holds
 // mu.
 func (l *link) takesWork() bool {
-	return l.conn != nil && !l.leaving && !l.listLeaving && !l.drained
+	return l.conn != nil && !l.leaving && !l.listLeaving && !l.drained && !l.retired
 }
 
 // usable says whether the upstream can be given an attempt now.
@@ -280,6 +285,18 @@
 // holds mu.
 func (l *link) update() { l.member.setUsable(l.takesWork()) }
 
+// retire ends a link that the entry no longer wants: it takes no new work and
+// closes when its last attempt has ended, so that none is cut short.
+func (l *link) retire() {
+	l.member.leave()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+	if l.inFlight == 0 {
+		l.stop()
+	}
+}
+
 // setDrained notes whether the operators' record drains the upstream.
 func (l *link) setDrained(drained bool) {
 	l.mu.Lock()
--- a/internal/entry/linktable.go
+++ b/internal/entry/linktable.go
@@ -27,15 +27,14 @@
 // snapshot's upstreams.
 func (t *linkTable) reconcile(ctx context.Context, e *Entry, s *config.Snapshot) {
 	members, sizes := poolMembers(s)
-	wanted := membership.Subset(members, e.opts.Hello.Process, t.dataCentre)
+	wanted := membership.Subset(members, e.listedEntries(), e.id(), t.dataCentre)
 	e.addPlannedRanks(s, wanted)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, l := range t.links {
 		u := s.Upstreams[name]
 		if !wanted[name] || !u.SameEndpoint(l.upstream) || l.member.pool.name != poolOf(s, u) {
-			l.stop()
-			l.member.leave()
+			l.retire()
 			delete(t.links, name)
 		}
 	}
--- a/internal/membership/subset.go
+++ b/internal/membership/subset.go
@@ -1,10 +1,19 @@
 package membership
 
+import (
+	"slices"
+
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+)
+
 const (
 	// NearUpstreams and FarUpstreams are the upstreams of one pool that an entry
 	// connects to, in its own data centre and in the others together.
 	NearUpstreams = 12
 	FarUpstreams  = 4
+	// EntriesPerUpstream is the number of entries that connect to an upstream
+	// whatever else they choose.
+	EntriesPerUpstream = 2
 )
 
 // PoolMember is an upstream with the pool that it serves.
@@ -15,10 +24,11 @@
 }
 
 // Subset returns the names of the upstreams that an entry connects to: a
-// bounded number of each pool, by rendezvous hash with the entry's id. So each
-// upstream gets about the same number of entries, and a change of one upstream
-// or entry moves no other connection.
-func Subset(members []PoolMember, self, dataCentre string) map[string]bool {
+// bounded number of each pool, by rendezvous hash with the entry's id, and those
+// that it covers. So each upstream gets about the same number of entries and at
+// least some, however few entries there are, and a change of one upstream or
+// entry moves few other connections.
+func Subset(members []PoolMember, entries []platform.VM, self, dataCentre string) map[string]bool {
 	type part struct {
 		pool string
 		near bool
@@ -28,7 +38,7 @@
 		p := part{m.Pool, m.DataCentre == dataCentre}
 		parts[p] = append(parts[p], m.Name)
 	}
-	chosen := map[string]bool{}
+	chosen := covered(members, entries, self, dataCentre)
 	for p, names := range parts {
 		n := FarUpstreams
 		if p.near {
@@ -43,3 +53,29 @@
 	}
 	return chosen
 }
+
+// covered returns the upstreams that have self among their first entries, of
+// those in their own data centre, or of all where there are none.
+func covered(members []PoolMember, entries []platform.VM, self, dataCentre string) map[string]bool {
+	groups := byDataCentre(entries)
+	if !slices.Contains(groups[dataCentre], self) {
+		groups[dataCentre] = append(groups[dataCentre], self)
+	}
+	var all []string
+	for _, ids := range groups {
+		all = append(all, ids...)
+	}
+	chosen := map[string]bool{}
+	for _, m := range members {
+		ids := groups[m.DataCentre]
+		if len(ids) == 0 {
+			ids = all
+		} else if m.DataCentre != dataCentre {
+			continue
+		}
+		if slices.Contains(first(EntriesPerUpstream, Rank("cover:"+m.Name, ids)), self) {
+			chosen[m.Name] = true
+		}
+	}
+	return chosen
+}
