--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -94,6 +94,7 @@
 		opts:       opts,
 		upstream:   newUpstream(opts.Target, opts.StallTimeout, opts.Clock),
 		journal:    newJournal(journalLimit),
+		config:     provider.NewLearner(opts.Store, opts.Hello.Upstream, opts.Clock),
 		calls:      claim.NewLedger(opts.Hello.Incarnation, opts.Clock, claim.DefaultCalls, claim.DefaultBytes),
 		flight:     quarantine.NewFlight(),
 		quarantine: quarantine.NewTable(opts.Clock),
