--- a/test/scenario/checks_overload_test.go
+++ b/test/scenario/checks_overload_test.go
@@ -31,6 +31,9 @@
 	mu                                     sync.Mutex
 	sent, completed, refused, late, silent int
 	refusedIDs                             map[string]bool
+	// other are the statuses of the answers that are neither an answer in time
+	// nor a refusal.
+	other []int
 }
 
 func parseGroup(s string) (*floodGroup, error) {
@@ -125,6 +128,7 @@
 		}
 	default:
 		g.late++
+		g.other = append(g.other, resp.StatusCode)
 	}
 	return false
 }
@@ -159,6 +163,9 @@
 	late := 0
 	for _, g := range groups {
 		late += g.late
+		if len(g.other) > 0 {
+			fmt.Printf("late-statuses=%v\n", g.other)
+		}
 	}
 	fmt.Printf("runs=%d wasted=%d late=%d lost-percent=%d refused-but-ran=%d extra-attempts-percent=%d\n",
 		len(runs), wasted, late, 100*max(wasted, late)/max(len(runs), 1), ranRefused, 100*(len(runs)-len(attempts))/max(len(attempts), 1))
