Wait for an entry's whole part of its upstreams in the scenarios

Cause: maps-wide waited for exactly 12 connected upstreams of 16; now that every upstream is covered an entry may have more, so that the wait never ended. Ruled out: a fault of the product: the entry was connected to 16.

--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 
 	"github.com/kingcupreel/kingcupreel/internal/ctl"
@@ -99,7 +100,8 @@
 	exitOn(fmt.Errorf("no check %q", os.Args[1]))
 }
 
-// checkConnected prints how many upstreams an entry is connected to.
+// checkConnected is "check connected OPS_URL [MIN]": it prints how many upstreams
+// an entry is connected to, and fails when they are fewer than MIN.
 func checkConnected(urls []string) error {
 	client := ctl.Client{Base: urls[0], Token: operatorToken}
 	status, err := client.Status(context.Background())
@@ -113,9 +115,18 @@
 		}
 	}
 	fmt.Printf("connected=%d revision=%d\n", n, status.Revision)
+	if len(urls) > 1 && n < atLeast(urls[1]) {
+		return fmt.Errorf("fewer than %s", urls[1])
+	}
 	return nil
 }
 
+func atLeast(s string) int {
+	n, err := strconv.Atoi(s)
+	exitOn(err)
+	return n
+}
+
 func fetch(url string, out any) error {
 	resp, err := http.Get(url)
 	if err != nil {
