--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -20,6 +20,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/standin/link"
 	"github.com/kingcupreel/kingcupreel/internal/standin/plain"
 	"github.com/kingcupreel/kingcupreel/internal/standin/ranks"
+	"github.com/kingcupreel/kingcupreel/internal/standin/weights"
 )
 
 // expiryInterval is how often the key-value stand-in ends lapsed leases.
@@ -54,9 +55,14 @@
 	ranksCmd.Flag("slots", "Slots a rank.").Default("6").IntVar(&group.Slots)
 	ranksCmd.Flag("step-time", "Time of a step.").Default("10ms").DurationVar(&group.StepTime)
 	ranksCmd.Flag("stage-time", "Time to load one expert's weights.").Default("20ms").DurationVar(&group.StageTime)
+	ranksCmd.Flag("weights", "Base URL of the weight store to load from, in place of the stage time.").StringVar(&group.Weights)
+	ranksCmd.Flag("expert-bytes", "Size of an expert's weights.").Default("1000000").Int64Var(&group.ExpertBytes)
 	ranksCmd.Flag("no-hold", "Be unable to hold a step: switches stop the group.").BoolVar(&group.NoHold)
 	ranksCmd.Flag("checks-fencing", "Refuse old fencing numbers.").BoolVar(&group.ChecksFencing)
 
+	weightsCmd := app.Command("weights", "Weight store with a bounded rate.")
+	rate := weightsCmd.Flag("rate", "Bytes a second over all callers.").Default("10000000").Int64()
+
 	linkCmd := app.Command("link", "Network path that can be cut.")
 	to := linkCmd.Flag("to", "Address to forward to, IP:port.").Required().String()
 	linkListen := linkCmd.Flag("link-listen", "Address that is forwarded.").Default("127.0.0.1:0").String()
@@ -77,6 +83,8 @@
 		g := ranks.New(group)
 		go g.Run()
 		h = g.Handler()
+	case weightsCmd.FullCommand():
+		h = weights.New(*rate).Handler()
 	case linkCmd.FullCommand():
 	default:
 		h = keyValue()
--- a/internal/standin/ranks/group.go
+++ b/internal/standin/ranks/group.go
@@ -26,6 +26,10 @@
 	StepTime time.Duration
 	// StageTime is the time that a rank takes to load one expert's weights.
 	StageTime time.Duration
+	// Weights is the weight store's base URL, from which each expert's
+	// ExpertBytes are loaded instead; empty means none.
+	Weights     string
+	ExpertBytes int64
 	// ChecksFencing makes the engines refuse old fencing numbers.
 	ChecksFencing bool
 	// NoHold makes the engines unable to hold a step.
@@ -187,37 +191,6 @@
 	return out
 }
 
-// stage loads what a map needs beyond what the rank holds, in the background.
-func (g *Group) stage(r int, order engineapi.MapStage) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	k := g.ranks[r]
-	s, _ := k.gate.Status()
-	if err := k.gate.CheckFence(order.Fence); err != nil {
-		return err
-	}
-	if err := order.Map.Validate(); err != nil {
-		return err
-	}
-	if k.maps[order.Map.Version] != nil {
-		return nil
-	}
-	loads := 0
-	for _, e := range order.Map.Slots[r] {
-		if held := k.maps[s.Active]; e != expertmap.Empty && (held == nil || !held.Holds(r, e)) {
-			loads++
-		}
-	}
-	k.maps[order.Map.Version] = &order.Map
-	g.effect(Effect{Rank: r, Order: "stage", Fence: order.Fence, Version: order.Map.Version})
-	time.AfterFunc(time.Duration(loads)*g.opts.StageTime, func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		_ = k.gate.Stage(order.Map.Version, order.Fence)
-	})
-	return nil
-}
-
 // hold passes a hold to the gate and records it when it took effect.
 func (g *Group) hold(r int, h engineapi.MapHold) (engineapi.MapVote, error) {
 	g.mu.Lock()
--- a/test/scenario/checks_maps_test.go
+++ b/test/scenario/checks_maps_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kingcupreel/kingcupreel/internal/expertmap"
+	"github.com/kingcupreel/kingcupreel/internal/standin/weights"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
@@ -74,3 +75,18 @@
 	}
 	return nil
 }
+
+// checkLoads is "check loads WEIGHTS_URL": it prints what the weight store handed
+// out.
+func checkLoads(args []string) error {
+	var loads []weights.Load
+	if err := fetch(args[0]+"/admin/loads", &loads); err != nil {
+		return err
+	}
+	var total int64
+	for _, l := range loads {
+		total += l.Bytes
+	}
+	fmt.Printf("loads=%d bytes=%d\n", len(loads), total)
+	return nil
+}
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -84,6 +84,7 @@
 	{"forge", checkForge},
 	{"drill", checkDrill},
 	{"moving", checkMoving},
+	{"loads", checkLoads},
 	{"crashes", checkCrashes},
 	{"claims", checkClaims},
 }
--- a/test/scenario/ranks_test.go
+++ b/test/scenario/ranks_test.go
@@ -39,6 +39,8 @@
 			f.engines = n
 		case "entries":
 			f.entries = n
+		case "entry-args":
+			f.entryArgs = strings.Fields(value)
 		case "ranks-args":
 			extra = strings.Fields(value)
 		default:
