Share the redial loop and the count of connections

Ruled out: keeping the message for older processes; none was ever released. Change: wire.Redial with a Backoff, opapi.Status.Connected, the message gone. Conclusion: one piece of code for each.

--- a/internal/bench/prepare.go
+++ b/internal/bench/prepare.go
@@ -32,13 +32,8 @@
 
 func await(ctx context.Context, client *ctl.Client, wanted int) error {
 	for {
-		n := 0
 		status, err := client.Status(ctx)
-		for _, u := range status.Upstreams {
-			if u.Connected {
-				n++
-			}
-		}
+		n := status.Connected()
 		if err == nil && n >= wanted {
 			return nil
 		}
--- a/internal/demo/status.go
+++ b/internal/demo/status.go
@@ -13,11 +13,5 @@
 	if err != nil {
 		return 0, err
 	}
-	n := 0
-	for _, u := range status.Upstreams {
-		if u.Connected {
-			n++
-		}
-	}
-	return n, nil
+	return status.Connected(), nil
 }
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"syscall"
@@ -15,11 +14,11 @@
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
-const (
-	dialTimeout = 1 * time.Second
-	minBackoff  = 50 * time.Millisecond
-	maxBackoff  = 2 * time.Second
-)
+// dialTimeout bounds a dial of an agent.
+const dialTimeout = 1 * time.Second
+
+// linkBackoff bounds the wait between two dials of an agent.
+var linkBackoff = wire.Backoff{Min: 50 * time.Millisecond, Max: 2 * time.Second}
 
 // link is the connection to one upstream's agent, redialled when it ends.
 type link struct {
@@ -47,20 +46,7 @@
 }
 
 // run keeps the link connected until ctx is done.
-func (l *link) run(ctx context.Context) {
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		if l.connect(ctx) {
-			backoff = minBackoff
-		}
-		jittered := backoff/2 + rand.N(backoff)
-		select {
-		case <-ctx.Done():
-		case <-time.After(jittered):
-		}
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
+func (l *link) run(ctx context.Context) { wire.Redial(ctx, linkBackoff, l.connect) }
 
 // connect dials and serves one connection; it says whether the agent was
 // reached.
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -11,11 +10,11 @@
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
-const (
-	dialTimeout = 1 * time.Second
-	minBackoff  = 100 * time.Millisecond
-	maxBackoff  = 4 * time.Second
-)
+// dialTimeout bounds a dial of an entry.
+const dialTimeout = 1 * time.Second
+
+// peerBackoff bounds the wait between two dials of an entry.
+var peerBackoff = wire.Backoff{Min: 100 * time.Millisecond, Max: 4 * time.Second}
 
 // Peers keeps an entry connected to other entries: it dials the chosen ones
 // and accepts the others'.
@@ -88,20 +87,15 @@
 
 // keep redials an address until ctx is done.
 func (p *Peers) keep(ctx context.Context, address string) {
-	backoff := minBackoff
-	for ctx.Err() == nil {
+	wire.Redial(ctx, peerBackoff, func(ctx context.Context) bool {
 		d := net.Dialer{Timeout: dialTimeout}
 		nc, err := d.DialContext(ctx, "tcp", address)
-		if err == nil {
-			backoff = minBackoff
-			p.serve(ctx, nc)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(backoff/2 + rand.N(backoff)):
+		if err != nil {
+			return false
 		}
-		backoff = min(2*backoff, maxBackoff)
-	}
+		p.serve(ctx, nc)
+		return true
+	})
 }
 
 // Serve accepts peers' connections until ctx is done.
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -47,6 +47,17 @@
 	Upstreams  []UpstreamStatus  `json:"upstreams"`
 }
 
+// Connected returns the number of upstreams that the entry is connected to.
+func (s *Status) Connected() int {
+	n := 0
+	for _, u := range s.Upstreams {
+		if u.Connected {
+			n++
+		}
+	}
+	return n
+}
+
 // ProcessStatus is the state of one process of the deployment.
 type ProcessStatus struct {
 	Process    string `json:"process"`
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -28,7 +28,6 @@
 	KindLoad
 	KindLeaving
 	KindConfigDigest
-	KindConfigSnapshot
 	KindEventsRequest
 	KindEventsReply
 	KindAttach
@@ -218,12 +217,6 @@
 	Revision int64
 }
 
-// ConfigSnapshot carries the whole configuration at a revision.
-type ConfigSnapshot struct {
-	Revision int64
-	Records  []ConfigRecord
-}
-
 // EventsRequest asks for the peer's event ring.
 type EventsRequest struct{ Nonce uint64 }
 
@@ -272,9 +265,6 @@
 // Kind implements Message.
 func (*ConfigDigest) Kind() Kind { return KindConfigDigest }
 
-// Kind implements Message.
-func (*ConfigSnapshot) Kind() Kind { return KindConfigSnapshot }
-
 // Kind implements Message.
 func (*EventsRequest) Kind() Kind { return KindEventsRequest }
 
@@ -302,22 +292,21 @@
 }
 
 var coreFactories = map[Kind]factory{
-	KindHello:          func() Message { return new(Hello) },
-	KindPing:           func() Message { return new(Ping) },
-	KindDispatch:       func() Message { return new(Dispatch) },
-	KindAccepted:       func() Message { return new(Accepted) },
-	KindRefused:        func() Message { return new(Refused) },
-	KindHead:           func() Message { return new(Head) },
-	KindChunk:          func() Message { return new(Chunk) },
-	KindDone:           func() Message { return new(Done) },
-	KindCancel:         func() Message { return new(Cancel) },
-	KindVerdict:        func() Message { return new(Verdict) },
-	KindLoad:           func() Message { return new(Load) },
-	KindLeaving:        func() Message { return new(Leaving) },
-	KindConfigDigest:   func() Message { return new(ConfigDigest) },
-	KindConfigSnapshot: func() Message { return new(ConfigSnapshot) },
-	KindEventsRequest:  func() Message { return new(EventsRequest) },
-	KindEventsReply:    func() Message { return new(EventsReply) },
-	KindAttach:         func() Message { return new(Attach) },
-	KindRelease:        func() Message { return new(Release) },
+	KindHello:         func() Message { return new(Hello) },
+	KindPing:          func() Message { return new(Ping) },
+	KindDispatch:      func() Message { return new(Dispatch) },
+	KindAccepted:      func() Message { return new(Accepted) },
+	KindRefused:       func() Message { return new(Refused) },
+	KindHead:          func() Message { return new(Head) },
+	KindChunk:         func() Message { return new(Chunk) },
+	KindDone:          func() Message { return new(Done) },
+	KindCancel:        func() Message { return new(Cancel) },
+	KindVerdict:       func() Message { return new(Verdict) },
+	KindLoad:          func() Message { return new(Load) },
+	KindLeaving:       func() Message { return new(Leaving) },
+	KindConfigDigest:  func() Message { return new(ConfigDigest) },
+	KindEventsRequest: func() Message { return new(EventsRequest) },
+	KindEventsReply:   func() Message { return new(EventsReply) },
+	KindAttach:        func() Message { return new(Attach) },
+	KindRelease:       func() Message { return new(Release) },
 }
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -109,12 +109,7 @@
 	if err != nil {
 		return err
 	}
-	n := 0
-	for _, u := range status.Upstreams {
-		if u.Connected {
-			n++
-		}
-	}
+	n := status.Connected()
 	fmt.Printf("connected=%d revision=%d\n", n, status.Revision)
 	if len(urls) > 1 && n < atLeast(urls[1]) {
 		return fmt.Errorf("fewer than %s", urls[1])
