Show the quarantine from the command line

Cause: operators had to call the entry by hand to see which requests were suspected or convicted. Ruled out: folding it into status, which asks every process.

--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -107,6 +107,7 @@
 	convert.Arg("file", "YAML or JSON files.").ExistingFilesVar(&t.files)
 	command("status", "Show revision, staleness, load and drains of every process.", t.status)
 	command("plan", "Show the state of the expert plans.", t.plan)
+	command("quarantine", "Show the requests that were in flight when engines crashed.", t.quarantine)
 	command("adopt", "Put into force what a key-value service restored from an older copy holds.", t.adopt)
 	events := command("timeline", "Show the events of all processes in causal order.", t.timeline)
 	events.Flag("request", "Only events of this request.").StringVar(&t.filter.request)
--- /dev/null
+++ b/internal/ctl/quarantine.go
@@ -0,0 +1,36 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/opapi"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
+)
+
+// Quarantine returns the requests that were in flight at crashes, as the entry
+// knows them.
+func (c *Client) Quarantine(ctx context.Context) ([]quarantine.Record, error) {
+	var records []quarantine.Record
+	return records, c.do(ctx, http.MethodGet, opapi.PathQuarantine, nil, &records)
+}
+
+// quarantine shows what is suspected or convicted.
+func (t *tool) quarantine(ctx context.Context) error {
+	records, err := t.client.Quarantine(ctx)
+	if err != nil {
+		return err
+	}
+	return t.print(records, func() {
+		w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(w, "FINGERPRINT\tCLIENT ACCOUNT\tSTATE\tUPSTREAMS CRASHED\tEXPIRES (UTC)")
+		for _, r := range records {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", r.Fingerprint, r.Account, r.State, strings.Join(r.Crashed, ","), r.Expires.UTC().Format(time.DateTime))
+		}
+		w.Flush()
+	})
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -26,7 +26,7 @@
 	mux.HandleFunc("GET "+opapi.PathStatus, e.operator(e.status))
 	mux.HandleFunc("GET "+opapi.PathDeployment, e.operator(e.deployment))
 	mux.HandleFunc("GET "+opapi.PathEvents, e.operator(e.events))
-	mux.HandleFunc("GET "+pathQuarantine, e.operator(e.listQuarantine))
+	mux.HandleFunc("GET "+opapi.PathQuarantine, e.operator(e.listQuarantine))
 	mux.HandleFunc("GET "+opapi.PathConfig, e.operator(e.listConfig))
 	mux.HandleFunc("GET "+opapi.PathConfig+"/{kind}/{name}", e.operator(e.getConfig))
 	mux.HandleFunc("PUT "+opapi.PathConfig+"/{kind}/{name}", e.operatorBody(e.putConfig))
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -14,9 +14,6 @@
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
-// pathQuarantine lists the requests that were in flight at crashes.
-const pathQuarantine = "/v1/quarantine"
-
 // startQuarantine fills the entry's part in poison requests.
 func (e *Entry) startQuarantine() {
 	e.quarantine = quarantine.NewTable(clockwork.NewRealClock())
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -14,6 +14,7 @@
 	// PathStatus is the entry's own state, PathDeployment that of every
 	// process that it can reach.
 	PathStatus     = "/v1/status"
+	PathQuarantine = "/v1/quarantine"
 	PathDeployment = "/v1/deployment"
 	PathEvents     = "/v1/events"
 	PathConfig     = "/v1/config"
