Ask for the VM list only when it has changed

Ruled out: reading it less often, which would delay the notice of a leaving VM past 3 s. Change: the client sends the list's entity tag and keeps its last answer; the stand-in answers 304 when nothing changed. A platform without tags is read as before. Conclusion: at rest the list costs a header; each change still sends it whole.

--- a/internal/platform/kvhttp/client.go
+++ b/internal/platform/kvhttp/client.go
@@ -70,6 +70,7 @@
 	base    string
 	http    *http.Client
 	timeout time.Duration
+	vms     vmCache
 }
 
 // New returns a client for the service at base, such as http://127.0.0.1:2000.
@@ -220,10 +221,3 @@
 func (c *Client) Revoke(ctx context.Context, lease int64) error {
 	return c.call(ctx, c.timeout, PathRevoke, LeaseCall{Lease: lease}, nil)
 }
-
-// VMs implements platform.VMList.
-func (c *Client) VMs(ctx context.Context) ([]platform.VM, error) {
-	var vms []platform.VM
-	err := c.query(ctx, c.timeout, PathVMs, nil, &vms)
-	return vms, err
-}
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -59,7 +59,7 @@
 	mux.HandleFunc(kvhttp.PathGrant, s.write(s.grant))
 	mux.HandleFunc(kvhttp.PathKeepAlive, s.write(s.keepAlive))
 	mux.HandleFunc(kvhttp.PathRevoke, s.write(s.revoke))
-	mux.HandleFunc(kvhttp.PathVMs, s.countVMs(s.listVMs))
+	mux.HandleFunc(kvhttp.PathVMs, s.serveVMs)
 	mux.HandleFunc("POST /admin/faults", s.setFaults)
 	mux.HandleFunc("GET /admin/stats", s.showStats)
 	mux.HandleFunc("POST /admin/save", order(s.store.Save))
@@ -90,16 +90,6 @@
 	}
 }
 
-func (s *Server) countVMs(f call) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		if !s.enter(w, func(st *Stats) { st.VMLists++ }) {
-			return
-		}
-		answer, err := f(r)
-		standin.Answer(w, answer, err)
-	}
-}
-
 func (s *Server) write(f call) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !s.enter(w, func(st *Stats) { st.Writes++ }) {
@@ -212,16 +202,6 @@
 	}
 }
 
-func (s *Server) listVMs(*http.Request) (any, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	vms := make([]platform.VM, 0, len(s.vms))
-	for _, vm := range s.vms {
-		vms = append(vms, vm)
-	}
-	return vms, nil
-}
-
 func (s *Server) setVM(w http.ResponseWriter, r *http.Request) {
 	var vm platform.VM
 	if err := standin.Decode(r, &vm); err != nil {
--- /dev/null
+++ b/internal/standin/kv/vmlist_test.go
@@ -0,0 +1,48 @@
+package kv
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupreel/kingcupreel/internal/platform"
+	"github.com/kingcupreel/kingcupreel/internal/platform/kvhttp"
+)
+
+func TestUnchangedVMListIsNotSentAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := NewServer(NewStore(clockwork.NewFakeClock()))
+	s.vms["a"] = platform.VM{ID: "a", State: platform.VMLive}
+	var statuses []int
+	h := s.Handler()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := httptest.NewRecorder()
+		h.ServeHTTP(rec, r)
+		statuses = append(statuses, rec.Code)
+		for name, values := range rec.Header() {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	}))
+	defer srv.Close()
+	c := kvhttp.New(srv.URL, time.Minute)
+	read := func() []platform.VM {
+		vms, err := c.VMs(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		return vms
+	}
+	first := read()
+	g.Expect(first).To(HaveLen(1))
+	first[0].State = platform.VMLeaving
+	g.Expect(read()).To(Equal([]platform.VM{{ID: "a", State: platform.VMLive}}), "the caller's list is its own")
+	s.vms["b"] = platform.VM{ID: "b", State: platform.VMLeaving}
+	g.Expect(read()).To(HaveLen(2))
+	g.Expect(statuses).To(Equal([]int{http.StatusOK, http.StatusNotModified, http.StatusOK}))
+}
