Keep the quick heartbeat while a map is switched

Cause: agents of a group wait for each other's votes, and since idle links slowed their heartbeat a path that went silent between them would have been noticed after 12 s in place of 3 s. A question to another entry used the slow bound on one side only. Ruled out: no slow heartbeat between agents, which costs a group of 64 ranks 63 quick connections each at rest. Change: frames of a map switch count as use of a link; questions use the bounds of the side they ask.

--- a/internal/entry/gather.go
+++ b/internal/entry/gather.go
@@ -105,7 +105,7 @@
 		if err != nil {
 			return nil, fault.Wrap(fault.Unavailable, err, "check the VM and the path to it", "%s takes no connection", t.name)
 		}
-		c = wire.NewConn(nc, &e.inquiryMux, e.agentWire())
+		c = wire.NewConn(nc, &e.inquiryMux, e.inquiryWire(t))
 		_ = c.Send(e.inquiryHello())
 		go func() { _ = c.Run(ctx) }()
 		defer c.Close()
@@ -125,6 +125,14 @@
 	}
 }
 
+// inquiryWire returns the options that the target's side has too.
+func (e *Entry) inquiryWire(t target) wire.Options {
+	if t.upstream == "" {
+		return e.opts.Wire
+	}
+	return e.agentWire()
+}
+
 // inquiryHello is what the entry says on a connection that it opens for one
 // question: an incarnation of its own, which never dispatches.
 func (e *Entry) inquiryHello() *wire.Hello {
--- a/internal/wire/meter.go
+++ b/internal/wire/meter.go
@@ -29,6 +29,9 @@
 		k == KindCallQuery || k == KindCallStatus
 }
 
+// isSwitch says whether a kind belongs to a map switch, for which ranks wait.
+func isSwitch(k Kind) bool { return k >= KindMapStage && k <= KindFenceInfo }
+
 func (m *Meter) in(k Kind, bytes int) {
 	switch {
 	case m == nil:
