Test that a retired link cuts no attempt short

Ruled out: a scenario that changes the part under load, which depends on the hash of names. Change: a unit test of the link. Conclusion: the rule has its check.

--- /dev/null
+++ b/internal/entry/link_test.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+func TestARetiredLinkClosesWithItsLastAttempt(t *testing.T) {
+	g := NewWithT(t)
+	stopped := false
+	l := newLink(&Entry{}, &config.Upstream{Name: "u"}, func() { stopped = true })
+	first, second := wire.AttemptID{Request: "a"}, wire.AttemptID{Request: "b"}
+	l.boxes[first], l.boxes[second] = newMailbox(), newMailbox()
+	l.inFlight = 2
+	l.retire()
+	_, err := l.open(&wire.Dispatch{})
+	g.Expect(err).To(HaveOccurred(), "it takes no new work")
+	l.close(first)
+	g.Expect(stopped).To(BeFalse(), "an attempt is still in flight")
+	l.close(second)
+	g.Expect(stopped).To(BeTrue())
+
+	stopped = false
+	idle := newLink(&Entry{}, &config.Upstream{Name: "v"}, func() { stopped = true })
+	idle.retire()
+	g.Expect(stopped).To(BeTrue(), "nothing is in flight")
+}
