Choose upstreams by one reconcile at a time, and let a member leave for good

Cause: found by reading the whole change. A retired link still reached its balance state: a late report changed its pool's capacity, and a connection that came between leaving and retiring could make it pickable without a link. Ruled out: a second look at each caller, as the planner had; checks of the retired link at each event. Change: reconcile runs one at a time and reads what is in force itself, and the planner's second look goes; a member that has left does nothing, and a link is marked retired before it leaves. Frames that are no work ask for no time. ReadFrame, which only tests called, goes: they call what the connection calls. Conclusion: the mechanism holds the rule, not its callers.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,7 +125,7 @@
 
 func (e *Entry) configApplied(ctx context.Context, s *config.Snapshot) {
 	e.event(timeline.Event{Kind: timeline.ConfigApplied, Revision: s.Revision, Detail: rejectedDetail(s)})
-	e.links.reconcile(ctx, e, s)
+	e.links.reconcile(ctx, e)
 	e.admitter.setLimits(s)
 }
 
@@ -156,7 +156,7 @@
 // viewChanged stops new work to upstreams whose VM the VM list shows as leaving,
 // drains the entry when its own VM is, and chooses its upstreams anew.
 func (e *Entry) viewChanged(ctx context.Context) {
-	e.links.reconcile(ctx, e, e.opts.Store.Current())
+	e.links.reconcile(ctx, e)
 	if e.opts.Peers != nil && e.vmLeaving(e.opts.Peers.Self) {
 		e.Drain()
 	}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -274,10 +274,10 @@
 // retire ends a link that the entry no longer wants: it takes no new work and
 // closes when its last attempt has ended, so that none is cut short.
 func (l *link) retire() {
-	l.member.leave()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.retired = true
+	l.member.leave()
 	if l.inFlight == 0 {
 		l.stop()
 	}
--- a/internal/entry/link_test.go
+++ b/internal/entry/link_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
@@ -24,6 +25,15 @@
 	l.close(second)
 	g.Expect(stopped).To(BeTrue())
 
+	pool := newUpstreamPool("p", "dc1")
+	l.member = pool.join(l)
+	l.retire()
+	l.member.reported(&wire.Load{Running: 1, Capacity: 8})
+	l.member.setUsable(true)
+	g.Expect(pool.pool.Len()).To(BeZero())
+	g.Expect(pool.pool.Capacity()).To(BeZero(), "a report after it has left counts for nothing")
+	g.Expect(pool.pick(balance.LeastWork{}, "", nil)).To(BeNil())
+
 	stopped = false
 	idle := newLink(&Entry{}, &config.Upstream{Name: "v"}, func() { stopped = true })
 	idle.retire()
--- a/internal/entry/linktable.go
+++ b/internal/entry/linktable.go
@@ -14,6 +14,10 @@
 type linkTable struct {
 	dataCentre string
 
+	// reconciling lets one reconcile run at a time, so that the last one to end
+	// has the newest snapshot and VM list.
+	reconciling sync.Mutex
+
 	mu    sync.RWMutex
 	links map[string]*link
 	pools map[string]*upstreamPool
@@ -24,8 +28,11 @@
 }
 
 // reconcile starts and stops links so that they match the entry's part of the
-// snapshot's upstreams.
-func (t *linkTable) reconcile(ctx context.Context, e *Entry, s *config.Snapshot) {
+// upstreams in force.
+func (t *linkTable) reconcile(ctx context.Context, e *Entry) {
+	t.reconciling.Lock()
+	defer t.reconciling.Unlock()
+	s := e.opts.Store.Current()
 	members, sizes := poolMembers(s)
 	wanted := membership.Subset(members, e.listedEntries(), e.id(), t.dataCentre)
 	e.addPlannedRanks(s, wanted)
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -83,12 +83,8 @@
 		}
 		slices.Sort(now)
 		if !slices.Equal(now, stands) {
-			e.links.reconcile(ctx, e, snap)
-			// A newer snapshot may have come between: look again.
-			if e.opts.Store.Current() == snap {
-				stands = now
-			}
-			continue
+			e.links.reconcile(ctx, e)
+			stands = now
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -96,9 +96,10 @@
 }
 
 // member is a link's place in its pool. The pool's lock guards it. The methods
-// of a nil member do nothing.
+// of a nil member, and of one that has left, do nothing.
 type member struct {
 	pool *upstreamPool
+	// node is nil once the member has left.
 	node *balance.Node
 	// parts is when the last part of each attempt's answer came.
 	parts map[wire.AttemptID]time.Time
@@ -111,7 +112,9 @@
 	}
 	m.pool.mu.Lock()
 	defer m.pool.mu.Unlock()
-	f(m.node)
+	if m.node != nil {
+		f(m.node)
+	}
 }
 
 func (m *member) leave() {
@@ -119,6 +122,7 @@
 		n.SetUsable(false)
 		m.pool.pool.Remove(n)
 		delete(m.pool.links, n)
+		m.node = nil
 	})
 }
 
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -189,8 +189,10 @@
 // worked notes a frame of a request or of a map switch. It bounds a read that
 // waits on an idle connection anew, since the peer now owes the quick heartbeat.
 func (c *Conn) worked(m Message) {
-	now := time.Now()
-	if (isWork(m.Kind()) || isSwitch(m.Kind())) && c.active.worked(now) {
+	if !isWork(m.Kind()) && !isSwitch(m.Kind()) {
+		return
+	}
+	if now := time.Now(); c.active.worked(now) {
 		_ = c.nc.SetReadDeadline(c.active.deadline(now))
 	}
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -41,14 +41,9 @@
 	return append(buf, body.Bytes()...), nil
 }
 
-// ReadFrame reads and decodes one frame. A malformed frame gives an error of
+// readFrame reads and decodes one frame. A malformed frame gives an error of
 // kind Invalid or TooLarge; the connection can't be used after that.
-func ReadFrame(r io.Reader) (Message, error) {
-	m, _, err := readFrame(r)
-	return m, err
-}
-
-// readFrame also returns the frame's size in bytes.
+// It also returns the frame's size in bytes.
 func readFrame(r io.Reader) (Message, int, error) {
 	var header [headerSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -21,7 +21,7 @@
 	f.Add([]byte{0, 0, 0, 6, byte(KindChunk), 0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Add(append([]byte{0, 0, 0, 8, byte(KindEventsReply)}, hugeEvents...))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m, err := ReadFrame(bytes.NewReader(data))
+		m, _, err := readFrame(bytes.NewReader(data))
 		if err != nil {
 			return
 		}
@@ -29,7 +29,7 @@
 		if err != nil {
 			t.Fatalf("%+v decodes but does not encode: %v", m, err)
 		}
-		again, err := ReadFrame(bytes.NewReader(frame))
+		again, _, err := readFrame(bytes.NewReader(frame))
 		if err != nil {
 			t.Fatalf("%+v does not decode again: %v", m, err)
 		}
