--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -32,6 +32,9 @@
 	var hosted settings.Hosted
 	gatewayCmd := app.Command("gateway", "Serve callers on an entry VM of the platform, from its settings file.")
 	hosted.Declare(gatewayCmd)
+	rankCmd := app.Command("rank", "Look after the model replica of an upstream VM of the platform, from its settings file.")
+	var rankSettings settings.Hosted
+	rankSettings.Declare(rankCmd)
 	cmd, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(errOut, "%v; see kingcupreeld --help\n", err)
@@ -40,6 +43,8 @@
 	switch cmd {
 	case entryCmd.FullCommand():
 		return run(entrySettings.Check(), errOut, func() error { return RunEntry(ctx, entrySettings, out) })
+	case rankCmd.FullCommand():
+		return run(rankSettings.Check(), errOut, func() error { return RunRank(ctx, rankSettings, out) })
 	case gatewayCmd.FullCommand():
 		return run(hosted.Check(), errOut, func() error { return RunGateway(ctx, hosted, out) })
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -21,7 +22,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/directory"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
-	"github.com/kingcupreel/kingcupreel/internal/feed"
+	"github.com/kingcupreel/kingcupreel/internal/fleet"
 	"github.com/kingcupreel/kingcupreel/internal/gateway"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
@@ -29,6 +30,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/socket"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/upstream"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
 	"github.com/kingcupreel/kingcupreel/platform"
 )
 
@@ -101,9 +103,32 @@
 	})
 	configuration := platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log}
 	replicas := platform.ReplicaSink{Directory: dir, Log: h.log}
+	f, err := h.join(work, fleet.RoleEntry)
+	if err != nil {
+		return err
+	}
+	x := &fleet.Exchange{
+		Self: f.self.Name, View: f.view, Datagrams: f.datagrams, Clock: h.clock, Log: h.log,
+		Knowledge: &knowledge{routes: routes, directory: dir, learn: configuration.Put},
+	}
+	routes.OnChange(func(*routing.Table) { x.Changed() })
+	dir.OnDeparture(x.Changed)
+	if err := fleet.Serve(work, f.self.Address, &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){wire.KindConfigurationAsk: x.Answer}}, h.log); err != nil {
+		return err
+	}
+	go f.datagrams.Run(work, func(from netip.AddrPort, m wire.Message) {
+		switch m := m.(type) {
+		case *wire.EntryDigest:
+			x.Receive(work, from, m)
+		case *wire.RankLoad:
+			g.Pools.Reported(m.Address, m.Started, balance.Load{Work: m.Queued + m.Active, Capacity: 0})
+		}
+	})
+	go x.Run(work)
 	go g.Run(work)
-	go (&feed.Feed{KV: h.store, Prefix: platform.KeyConfiguration, Sink: configuration, Clock: h.clock, Log: h.log}).Run(work)
-	go (&feed.Feed{KV: h.store, Prefix: platform.PrefixReplicas, Sink: replicas, Clock: h.clock, Log: h.log}).Run(work)
+	go shareAllowances(work, h.clock, g, f.view)
+	h.follow(work, platform.KeyConfiguration, configuration)
+	h.follow(work, platform.PrefixReplicas, replicas)
 	callers, err := h.serve(work, h.node.CallerListen, g)
 	if err != nil {
 		return err
@@ -121,6 +146,65 @@
 	return app.Run()
 }
 
+// allowanceInterval is how often an entry's part of shared allowances follows
+// the number of entries.
+const allowanceInterval = 1 * time.Second
+
+// shareAllowances tells the gateway how many entries there are.
+func shareAllowances(ctx context.Context, clock clockwork.Clock, g *gateway.Gateway, view *fleet.View) {
+	ticker := clock.NewTicker(allowanceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			if n := view.Entries(); n > 0 {
+				g.SetEntries(n)
+			}
+		}
+	}
+}
+
+// knowledge is what an entry exchanges with others. It implements
+// fleet.Knowledge.
+type knowledge struct {
+	routes    *routing.Store
+	directory *directory.Directory
+	learn     func(encoded []byte, source string, revision int64)
+}
+
+// Version implements fleet.Knowledge.
+func (k *knowledge) Version() int64 {
+	if t := k.routes.Current(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// Encoded implements fleet.Knowledge.
+func (k *knowledge) Encoded() []byte {
+	if t := k.routes.Current(); t != nil {
+		return t.Encoded
+	}
+	return nil
+}
+
+// Learn implements fleet.Knowledge.
+func (k *knowledge) Learn(encoded []byte, from string) { k.learn(encoded, from, 0) }
+
+// Departures implements fleet.Knowledge.
+func (k *knowledge) Departures() []wire.Departure {
+	var list []wire.Departure
+	for _, d := range k.directory.Departures() {
+		list = append(list, wire.Departure(d))
+	}
+	return list
+}
+
+// Depart implements fleet.Knowledge.
+func (k *knowledge) Depart(d wire.Departure) bool { return k.directory.Depart(directory.Departure(d)) }
+
 // serve opens a listener and returns a server of h on it. Paths reach h as the
 // caller sent them.
 func (h *host) serve(ctx context.Context, address string, handler http.Handler) (*khttp.Server, error) {
--- /dev/null
+++ b/internal/daemon/rank.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/feed"
+	"github.com/kingcupreel/kingcupreel/internal/fleet"
+	"github.com/kingcupreel/kingcupreel/internal/rankagent"
+	"github.com/kingcupreel/kingcupreel/internal/routing"
+	"github.com/kingcupreel/kingcupreel/internal/settings"
+	"github.com/kingcupreel/kingcupreel/internal/telemetry"
+	"github.com/kingcupreel/kingcupreel/platform"
+)
+
+// leaderTerm is how long a group's leader may be silent before another takes
+// its place. A group that the dead one holds waits that long.
+const leaderTerm = 2 * time.Second
+
+// RunRank looks after the model replica on this VM of the platform until ctx
+// is done or the process is told to stop.
+func RunRank(ctx context.Context, s settings.Hosted, out io.Writer) error {
+	h, err := newHost(s, out)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = h.log.Sync() }()
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	f, err := h.join(work, fleet.RoleRank)
+	if err != nil {
+		return err
+	}
+	routes := &routing.Store{}
+	h.follow(work, platform.KeyConfiguration, platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log})
+	a := rankagent.New(rankagent.Options{
+		Self: f.self, Service: h.node.LocalService, Engine: platform.NewEngine(h.node.LocalUpstream),
+		Connect: func(address string) rankagent.Engine { return platform.NewEngine(address) },
+		View:    f.view, Datagrams: f.datagrams, Routes: routes, KV: h.store,
+		LeaderTerm: max(leaderTerm, h.node.ShortestLease), Clock: h.clock, Log: h.log, Metrics: h.metrics,
+	})
+	if err := fleet.Serve(work, f.self.Address, a.Handler(work), h.log); err != nil {
+		return err
+	}
+	go f.datagrams.Run(work, a.Received)
+	go a.Run(work)
+	led := make(chan struct{})
+	lead, stopLeading := context.WithCancel(work)
+	defer stopLeading()
+	go func() {
+		defer close(led)
+		a.Lead(lead)
+	}()
+	ops, err := h.serve(work, net.JoinHostPort(h.node.IP, strconv.Itoa(s.MetricsPort)), telemetry.ExpositionHandler(h.metrics))
+	if err != nil {
+		return err
+	}
+	drain := func(ctx context.Context) error {
+		stopLeading()
+		select {
+		case <-led:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	app := h.newApp(ctx, drain, ops)
+	h.log.Info("rank agent started", zap.String("data_centre", h.node.DataCentre), zap.String("upstream", h.node.LocalUpstream))
+	return app.Run()
+}
+
+// fleetPart is a process's part in the fleet.
+type fleetPart struct {
+	self      fleet.Member
+	view      *fleet.View
+	datagrams *fleet.Datagrams
+}
+
+// join registers the process and follows the others' registrations.
+func (h *host) join(ctx context.Context, role fleet.Role) (*fleetPart, error) {
+	f := &fleetPart{
+		self: fleet.Member{
+			Name: h.node.Name, Role: role, DataCentre: h.node.DataCentre,
+			Address: net.JoinHostPort(h.node.IP, strconv.Itoa(h.node.FirstPort)), Upstream: h.node.LocalUpstream,
+		},
+		view: fleet.NewView(h.clock, h.log),
+	}
+	var err error
+	if f.datagrams, err = fleet.ListenDatagrams(f.self.Address, h.log); err != nil {
+		return nil, err
+	}
+	h.follow(ctx, fleet.Prefix, f.view)
+	go (&fleet.Registrar{KV: h.store, Self: f.self, Clock: h.clock, Log: h.log}).Run(ctx)
+	return f, nil
+}
+
+// follow keeps a sink in step with the keys below a prefix.
+func (h *host) follow(ctx context.Context, prefix string, sink feed.Sink) {
+	go (&feed.Feed{KV: h.store, Prefix: prefix, Sink: sink, Clock: h.clock, Log: h.log}).Run(ctx)
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -66,8 +66,10 @@
 	contactLost bool
 	graceUntil  time.Time
 	synced      bool
-	version     uint64
 	changed     chan struct{}
+	// onDeparture is called, without the lock, after a departure becomes known
+	// from the store.
+	onDeparture func()
 }
 
 // departureMemory is how long a departure is remembered: longer than an
@@ -92,10 +94,19 @@
 // Put takes an upstream's entry at a revision of the store.
 func (d *Directory) Put(u Upstream, revision int64) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	before := len(d.departed)
 	d.put(u, revision)
+	departed, tell := len(d.departed) > before, d.onDeparture
+	d.mu.Unlock()
+	if departed && tell != nil {
+		tell()
+	}
 }
 
+// OnDeparture registers the function that is called when the store shows a
+// departure. It is set before the directory is used.
+func (d *Directory) OnDeparture(f func()) { d.onDeparture = f }
+
 // put is Put. The caller holds mu.
 func (d *Directory) put(u Upstream, revision int64) {
 	old := d.records[u.ID]
@@ -103,7 +114,7 @@
 		return
 	}
 	dep := Departure{u.ID, u.Started}
-	if u.Leaving {
+	if _, known := d.departed[dep]; u.Leaving && !known {
 		d.departed[dep] = d.clock.Now()
 	}
 	if _, gone := d.departed[dep]; gone {
@@ -191,7 +202,8 @@
 	return true
 }
 
-// Departures returns the incarnations that are known to be leaving, by id.
+// Departures returns the incarnations that are known to be leaving, the one
+// known longest first.
 func (d *Directory) Departures() []Departure {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -205,7 +217,7 @@
 		list = append(list, dep)
 	}
 	slices.SortFunc(list, func(a, b Departure) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Started, b.Started))
+		return cmp.Or(d.departed[a].Compare(d.departed[b]), cmp.Compare(a.ID, b.ID))
 	})
 	return list
 }
@@ -267,7 +279,6 @@
 
 // signal wakes the receiver of Changed. The caller holds mu.
 func (d *Directory) signal() {
-	d.version++
 	select {
 	case d.changed <- struct{}{}:
 	default:
--- /dev/null
+++ b/internal/fleet/datagram.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+// maxDatagram bounds a datagram, in bytes, so that it fits into one packet.
+const maxDatagram = 1400
+
+// Datagrams sends and receives single messages over UDP. A lost one is made up
+// by the next.
+type Datagrams struct {
+	conn *net.UDPConn
+	log  *zap.Logger
+}
+
+// ListenDatagrams opens the socket at an address.
+func ListenDatagrams(address string, log *zap.Logger) (*Datagrams, error) {
+	a, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, fault.Wrap(fault.Invalid, err, "give the inner address as IP:port", "datagram address")
+	}
+	conn, err := net.ListenUDP("udp4", a)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "check the platform's internal ports", "listening for datagrams")
+	}
+	return &Datagrams{conn: conn, log: log}, nil
+}
+
+// Send sends a message. An error is logged at the debug level only: datagrams
+// may be lost anyway.
+func (d *Datagrams) Send(address string, m wire.Message) {
+	frame, err := wire.AppendFrame(nil, m)
+	if err != nil || len(frame) > maxDatagram {
+		d.log.Warn("datagram not sent", zap.Int("bytes", len(frame)), zap.Error(err))
+		return
+	}
+	to, err := netip.ParseAddrPort(address)
+	if err == nil {
+		_, err = d.conn.WriteToUDPAddrPort(frame, to)
+	}
+	if err != nil {
+		d.log.Debug("datagram not sent", zap.String("to", address), zap.Error(err))
+	}
+}
+
+// Run passes each message received to f until ctx is done. f must not block.
+func (d *Datagrams) Run(ctx context.Context, f func(from netip.AddrPort, m wire.Message)) {
+	stop := context.AfterFunc(ctx, func() { d.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram+1)
+	for {
+		n, from, err := d.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				d.log.Error("datagram socket failed", zap.Error(err))
+			}
+			return
+		}
+		m, err := wire.DecodeFrame(buf[:n])
+		if err != nil {
+			d.log.Debug("datagram passed over", zap.Stringer("from", from), zap.Error(err))
+			continue
+		}
+		f(from, m)
+	}
+}
--- /dev/null
+++ b/internal/fleet/exchange.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// digestInterval is how often an entry tells others what it knows: four
+	// times within the bound on a configuration's change.
+	digestInterval = 500 * time.Millisecond
+	// digestFanout is how many entries are told each time. What is new reaches
+	// n entries in log(n)/log(fanout+1) intervals.
+	digestFanout = 8
+	// digestDepartures bounds the departures in one digest, so that it fits into
+	// a datagram; the newest go first.
+	digestDepartures = 24
+	// pullTimeout bounds the fetch of a configuration.
+	pullTimeout = 1 * time.Second
+)
+
+// Knowledge is what entries exchange.
+type Knowledge interface {
+	// Version returns the configuration in force, 0 for none.
+	Version() int64
+	// Encoded returns it as it lies in the store.
+	Encoded() []byte
+	// Learn puts an encoded configuration in force if it is newer.
+	Learn(encoded []byte, from string)
+	// Departures returns the upstreams' incarnations known to be leaving.
+	Departures() []wire.Departure
+	// Depart takes a departure; false means that it was known.
+	Depart(d wire.Departure) bool
+}
+
+// Exchange keeps an entry's knowledge in step with other entries', whether or
+// not the store answers them.
+type Exchange struct {
+	Self      string
+	View      *View
+	Datagrams *Datagrams
+	Knowledge Knowledge
+	Clock     clockwork.Clock
+	Log       *zap.Logger
+
+	wake chan struct{}
+	once sync.Once
+
+	mu      sync.Mutex // leaf
+	pulling bool
+}
+
+func (x *Exchange) init() { x.once.Do(func() { x.wake = make(chan struct{}, 1) }) }
+
+// Changed makes the next digest go out at once.
+func (x *Exchange) Changed() {
+	x.init()
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends digests until ctx is done.
+func (x *Exchange) Run(ctx context.Context) {
+	x.init()
+	ticker := x.Clock.NewTicker(digestInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		case <-x.wake:
+		}
+		x.send()
+	}
+}
+
+func (x *Exchange) send() {
+	peers := x.View.Members(RoleEntry)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	d := &wire.EntryDigest{Entry: x.Self, Version: x.Knowledge.Version(), Departures: x.Knowledge.Departures()}
+	if over := len(d.Departures) - digestDepartures; over > 0 {
+		d.Departures = d.Departures[over:]
+	}
+	sent := 0
+	for _, p := range peers {
+		if p.Name == x.Self {
+			continue
+		}
+		x.Datagrams.Send(p.Address, d)
+		if sent++; sent == digestFanout {
+			return
+		}
+	}
+}
+
+// Receive takes a digest.
+func (x *Exchange) Receive(ctx context.Context, _ netip.AddrPort, d *wire.EntryDigest) {
+	fresh := false
+	for _, dep := range d.Departures {
+		if x.Knowledge.Depart(dep) {
+			fresh = true
+			x.Log.Info("upstream is leaving", zap.String("upstream", dep.ID), zap.Int64("started", dep.Started), zap.String("source", d.Entry))
+		}
+	}
+	if fresh {
+		x.Changed()
+	}
+	if d.Version > x.Knowledge.Version() {
+		x.pull(ctx, d.Entry, d.Version)
+	}
+}
+
+// pull fetches a configuration from another entry, one fetch at a time.
+func (x *Exchange) pull(ctx context.Context, from string, version int64) {
+	peer, ok := x.View.Get(from)
+	if !ok {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.pulling {
+		return
+	}
+	x.pulling = true
+	go func() {
+		defer func() {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.pulling = false
+		}()
+		if err := x.fetch(ctx, peer); err != nil {
+			x.Log.Warn("configuration not fetched", zap.String("from", from), zap.Int64("version", version), zap.Error(err))
+		}
+	}()
+}
+
+func (x *Exchange) fetch(ctx context.Context, peer Member) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	reply := make(chan []byte, 1)
+	handler := &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){
+		wire.KindConfigurationReply: func(_ *wire.Conn, m wire.Message) {
+			select {
+			case reply <- m.(*wire.ConfigurationReply).Encoded:
+			default:
+			}
+		},
+	}}
+	c, err := Dial(ctx, peer.Address, handler)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if err := c.Send(&wire.ConfigurationAsk{}); err != nil {
+		return err
+	}
+	select {
+	case encoded := <-reply:
+		x.Knowledge.Learn(encoded, peer.Name)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Answer serves other entries' questions on a connection.
+func (x *Exchange) Answer(c *wire.Conn, _ wire.Message) {
+	_ = c.Send(&wire.ConfigurationReply{Encoded: x.Knowledge.Encoded()})
+}
--- /dev/null
+++ b/internal/fleet/link.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/socket"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// dialTimeout bounds a handshake with another process.
+	dialTimeout = 500 * time.Millisecond
+	// linkSilence is the silence after which a connection is replaced.
+	linkSilence = 1500 * time.Millisecond
+	// linkHeartbeat leaves two heartbeats before a connection counts as silent.
+	linkHeartbeat = 600 * time.Millisecond
+)
+
+// wireOptions are those of connections between processes.
+func wireOptions() wire.Options {
+	return wire.Options{Heartbeat: linkHeartbeat, Silence: linkSilence}
+}
+
+// Dial connects to a process and returns the running connection. It ends with
+// ctx.
+func Dial(ctx context.Context, address string, handler wire.Handler) (*wire.Conn, error) {
+	nc, err := socket.Dialer(dialTimeout, linkSilence).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "the process is asked again", "connecting to %s", address)
+	}
+	c := wire.NewConn(nc, handler, wireOptions())
+	go func() { _ = c.Run(ctx) }()
+	return c, nil
+}
+
+// Serve accepts connections from other processes until ctx is done.
+func Serve(ctx context.Context, address string, handler wire.Handler, log *zap.Logger) error {
+	l, err := socket.ListenConfig(linkSilence).Listen(ctx, "tcp", address)
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, err, "check the platform's internal ports", "listening on %s", address)
+	}
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	go func() {
+		defer stop()
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				if ctx.Err() == nil {
+					log.Error("inner listener failed", zap.Error(err))
+				}
+				return
+			}
+			go accept(ctx, nc, handler)
+		}
+	}()
+	return nil
+}
+
+func accept(ctx context.Context, nc net.Conn, handler wire.Handler) {
+	_ = wire.NewConn(nc, handler, wireOptions()).Run(ctx)
+}
--- /dev/null
+++ b/internal/fleet/registrar.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
+)
+
+const (
+	// registrationTerm is how long a registration outlives its process. The
+	// others only send datagrams there in the meantime.
+	registrationTerm = 15 * time.Second
+	// renewInterval leaves two more tries before a registration lapses.
+	renewInterval = 5 * time.Second
+	// retryInterval is the wait after a failed call.
+	retryInterval = 1 * time.Second
+)
+
+// Registrar keeps the registration of this process.
+type Registrar struct {
+	KV    kvstore.KV
+	Self  Member
+	Clock clockwork.Clock
+	Log   *zap.Logger
+
+	lease int64
+}
+
+// Run registers the process until ctx is done, and then ends the registration.
+func (r *Registrar) Run(ctx context.Context) {
+	for {
+		wait := renewInterval
+		if err := r.step(ctx); err != nil && ctx.Err() == nil {
+			r.Log.Warn("registration not renewed", zap.Int64("lease", r.lease), zap.Error(err))
+			wait = retryInterval
+		}
+		select {
+		case <-ctx.Done():
+			r.end(context.WithoutCancel(ctx))
+			return
+		case <-r.Clock.After(wait):
+		}
+	}
+}
+
+func (r *Registrar) step(ctx context.Context) error {
+	if r.lease != 0 {
+		err := r.KV.KeepAlive(ctx, r.lease)
+		if fault.KindOf(err) != fault.NotFound {
+			return err
+		}
+		r.Log.Warn("registration has lapsed", zap.Int64("lease", r.lease))
+		r.lease = 0
+	}
+	lease, err := r.KV.Grant(ctx, registrationTerm)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(r.Self)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "report this", "encoding the registration")
+	}
+	put := kvstore.Put{Key: memberPrefix + r.Self.Name, Value: value, Expect: kvstore.AnyRevision, Lease: lease}
+	if _, err := r.KV.Put(ctx, put); err != nil {
+		return err
+	}
+	r.lease = lease
+	return nil
+}
+
+func (r *Registrar) end(ctx context.Context) {
+	if r.lease == 0 {
+		return
+	}
+	if err := r.KV.Revoke(ctx, r.lease); err != nil {
+		r.Log.Info("registration left to lapse", zap.Int64("lease", r.lease), zap.Error(err))
+	}
+}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -20,6 +20,8 @@
 	mu      sync.Mutex
 	pools   map[string]*balance.Pool
 	members map[string]*Member
+	// byAddress holds the member last added at each address.
+	byAddress map[string]*Member
 }
 
 // Member is an upstream of a pool. Its node is guarded by the Pools' lock.
@@ -31,7 +33,7 @@
 
 // NewPools returns empty pools as seen from a data centre.
 func NewPools(clock clockwork.Clock, rng *rand.Rand, dataCentre string, picker balance.Picker) *Pools {
-	return &Pools{clock: clock, rand: rng, dataCentre: dataCentre, picker: picker, pools: map[string]*balance.Pool{}, members: map[string]*Member{}}
+	return &Pools{clock: clock, rand: rng, dataCentre: dataCentre, picker: picker, pools: map[string]*balance.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}}
 }
 
 // Reconcile makes the pools hold the given upstreams and says whether that
@@ -73,11 +75,15 @@
 	m.node.SetUsable(true)
 	m.node.Reported(balance.Load{Capacity: u.Slots})
 	p.members[u.ID] = m
+	p.byAddress[u.Address] = m
 }
 
 func (p *Pools) drop(m *Member) {
 	p.pools[m.Service].Remove(m.node)
 	delete(p.members, m.ID)
+	if p.byAddress[m.Address] == m {
+		delete(p.byAddress, m.Address)
+	}
 }
 
 // Pick chooses an upstream of a service that has not been tried and counts an
@@ -98,6 +104,19 @@
 	return m
 }
 
+// Reported takes the load of the upstream at an address, if it is the one that
+// started then.
+func (p *Pools) Reported(address string, started int64, load balance.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.byAddress[address]
+	if m == nil || m.Started != started {
+		return
+	}
+	load.Capacity = m.Slots
+	m.node.Reported(load)
+}
+
 // Tick looks for upstreams that have gone silent.
 func (p *Pools) Tick() {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/planner/even.go
@@ -0,0 +1,310 @@
+package planner
+
+import (
+	"math"
+	"slices"
+)
+
+// Even shares: ranks that hold an expert share its tokens evenly, and a step
+// waits, set of layers by set, for the most loaded rank. Weights of shares
+// can't be set, so only where the copies lie decides.
+
+// Placement lists the experts that each rank holds in one set of layers.
+type Placement [][]int
+
+// Clone returns a copy that shares nothing with p.
+func (p Placement) Clone() Placement {
+	out := make(Placement, len(p))
+	for r := range p {
+		out[r] = slices.Clone(p[r])
+	}
+	return out
+}
+
+// Added counts the experts that next brings to ranks which do not hold them.
+func (p Placement) Added(next Placement) int {
+	n := 0
+	for r := range next {
+		for _, e := range next[r] {
+			if !slices.Contains(p[r], e) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Loads returns the load of each rank.
+func (p Placement) Loads(load []float64) []float64 {
+	copies := make([]int, len(load))
+	for _, experts := range p {
+		for _, e := range experts {
+			copies[e]++
+		}
+	}
+	ranks := make([]float64, len(p))
+	for r, experts := range p {
+		for _, e := range experts {
+			ranks[r] += load[e] / float64(copies[e])
+		}
+	}
+	return ranks
+}
+
+// Peak returns the load of the most loaded rank over the mean; 1 is the best,
+// also of an idle set.
+func (p Placement) Peak(load []float64) float64 {
+	ranks := p.Loads(load)
+	sum := 0.0
+	for _, l := range ranks {
+		sum += l
+	}
+	if sum == 0 {
+		return 1
+	}
+	return slices.Max(ranks) * float64(len(ranks)) / sum
+}
+
+// EvenLimits bound a change of a placement.
+type EvenLimits struct {
+	// Places is how many experts a rank may hold, Spare how many new ones it
+	// may get.
+	Places, Spare int
+	// Moves bounds the search.
+	Moves int
+}
+
+const (
+	// copyGain is the least fall of the peak, in parts of the mean load, that
+	// pays for bringing one more expert to a rank: the copy slows the steps.
+	copyGain = 0.004
+	// evenTolerance ends the search.
+	evenTolerance = 1e-6
+)
+
+// Even changes a placement, within the limits, so that its most loaded rank
+// has less to do under the given load per expert. It is a descent from the
+// placement in force over copies, moves, exchanges and drops of single experts
+// at the most loaded rank.
+func Even(current Placement, load []float64, limits EvenLimits) Placement {
+	s := newEvenState(current, load, limits)
+	if s.mean == 0 {
+		return current.Clone()
+	}
+	for range limits.Moves {
+		if !s.improve() {
+			break
+		}
+	}
+	return s.ranks
+}
+
+// evenState is a placement under search. Loads are in parts of the mean rank's.
+type evenState struct {
+	limits EvenLimits
+	ranks  Placement
+	load   []float64
+	mean   float64
+	copies []int
+	holds  [][]bool // by rank and expert
+	had    [][]bool // the placement in force
+	added  []int
+	ranked []float64
+	delta  map[int]float64
+}
+
+func newEvenState(current Placement, load []float64, limits EvenLimits) *evenState {
+	s := &evenState{limits: limits, ranks: current.Clone(), copies: make([]int, len(load)), delta: map[int]float64{}}
+	for _, l := range load {
+		s.mean += l / float64(len(current))
+	}
+	if s.mean == 0 {
+		return s
+	}
+	s.load = make([]float64, len(load))
+	for e := range load {
+		s.load[e] = load[e] / s.mean
+	}
+	for r := range current {
+		holds, had := make([]bool, len(load)), make([]bool, len(load))
+		for _, e := range current[r] {
+			holds[e], had[e] = true, true
+			s.copies[e]++
+		}
+		s.holds, s.had = append(s.holds, holds), append(s.had, had)
+	}
+	s.added = make([]int, len(current))
+	s.ranked = current.Loads(s.load)
+	return s
+}
+
+// evenChange is one step of the search: expert gain comes to rank to, expert drop
+// leaves it, and back comes to rank from in exchange; -1 means none.
+type evenChange struct {
+	expert, from, to int
+	// keep says that from keeps the expert: a copy and no move.
+	keep bool
+	// drop is an expert that rank to gives up, swapped whether from takes it.
+	drop    int
+	swapped bool
+}
+
+// energy grows so fast with a rank's load that the most loaded one dominates,
+// while the others still count.
+func energy(load float64) float64 {
+	l2 := load * load
+	l4 := l2 * l2
+	return l4 * l4
+}
+
+// improve makes the best change at the most loaded rank, if any pays.
+func (s *evenState) improve() bool {
+	top := 0
+	for r, l := range s.ranked {
+		if l > s.ranked[top] {
+			top = r
+		}
+	}
+	best, bestGain := evenChange{expert: -1}, evenTolerance
+	consider := func(c evenChange) {
+		if gain := s.gain(c); gain > bestGain {
+			best, bestGain = c, gain
+		}
+	}
+	for _, e := range s.ranks[top] {
+		if s.copies[e] > 1 {
+			consider(evenChange{expert: -1, from: top, to: top, drop: e})
+		}
+		for r := range s.ranks {
+			if r != top && !s.holds[r][e] {
+				s.offers(e, top, r, consider)
+			}
+		}
+	}
+	if bestGain <= evenTolerance {
+		return false
+	}
+	s.apply(best)
+	return true
+}
+
+// offers considers all ways to bring an expert of rank top to rank r.
+func (s *evenState) offers(e, top, r int, consider func(evenChange)) {
+	if !s.had[r][e] && s.added[r] >= s.limits.Spare {
+		return
+	}
+	if len(s.ranks[r]) < s.limits.Places {
+		consider(evenChange{expert: e, from: top, to: r, keep: true, drop: -1})
+		consider(evenChange{expert: e, from: top, to: r, drop: -1})
+	}
+	for _, f := range s.ranks[r] {
+		if s.copies[f] > 1 {
+			consider(evenChange{expert: e, from: top, to: r, keep: true, drop: f})
+		}
+		if !s.holds[top][f] && (s.had[top][f] || s.added[top] < s.limits.Spare) {
+			consider(evenChange{expert: e, from: top, to: r, drop: f, swapped: true})
+		}
+	}
+}
+
+// gain returns how much a change lowers the energy, less its price.
+func (s *evenState) gain(c evenChange) float64 {
+	clear(s.delta)
+	if c.expert >= 0 {
+		s.shift(c.expert, c.to, c.from, c.keep)
+	}
+	if c.drop >= 0 {
+		from, to := c.to, -1
+		if c.swapped {
+			to = c.from
+		}
+		s.unload(c.drop, from, to)
+	}
+	gain := 0.0
+	for r, d := range s.delta {
+		gain += energy(s.ranked[r]) - energy(s.ranked[r]+d)
+	}
+	return gain - s.price(c)
+}
+
+// shift adds the effect of an expert coming to a rank to delta.
+func (s *evenState) shift(e, to, from int, keep bool) {
+	old := s.load[e] / float64(s.copies[e])
+	if !keep {
+		s.delta[from] -= old
+		s.delta[to] += old
+		return
+	}
+	share := s.load[e] / float64(s.copies[e]+1)
+	for r := range s.ranks {
+		if s.holds[r][e] {
+			s.delta[r] += share - old
+		}
+	}
+	s.delta[to] += share
+}
+
+// unload adds the effect of an expert leaving a rank, for another one if to is
+// not negative.
+func (s *evenState) unload(e, from, to int) {
+	old := s.load[e] / float64(s.copies[e])
+	s.delta[from] -= old
+	if to >= 0 {
+		s.delta[to] += old
+		return
+	}
+	share := s.load[e] / float64(s.copies[e]-1)
+	for r := range s.ranks {
+		if r != from && s.holds[r][e] {
+			s.delta[r] += share - old
+		}
+	}
+}
+
+// price is what the copies of a change cost, in energy of the top rank.
+func (s *evenState) price(c evenChange) float64 {
+	n := 0
+	if c.expert >= 0 && !s.had[c.to][c.expert] {
+		n++
+	}
+	if c.swapped && !s.had[c.from][c.drop] {
+		n++
+	}
+	top := slices.Max(s.ranked)
+	return float64(n) * copyGain * 8 * math.Pow(top, 7)
+}
+
+func (s *evenState) apply(c evenChange) {
+	if c.expert >= 0 {
+		if !c.keep {
+			s.remove(c.from, c.expert)
+		}
+		s.insert(c.to, c.expert)
+	}
+	if c.drop >= 0 {
+		s.remove(c.to, c.drop)
+		if c.swapped {
+			s.insert(c.from, c.drop)
+		}
+	}
+	s.ranked = s.ranks.Loads(s.load)
+}
+
+func (s *evenState) insert(r, e int) {
+	s.ranks[r] = append(s.ranks[r], e)
+	s.holds[r][e] = true
+	s.copies[e]++
+	if !s.had[r][e] {
+		s.added[r]++
+	}
+}
+
+func (s *evenState) remove(r, e int) {
+	i := slices.Index(s.ranks[r], e)
+	s.ranks[r] = slices.Delete(s.ranks[r], i, i+1)
+	s.holds[r][e] = false
+	s.copies[e]--
+	if !s.had[r][e] {
+		s.added[r]--
+	}
+}
--- /dev/null
+++ b/internal/planner/even_test.go
@@ -0,0 +1,104 @@
+package planner_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/planner"
+)
+
+// inTurn deals experts to ranks in turn, as a group begins.
+func inTurn(ranks, experts int) planner.Placement {
+	p := make(planner.Placement, ranks)
+	for e := range experts {
+		p[e%ranks] = append(p[e%ranks], e)
+	}
+	return p
+}
+
+// skewedLoad draws expert loads with a few hot experts.
+func skewedLoad(rng *rand.Rand, experts int) []float64 {
+	load := make([]float64, experts)
+	for i, e := range rng.Perm(experts) {
+		load[e] = 1 / math.Pow(float64(i+1), 1.3)
+	}
+	return load
+}
+
+// check expects a placement within the limits that holds every expert.
+func check(g *WithT, old, next planner.Placement, experts int, l planner.EvenLimits) {
+	held := map[int]bool{}
+	for r := range next {
+		sorted := slices.Clone(next[r])
+		slices.Sort(sorted)
+		g.Expect(slices.Compact(sorted)).To(HaveLen(len(next[r])), "an expert twice on rank %d", r)
+		g.Expect(len(next[r])).To(BeNumerically("<=", l.Places))
+		added := 0
+		for _, e := range next[r] {
+			held[e] = true
+			if !slices.Contains(old[r], e) {
+				added++
+			}
+		}
+		g.Expect(added).To(BeNumerically("<=", l.Spare))
+	}
+	g.Expect(held).To(HaveLen(experts))
+}
+
+// After demand has shifted, the most loaded rank of the map dealt in turn has
+// over twice the mean load, and every step of the group waits for it. A few
+// plans, each within the spare places, must come near an even load.
+func TestEvenFollowsAShiftOfDemand(t *testing.T) {
+	g := NewWithT(t)
+	limits := planner.EvenLimits{Places: 8, Spare: 3, Moves: 200}
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		load := skewedLoad(rng, 72)
+		p := inTurn(12, 72)
+		before := p.Peak(load)
+		for range 3 {
+			next := planner.Even(p, load, limits)
+			check(g, p, next, 72, limits)
+			p = next
+		}
+		g.Expect(p.Peak(load)).To(BeNumerically("<", 1.35), "seed %d: %.2f before", seed, before)
+	}
+}
+
+// A set whose load is even already is left alone: each copy slows the steps.
+func TestEvenLeavesAnEvenLoadAlone(t *testing.T) {
+	g := NewWithT(t)
+	p := inTurn(12, 72)
+	load := make([]float64, 72)
+	for e := range load {
+		load[e] = 1
+	}
+	next := planner.Even(p, load, planner.EvenLimits{Places: 8, Spare: 3, Moves: 200})
+	g.Expect(p.Added(next)).To(BeZero())
+	g.Expect(planner.Even(p, make([]float64, 72), planner.EvenLimits{Places: 8, Spare: 3, Moves: 200})).To(Equal(p))
+}
+
+// At the size of the target (64 ranks, 256 experts) the limits hold too.
+func TestEvenAtTheTargetSize(t *testing.T) {
+	g := NewWithT(t)
+	limits := planner.EvenLimits{Places: 5, Spare: 2, Moves: 400}
+	rng := rand.New(rand.NewPCG(7, 1))
+	load := skewedLoad(rng, 256)
+	p := inTurn(64, 256)
+	next := planner.Even(p, load, limits)
+	check(g, p, next, 256, limits)
+	g.Expect(next.Peak(load)).To(BeNumerically("<", p.Peak(load)/2))
+}
+
+func BenchmarkEven(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	load := skewedLoad(rng, 72)
+	p := inTurn(12, 72)
+	for b.Loop() {
+		planner.Even(p, load, planner.EvenLimits{Places: 8, Spare: 3, Moves: 200})
+	}
+}
--- /dev/null
+++ b/internal/rankagent/agent.go
@@ -0,0 +1,154 @@
+// Package rankagent looks after the engine of one rank on its own VM: it tells
+// the entries the rank's load, carries out a leader's orders at the engine,
+// and, when it leads the rank's group, plans and switches the expert map.
+package rankagent
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fleet"
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
+	"github.com/kingcupreel/kingcupreel/internal/ranks"
+	"github.com/kingcupreel/kingcupreel/internal/routing"
+	"github.com/kingcupreel/kingcupreel/internal/telemetry"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+// Engine is the engine of a rank.
+type Engine interface {
+	Status(ctx context.Context) (ranks.Status, error)
+	Counts(ctx context.Context) (ranks.Counts, error)
+	Lists(ctx context.Context) (ranks.Lists, error)
+	// Order carries out an order. With an Unknown verdict it may have been
+	// taken, or be carried out later.
+	Order(ctx context.Context, o ranks.Order) (ranks.Verdict, error)
+}
+
+// Options are the parts of an agent.
+type Options struct {
+	Self fleet.Member
+	// Service is the service that the upstream belongs to.
+	Service   string
+	Engine    Engine
+	Connect   func(address string) Engine
+	View      *fleet.View
+	Datagrams *fleet.Datagrams
+	Routes    *routing.Store
+	KV        kvstore.KV
+	// LeaderTerm is how long a leader's lease lasts without renewal.
+	LeaderTerm time.Duration
+	Clock      clockwork.Clock
+	Log        *zap.Logger
+	Metrics    metrics.Registry
+}
+
+// Agent looks after one rank. It is safe for concurrent use.
+type Agent struct {
+	Options
+}
+
+// New returns an agent.
+func New(o Options) *Agent { return &Agent{Options: o} }
+
+const (
+	// loadInterval is how often the rank's load is read: engines tell it with a
+	// lag of twice that.
+	loadInterval = 100 * time.Millisecond
+	// loadRepeat is how often an unchanged load is sent, for entries that are
+	// new or missed a datagram.
+	loadRepeat = 1 * time.Second
+)
+
+// Run tells the entries the rank's load until ctx is done.
+func (a *Agent) Run(ctx context.Context) {
+	ticker := a.Clock.NewTicker(loadInterval)
+	defer ticker.Stop()
+	var last wire.RankLoad
+	var sentAt time.Time
+	answers := true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		st, err := a.Engine.Status(ctx)
+		if (err == nil) != answers {
+			answers = err == nil
+			a.Log.Info("engine's contact changed", zap.Bool("answers", answers), zap.Error(err))
+		}
+		if err != nil {
+			continue
+		}
+		load := wire.RankLoad{Address: a.Self.Upstream, Started: st.Started, Queued: st.Queued, Active: st.Active, Pace: float32(st.Pace), Open: st.Open}
+		if load == last && a.Clock.Since(sentAt) < loadRepeat {
+			continue
+		}
+		last, sentAt = load, a.Clock.Now()
+		load.Step = st.Step
+		for _, entry := range a.View.Members(fleet.RoleEntry) {
+			a.Datagrams.Send(entry.Address, &load)
+		}
+	}
+}
+
+// Received passes over datagrams: nothing is sent to agents.
+func (a *Agent) Received(netip.AddrPort, wire.Message) {}
+
+// Handler answers the questions and carries out the orders of a leader.
+func (a *Agent) Handler(ctx context.Context) wire.Handler {
+	return &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){
+		wire.KindRankAsk:   func(c *wire.Conn, m wire.Message) { go a.answer(ctx, c, m.(*wire.RankAsk)) },
+		wire.KindRankOrder: func(c *wire.Conn, m wire.Message) { go a.order(ctx, c, m.(*wire.RankOrder)) },
+	}}
+}
+
+func (a *Agent) answer(ctx context.Context, c *wire.Conn, ask *wire.RankAsk) {
+	reply := read(ctx, a.Engine, ask.Counts, ask.Lists)
+	reply.Nonce = ask.Nonce
+	_ = c.Send(reply)
+}
+
+// read reads an engine's status, and its counts and lists if wanted.
+func read(ctx context.Context, e Engine, counts, lists bool) *wire.RankState {
+	reply := &wire.RankState{}
+	st, err := e.Status(ctx)
+	if err != nil {
+		return reply
+	}
+	reply.Status, reply.OK = st, true
+	if counts {
+		if reply.Counts, err = e.Counts(ctx); err != nil {
+			reply.OK = false
+		}
+	}
+	if lists {
+		if reply.Lists, err = e.Lists(ctx); err != nil {
+			reply.OK = false
+		}
+	}
+	return reply
+}
+
+func (a *Agent) order(ctx context.Context, c *wire.Conn, m *wire.RankOrder) {
+	reply := carryOut(ctx, a.Engine, m.Order)
+	reply.Nonce = m.Nonce
+	telemetry.Counter(a.Metrics, "rank_orders."+string(m.Order.Op)+"."+reply.Verdict.String()).Inc(1)
+	a.Log.Info("order carried out", zap.String("order", string(m.Order.Op)), zap.Int64("version", m.Order.Version), zap.Int64("step", m.Order.Step),
+		zap.Int64("fence", m.Order.Fence), zap.Int64("epoch", m.Order.Epoch), zap.Stringer("verdict", reply.Verdict), zap.Int64("at_step", reply.Status.Step))
+	_ = c.Send(reply)
+}
+
+// carryOut gives an order to an engine and reads its status after it.
+func carryOut(ctx context.Context, e Engine, o ranks.Order) *wire.RankState {
+	verdict, _ := e.Order(ctx, o) // the verdict says all that a leader needs
+	reply := read(ctx, e, false, false)
+	reply.Verdict = verdict
+	return reply
+}
--- /dev/null
+++ b/internal/rankagent/group.go
@@ -0,0 +1,247 @@
+package rankagent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fleet"
+	"github.com/kingcupreel/kingcupreel/internal/ranks"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// askTimeout bounds a question to another rank's agent: the engine's own
+	// timeout twice, since an order is followed by a reading, and the way.
+	askTimeout = 700 * time.Millisecond
+	// groupPause is the time between two readings of a group in a switch.
+	groupPause = 30 * time.Millisecond
+)
+
+// group reaches the ranks of one group through their agents, or directly where
+// an agent doesn't answer. It implements ranks.Group.
+type group struct {
+	a    *Agent
+	ctx  context.Context
+	name string
+
+	mu    sync.Mutex // leaf
+	peers map[string]*peer
+	// byRank names the member that looks after each rank.
+	byRank map[int]string
+}
+
+// peer is the connection to another agent.
+type peer struct {
+	member fleet.Member
+	nonce  atomic.Uint64
+	// dial serialises dialling.
+	dial sync.Mutex
+
+	mu      sync.Mutex // leaf
+	conn    *wire.Conn
+	waiting map[uint64]chan *wire.RankState
+	engine  Engine
+}
+
+func (a *Agent) newGroup(ctx context.Context, name string) *group {
+	return &group{a: a, ctx: ctx, name: name, peers: map[string]*peer{}, byRank: map[int]string{}}
+}
+
+// close ends the connections.
+func (g *group) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		p.mu.Lock()
+		if p.conn != nil {
+			p.conn.Close()
+		}
+		p.mu.Unlock()
+	}
+}
+
+// refresh brings the peers in step with the registrations.
+func (g *group) refresh() []*peer {
+	members := g.a.View.Members(fleet.RoleRank)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]*peer, 0, len(members))
+	for _, m := range members {
+		p := g.peers[m.Name]
+		if p == nil || p.member != m {
+			p = &peer{member: m, waiting: map[uint64]chan *wire.RankState{}, engine: g.a.Connect(m.Upstream)}
+			g.peers[m.Name] = p
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
+// ask sends a question to an agent and waits for the answer; nil means none.
+func (g *group) ask(p *peer, build func(nonce uint64) wire.Message) *wire.RankState {
+	if p.member.Name == g.a.Self.Name {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
+	defer cancel()
+	c := g.connect(p)
+	if c == nil {
+		return nil
+	}
+	nonce := p.nonce.Add(1)
+	reply := make(chan *wire.RankState, 1)
+	p.mu.Lock()
+	p.waiting[nonce] = reply
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.waiting, nonce)
+		p.mu.Unlock()
+	}()
+	if c.Send(build(nonce)) != nil {
+		return nil
+	}
+	select {
+	case m := <-reply:
+		return m
+	case <-c.Closed():
+		return nil
+	case <-ctx.Done():
+		c.Close()
+		return nil
+	}
+}
+
+// connect returns an open connection to an agent, or nil.
+func (g *group) connect(p *peer) *wire.Conn {
+	p.dial.Lock()
+	defer p.dial.Unlock()
+	p.mu.Lock()
+	c := p.conn
+	p.mu.Unlock()
+	if c != nil {
+		select {
+		case <-c.Closed():
+		default:
+			return c
+		}
+	}
+	c, err := fleet.Dial(g.ctx, p.member.Address, p)
+	if err != nil {
+		g.a.Log.Info("rank's agent doesn't answer", zap.String("agent", p.member.Name), zap.Error(err))
+		return nil
+	}
+	p.mu.Lock()
+	p.conn = c
+	p.mu.Unlock()
+	return c
+}
+
+// Receive implements wire.Handler.
+func (p *peer) Receive(_ *wire.Conn, m wire.Message) {
+	st, ok := m.(*wire.RankState)
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if reply := p.waiting[st.Nonce]; reply != nil {
+		delete(p.waiting, st.Nonce)
+		reply <- st
+	}
+}
+
+// readAll reads all ranks of the group at once.
+func (g *group) readAll(counts, lists bool) map[int]*wire.RankState {
+	states := collect(g.refresh(), func(p *peer) *wire.RankState {
+		if st := g.ask(p, func(n uint64) wire.Message { return &wire.RankAsk{Nonce: n, Counts: counts, Lists: lists} }); st != nil {
+			return st
+		}
+		// Counts read from afar make the group pause, so they are not.
+		own := p.member.Name == g.a.Self.Name
+		return read(g.ctx, p.engine, counts && own, lists)
+	})
+	all := map[int]*wire.RankState{}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for p, st := range states {
+		if st.OK && st.Status.Group == g.name {
+			all[st.Status.Rank] = st
+			g.byRank[st.Status.Rank] = p.member.Name
+		}
+	}
+	return all
+}
+
+// collect calls f for each peer at once.
+func collect(peers []*peer, f func(*peer) *wire.RankState) map[*peer]*wire.RankState {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	all := map[*peer]*wire.RankState{}
+	for _, p := range peers {
+		wg.Go(func() {
+			st := f(p)
+			mu.Lock()
+			defer mu.Unlock()
+			all[p] = st
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+// Statuses implements ranks.Group.
+func (g *group) Statuses() map[int]ranks.Status {
+	all := map[int]ranks.Status{}
+	for rank, st := range g.readAll(false, false) {
+		all[rank] = st.Status
+	}
+	return all
+}
+
+// Order implements ranks.Group.
+func (g *group) Order(orders map[int]ranks.Order) map[int]ranks.Answer {
+	var peers []*peer
+	rankOf := map[*peer]int{}
+	g.mu.Lock()
+	for rank := range orders {
+		if p := g.peers[g.byRank[rank]]; p != nil {
+			peers = append(peers, p)
+			rankOf[p] = rank
+		}
+	}
+	g.mu.Unlock()
+	states := collect(peers, func(p *peer) *wire.RankState {
+		o := orders[rankOf[p]]
+		if st := g.ask(p, func(n uint64) wire.Message { return &wire.RankOrder{Nonce: n, Order: o} }); st != nil {
+			return st
+		}
+		return g.direct(p, o)
+	})
+	answers := map[int]ranks.Answer{}
+	for p, st := range states {
+		answers[rankOf[p]] = ranks.Answer{Verdict: st.Verdict, Status: st.Status, OK: st.OK}
+	}
+	return answers
+}
+
+// direct gives an order to the engine itself. Where the rank has an agent that
+// didn't answer, the order may have been carried out already: a copy is void or
+// finds its state holding.
+func (g *group) direct(p *peer, o ranks.Order) *wire.RankState {
+	return carryOut(g.ctx, p.engine, o)
+}
+
+// Pause implements ranks.Group.
+func (g *group) Pause() bool {
+	select {
+	case <-g.ctx.Done():
+		return false
+	case <-g.a.Clock.After(groupPause):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/rankagent/leader.go
@@ -0,0 +1,287 @@
+package rankagent
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/fleet"
+	"github.com/kingcupreel/kingcupreel/internal/lease"
+	"github.com/kingcupreel/kingcupreel/internal/planner"
+	"github.com/kingcupreel/kingcupreel/internal/ranks"
+	"github.com/kingcupreel/kingcupreel/internal/routing"
+	"github.com/kingcupreel/kingcupreel/internal/telemetry"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// leadInterval is how often a leader reads its group.
+	leadInterval = 300 * time.Millisecond
+	// standInterval is how often a follower looks whether the group has a
+	// leader, which its view tells without a call.
+	standInterval = 500 * time.Millisecond
+	// standStagger keeps ranks from standing at the same moment: a rank waits
+	// that much for each one before it.
+	standStagger = 150 * time.Millisecond
+	// leadTime is how far ahead of the present a switch is set, so that the
+	// group seldom waits for it.
+	leadTime = 120 * time.Millisecond
+	// fenceBits are the bits of a fence that count the orders of one leader.
+	fenceBits = 20
+	// planMoves bounds the search of a plan for one set.
+	planMoves = 120
+)
+
+// leader leads one group while this process holds the group's lease.
+type leader struct {
+	a      *Agent
+	group  *group
+	holder *lease.Holder
+	orders int64
+	shape  routing.ExpertShape
+
+	demand   ranks.Demand
+	epoch    int64
+	placed   []planner.Placement // by set; nil when not known
+	version  int64
+	lastStep int64
+	stepAt   time.Time
+	stepTime time.Duration
+}
+
+// Lead stands for the leadership of the rank's group, and leads it, until ctx
+// is done.
+func (a *Agent) Lead(ctx context.Context) {
+	for ctx.Err() == nil {
+		st, err := a.Engine.Status(ctx)
+		shape, known := a.shape()
+		if err == nil && known && st.Group != "" {
+			a.stand(ctx, st, shape)
+		}
+		a.sleep(ctx, standInterval)
+	}
+}
+
+// shape returns the expert maps' shape of the upstream's service.
+func (a *Agent) shape() (routing.ExpertShape, bool) {
+	t := a.Routes.Current()
+	if t == nil {
+		return routing.ExpertShape{}, false
+	}
+	s := t.Service(a.Service)
+	if s == nil || s.Engine == nil || s.Engine.Experts.Sets == 0 {
+		return routing.ExpertShape{}, false
+	}
+	return s.Engine.Experts, true
+}
+
+func (a *Agent) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-a.Clock.After(d):
+	}
+}
+
+// stand takes the lease if the group has no leader, and leads while it holds
+// it. A lease of this process's earlier life is waited out.
+func (a *Agent) stand(ctx context.Context, st ranks.Status, shape routing.ExpertShape) {
+	if !a.View.Synced() || a.View.Leader(st.Group) != "" {
+		return
+	}
+	a.sleep(ctx, time.Duration(st.Rank)*standStagger)
+	if a.View.Leader(st.Group) != "" {
+		return
+	}
+	h := &lease.Holder{KV: a.KV, Clock: a.Clock, Key: fleet.LeaderKey(st.Group), Process: a.Self.Name, Term: a.LeaderTerm}
+	if err := h.Step(ctx); err != nil {
+		if fault.KindOf(err) != fault.Conflict {
+			a.Log.Info("leadership not taken", zap.String("group", st.Group), zap.Error(err))
+		}
+		return
+	}
+	a.Log.Info("leading the group", zap.String("group", st.Group), zap.Int64("fence", h.Fence()))
+	l := &leader{a: a, group: a.newGroup(ctx, st.Group), holder: h, shape: shape}
+	defer l.group.close()
+	l.run(ctx)
+	a.Log.Info("leading ended", zap.String("group", st.Group), zap.Int64("fence", h.Fence()))
+	h.Release(context.WithoutCancel(ctx))
+}
+
+// fence returns the next fence: the lease's number, then the order's.
+func (l *leader) fence() int64 {
+	l.orders++
+	return l.holder.Fence()<<fenceBits + l.orders
+}
+
+// run leads until the lease is lost.
+func (l *leader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := l.holder.Step(ctx); err != nil {
+			l.a.Log.Warn("leader's lease not renewed", zap.Int64("fence", l.holder.Fence()), zap.Error(err))
+		}
+		if !l.holder.Held() {
+			return
+		}
+		l.tick()
+		l.a.sleep(ctx, leadInterval)
+	}
+}
+
+// tick reads the group once, ends what was left behind, and plans.
+func (l *leader) tick() {
+	states := l.group.readAll(true, l.placed == nil)
+	size := 0
+	statuses := map[int]ranks.Status{}
+	counts := map[int]ranks.Counts{}
+	for rank, st := range states {
+		statuses[rank] = st.Status
+		counts[rank] = st.Counts
+		size = max(size, st.Status.Size)
+	}
+	if len(states) == 0 {
+		return
+	}
+	s := l.switcher(size)
+	if ranks.Leftover(statuses) {
+		if err := s.Recover(); err != nil {
+			l.a.Log.Warn("group not recovered", zap.Error(err))
+		}
+	}
+	if !l.observe(states, statuses, size) {
+		return
+	}
+	now := l.a.Clock.Now()
+	l.demand.Add(counts, now)
+	if next := l.plan(); next != nil {
+		l.switchTo(s, next)
+	}
+}
+
+func (l *leader) switcher(size int) *ranks.Switcher {
+	return &ranks.Switcher{
+		Group: l.group, Size: size, Fence: l.fence, Leads: l.holder.Held,
+		Note: func(_ string, rank int, o ranks.Order, a ranks.Answer) {
+			if a.Verdict != ranks.Taken {
+				l.a.Log.Info("order not taken", zap.Int("rank", rank), zap.String("order", string(o.Op)), zap.Int64("version", o.Version),
+					zap.Int64("step", o.Step), zap.Int64("fence", o.Fence), zap.Stringer("verdict", a.Verdict), zap.Bool("read", a.OK))
+			}
+		},
+	}
+}
+
+// observe keeps the map in force and the pace of the steps; false means that
+// the group can't be planned for now.
+func (l *leader) observe(states map[int]*wire.RankState, statuses map[int]ranks.Status, size int) bool {
+	var step, epoch int64
+	for _, st := range statuses {
+		step = max(step, st.Step)
+		epoch = max(epoch, st.Epoch)
+	}
+	now := l.a.Clock.Now()
+	if step > l.lastStep && l.lastStep > 0 {
+		l.stepTime = now.Sub(l.stepAt) / time.Duration(step-l.lastStep)
+	}
+	l.lastStep, l.stepAt = step, now
+	if epoch != l.epoch {
+		if l.epoch != 0 {
+			l.a.Log.Info("group formed anew", zap.Int64("epoch", epoch), zap.Int64("before", l.epoch))
+		}
+		l.epoch, l.placed, l.demand = epoch, nil, ranks.Demand{}
+	}
+	version := statuses[0].Map
+	for _, st := range statuses {
+		if st.Epoch != epoch || !st.Open || st.Map != version || st.Armed != ranks.None {
+			return false
+		}
+	}
+	if len(statuses) < size {
+		return false
+	}
+	if l.placed != nil && version == l.version {
+		return true
+	}
+	l.version, l.placed = version, nil
+	return l.learn(states, size)
+}
+
+// learn takes the map in force from the ranks' lists.
+func (l *leader) learn(states map[int]*wire.RankState, size int) bool {
+	placed := make([]planner.Placement, l.shape.Sets)
+	for set := range placed {
+		placed[set] = make(planner.Placement, size)
+		for rank := range size {
+			lists := states[rank].Lists
+			if lists.Version != l.version || len(lists.Experts) != l.shape.Sets {
+				return false
+			}
+			placed[set][rank] = lists.Experts[set]
+		}
+	}
+	l.placed = placed
+	return true
+}
+
+const (
+	// minGain is the least fall of a step's time, as a part of it, that a new
+	// map must promise.
+	minGain = 0.03
+	// minSeen is the least number of choices that a plan rests on, per expert.
+	minSeen = 20
+)
+
+// plan returns the next map by set, or nil when the map in force should stay.
+func (l *leader) plan() []planner.Placement {
+	limits := planner.EvenLimits{Places: l.shape.Places, Spare: l.shape.Spare, Moves: planMoves}
+	next := make([]planner.Placement, l.shape.Sets)
+	before, after, seen := 0.0, 0.0, 0.0
+	for set := range next {
+		load := l.demand.Set(set, l.shape.Experts)
+		if load == nil {
+			return nil
+		}
+		for _, n := range load {
+			seen += n
+		}
+		next[set] = planner.Even(l.placed[set], load, limits)
+		before += l.placed[set].Peak(load) / float64(l.shape.Sets)
+		after += next[set].Peak(load) / float64(l.shape.Sets)
+	}
+	if seen < float64(minSeen*l.shape.Sets*l.shape.Experts) {
+		return nil
+	}
+	stepBefore := 1 - l.shape.TokenShare + l.shape.TokenShare*before
+	stepAfter := 1 - l.shape.TokenShare + l.shape.TokenShare*after
+	if stepAfter > stepBefore*(1-minGain) {
+		return nil
+	}
+	l.a.Log.Info("new map planned", zap.Float64("peak_before", before), zap.Float64("peak_after", after), zap.Float64("seen", seen),
+		zap.Duration("step_time", l.stepTime), zap.Int64("in_force", l.version))
+	return next
+}
+
+// switchTo brings a planned map into force.
+func (l *leader) switchTo(s *ranks.Switcher, next []planner.Placement) {
+	m := make(ranks.Map, len(next))
+	for set, p := range next {
+		m[set] = p
+	}
+	version := l.fence()
+	lead := int64(2)
+	if l.stepTime > 0 {
+		lead += int64(leadTime / l.stepTime)
+	}
+	start := l.a.Clock.Now()
+	err := s.Switch(version, m, lead)
+	result := "done"
+	if err != nil {
+		result = string(fault.KindOf(err))
+		l.placed = nil
+	} else {
+		l.placed, l.version = next, version
+	}
+	telemetry.Counter(l.a.Metrics, "map_switches."+result).Inc(1)
+	l.a.Log.Info("map switch ended", zap.Int64("version", version), zap.Int64("epoch", l.epoch), zap.String("result", result), zap.Error(err),
+		zap.Duration("took", l.a.Clock.Since(start)))
+}
--- /dev/null
+++ b/internal/ranks/switch.go
@@ -0,0 +1,377 @@
+package ranks
+
+import (
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+)
+
+// Switcher carries out switches of one group's map. It is not safe for
+// concurrent use.
+type Switcher struct {
+	Group Group
+	// Size is the number of ranks.
+	Size int
+	// Fence returns a number higher than any that this or an earlier leader
+	// has used.
+	Fence func() int64
+	// Leads says whether this process may still begin something. What it has
+	// begun is ended in any case.
+	Leads func() bool
+	// Note is told what happens, for the log; nil is allowed.
+	Note func(what string, rank int, o Order, a Answer)
+}
+
+// Limits of a switch, in readings of the group.
+const (
+	// prepareReadings is how long ranks may take to copy their experts.
+	prepareReadings = 200
+	// armReadings is how long arming may take while the group may be waiting.
+	armReadings = 8
+	// holdTries is how often a hold is tried at a later step.
+	holdTries = 4
+)
+
+var (
+	errNotLeader = fault.New(fault.Stale, "the next leader goes on", "this process no longer leads the group")
+	errStopped   = fault.New(fault.Unavailable, "the next leader goes on", "the process stops")
+	errChanged   = fault.New(fault.Conflict, "the group is planned anew", "the group has formed anew or lost a rank")
+)
+
+// Switch brings a map into force under a version, from the step that is lead
+// steps ahead. It returns when the step may begin, or with the old map in
+// force and an error.
+func (s *Switcher) Switch(version int64, m Map, lead int64) error {
+	epoch, _, err := s.read()
+	if err != nil {
+		return err
+	}
+	if err := s.prepare(epoch, version, m); err != nil {
+		return err
+	}
+	holder, step, err := s.hold(epoch, lead)
+	if err != nil {
+		return err
+	}
+	armed := s.arm(epoch, version, step)
+	if !armed {
+		err = fault.New(fault.Conflict, "the map is planned again", "not every rank could be armed with version %d for step %d", version, step)
+		if cancelErr := s.cancel(epoch, version); cancelErr != nil {
+			return cancelErr
+		}
+	}
+	if goErr := s.release(epoch, holder, step); goErr != nil {
+		return goErr
+	}
+	return err
+}
+
+// read reads the group. All ranks have to be there, in one epoch and open.
+func (s *Switcher) read() (epoch, step int64, err error) {
+	statuses := s.Group.Statuses()
+	if len(statuses) < s.Size {
+		return 0, 0, fault.New(fault.Unavailable, "wait for the rank", "%d of %d ranks can be read", len(statuses), s.Size)
+	}
+	for _, st := range statuses {
+		if !st.Open || epoch != 0 && st.Epoch != epoch {
+			return 0, 0, errChanged
+		}
+		epoch = st.Epoch
+		step = max(step, st.Step)
+	}
+	return epoch, step, nil
+}
+
+// all sends one order to every rank, each with a fence of its own.
+func (s *Switcher) all(o Order, ranks map[int]bool) map[int]Answer {
+	orders := map[int]Order{}
+	for r := range ranks {
+		o.Fence = s.Fence()
+		orders[r] = o
+	}
+	answers := s.Group.Order(orders)
+	for r, a := range answers {
+		s.note("order", r, orders[r], a)
+	}
+	return answers
+}
+
+func (s *Switcher) note(what string, rank int, o Order, a Answer) {
+	if s.Note != nil {
+		s.Note(what, rank, o, a)
+	}
+}
+
+func (s *Switcher) every() map[int]bool {
+	ranks := map[int]bool{}
+	for r := range s.Size {
+		ranks[r] = true
+	}
+	return ranks
+}
+
+// prepare has every rank copy the map's experts and waits for it. A map that
+// is prepared and never armed changes nothing.
+func (s *Switcher) prepare(epoch, version int64, m Map) error {
+	open := s.every()
+	for range prepareReadings {
+		if !s.Leads() {
+			return errNotLeader
+		}
+		answers := s.all(Order{Op: Prepare, Version: version, Epoch: epoch, Map: m}, open)
+		for r := range open {
+			a := answers[r]
+			switch {
+			case a.OK && a.Status.Prepared == version, a.Verdict == Taken:
+				delete(open, r)
+			case a.Verdict == Refused || a.Verdict == Fenced:
+				return fault.New(fault.Conflict, "the map is planned again", "rank %d %s version %d", r, a.Verdict, version)
+			}
+		}
+		if len(open) == 0 {
+			return s.awaitPrepared(epoch, version)
+		}
+		if !s.Group.Pause() {
+			return errStopped
+		}
+		s.strike(open, epoch, version)
+	}
+	return fault.New(fault.Timeout, "the map is planned again", "ranks did not take version %d", version)
+}
+
+// strike takes out of open the ranks that have or copy the version already:
+// their answer was lost.
+func (s *Switcher) strike(open map[int]bool, epoch, version int64) {
+	for r, st := range s.Group.Statuses() {
+		if open[r] && st.Epoch == epoch && st.Prepared == version {
+			delete(open, r)
+		}
+	}
+}
+
+func (s *Switcher) awaitPrepared(epoch, version int64) error {
+	for range prepareReadings {
+		statuses := s.Group.Statuses()
+		ready := 0
+		for _, st := range statuses {
+			if st.Epoch != epoch || !st.Open {
+				return errChanged
+			}
+			if st.Prepared == version {
+				ready++
+			}
+		}
+		if ready == s.Size {
+			return nil
+		}
+		if !s.Leads() {
+			return errNotLeader
+		}
+		if !s.Group.Pause() {
+			return errStopped
+		}
+	}
+	return fault.New(fault.Timeout, "the map is planned again", "ranks did not copy version %d in time", version)
+}
+
+// holder is the rank at which the group is held.
+const holder = 0
+
+// hold keeps the group from beginning a step ahead and returns the rank that
+// is held and the step.
+func (s *Switcher) hold(epoch, lead int64) (int, int64, error) {
+	for range holdTries {
+		now, step, err := s.read()
+		if err != nil || now != epoch {
+			return 0, 0, errChanged
+		}
+		if !s.Leads() {
+			return 0, 0, errNotLeader
+		}
+		step += lead
+		a := s.all(Order{Op: Hold, Step: step, Epoch: epoch}, map[int]bool{holder: true})[holder]
+		if a.Verdict == Taken {
+			return holder, step, nil
+		}
+		if a.Verdict == Fenced {
+			return 0, 0, errNotLeader
+		}
+		if a.Verdict == Unknown {
+			// The order may be carried out later: a newer order makes its fence
+			// old, and what it did until then is undone.
+			if err := s.Recover(); err != nil {
+				return 0, 0, err
+			}
+		}
+	}
+	return 0, 0, fault.New(fault.Conflict, "the map is planned again", "no step could be held")
+}
+
+// arm arms every rank for the held step and says whether all are known to be.
+func (s *Switcher) arm(epoch, version, step int64) bool {
+	open := s.every()
+	for range armReadings {
+		answers := s.all(Order{Op: Arm, Version: version, Step: step, Epoch: epoch}, open)
+		for r := range open {
+			a := answers[r]
+			switch {
+			case a.Verdict == Taken || a.OK && a.Status.Epoch == epoch && a.Status.Armed == version:
+				delete(open, r)
+			case a.Verdict == Refused || a.Verdict == Fenced:
+				return false
+			}
+		}
+		if len(open) == 0 {
+			return s.allArmed(epoch, version)
+		}
+		if !s.Group.Pause() {
+			return false
+		}
+	}
+	return false
+}
+
+// allArmed reads back that every rank is armed.
+func (s *Switcher) allArmed(epoch, version int64) bool {
+	statuses := s.Group.Statuses()
+	for r := range s.Size {
+		st, ok := statuses[r]
+		if !ok || st.Epoch != epoch || st.Armed != version {
+			return false
+		}
+	}
+	return true
+}
+
+// cancel disarms every rank. It returns nil once each has taken an order that
+// is newer than any Arm and is not armed, and errChanged when the group has
+// formed anew, which clears everything.
+func (s *Switcher) cancel(epoch, version int64) error {
+	open := s.every()
+	for {
+		answers := s.all(Order{Op: Disarm, Version: version, Epoch: epoch}, open)
+		for r := range open {
+			a := answers[r]
+			switch {
+			case a.OK && a.Status.Epoch != epoch:
+				return errChanged
+			case a.Verdict == Fenced:
+				return errNotLeader
+			case a.Verdict != Unknown && a.OK && a.Status.Armed == None:
+				delete(open, r)
+			}
+		}
+		if len(open) == 0 {
+			return nil
+		}
+		if !s.Group.Pause() {
+			return errStopped
+		}
+	}
+}
+
+// release lets the held step begin and waits until the rank is held no more.
+func (s *Switcher) release(epoch int64, rank int, step int64) error {
+	for {
+		a := s.all(Order{Op: Go, Step: step, Epoch: epoch}, map[int]bool{rank: true})[rank]
+		switch {
+		case a.Verdict == Fenced:
+			return errNotLeader
+		case a.OK && a.Status.Epoch != epoch:
+			return errChanged
+		case a.Verdict == Taken, a.OK && a.Status.Held != step:
+			return nil
+		}
+		if !s.Group.Pause() {
+			return errStopped
+		}
+	}
+}
+
+// Recover ends what an earlier leader, or an order without an answer, has left
+// behind at ranks that are held. Where no rank is held nothing is to be done:
+// ranks that are armed without a hold are all armed, since their Go has been
+// given.
+func (s *Switcher) Recover() error {
+	statuses := s.Group.Statuses()
+	for r, st := range statuses {
+		if st.Held == None {
+			continue
+		}
+		if err := s.recoverHold(r, st.Epoch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// recoverHold makes every older order void, disarms every rank, and lets the
+// step that a rank holds begin. An older Go may have come first: then every
+// rank is armed, and stays so.
+func (s *Switcher) recoverHold(rank int, epoch int64) error {
+	step, err := s.void(rank, epoch)
+	if err != nil || step == None {
+		return err
+	}
+	for r := range s.Size {
+		if err := s.disarm(r, epoch); err != nil {
+			return err
+		}
+	}
+	return s.release(epoch, rank, step)
+}
+
+// void makes a rank refuse all older orders and returns the step that it holds.
+func (s *Switcher) void(rank int, epoch int64) (held int64, err error) {
+	for {
+		// No map has the version of a fence, so that the order changes nothing.
+		o := Order{Op: Disarm, Version: s.Fence(), Epoch: epoch}
+		a := s.all(o, map[int]bool{rank: true})[rank]
+		switch {
+		case a.Verdict == Fenced:
+			return None, errNotLeader
+		case a.OK && a.Status.Epoch != epoch:
+			return None, errChanged
+		case a.Verdict != Unknown && a.OK:
+			return a.Status.Held, nil
+		}
+		if !s.Group.Pause() {
+			return None, errStopped
+		}
+	}
+}
+
+// disarm makes a rank refuse all older orders and not be armed.
+func (s *Switcher) disarm(rank int, epoch int64) error {
+	var version int64
+	for {
+		o := Order{Op: Disarm, Version: version, Epoch: epoch}
+		if version == 0 {
+			o.Version = s.Fence()
+		}
+		a := s.all(o, map[int]bool{rank: true})[rank]
+		switch {
+		case a.Verdict == Fenced:
+			return errNotLeader
+		case a.OK && a.Status.Epoch != epoch:
+			return errChanged
+		case a.OK && a.Status.Armed != None:
+			version = a.Status.Armed
+			continue
+		case a.Verdict != Unknown && a.OK:
+			return nil
+		}
+		if !s.Group.Pause() {
+			return errStopped
+		}
+	}
+}
+
+// Leftover says whether a group shows what a switch in progress, or an earlier
+// leader's, has set up: a hold or an armed rank.
+func Leftover(statuses map[int]Status) bool {
+	for _, st := range statuses {
+		if st.Held != None || st.Armed != None {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/wire/fleet.go
@@ -0,0 +1,102 @@
+package wire
+
+import "github.com/kingcupreel/kingcupreel/internal/ranks"
+
+// The message kinds between the processes of a platform deployment; they have
+// 80 to 99. RankLoad and EntryDigest travel as datagrams, one frame each.
+const (
+	KindRankLoad Kind = iota + 80
+	KindEntryDigest
+	KindConfigurationAsk
+	KindConfigurationReply
+	KindRankAsk
+	KindRankOrder
+	KindRankState
+)
+
+// RankLoad tells entries the load of the upstream at an address.
+type RankLoad struct {
+	Address string
+	// Started is the upstream's start in Unix milliseconds.
+	Started        int64
+	Queued, Active int
+	Pace           float32
+	// Open says that the rank's group serves.
+	Open bool
+	// Step is the last step begun.
+	Step int64
+}
+
+// EntryDigest tells another entry what the sender knows.
+type EntryDigest struct {
+	Entry string
+	// Version is the configuration in force, 0 for none.
+	Version    int64
+	Departures []Departure
+}
+
+// Departure names an upstream's incarnation that takes no new work.
+type Departure struct {
+	ID      string
+	Started int64
+}
+
+// ConfigurationAsk asks an entry for its configuration.
+type ConfigurationAsk struct{}
+
+// ConfigurationReply carries a configuration as it lies in the store.
+type ConfigurationReply struct{ Encoded []byte }
+
+// RankAsk asks for the status of a rank, and for its counts or its experts.
+type RankAsk struct {
+	Nonce         uint64
+	Counts, Lists bool
+}
+
+// RankOrder hands an order to a rank's engine.
+type RankOrder struct {
+	Nonce uint64
+	Order ranks.Order
+}
+
+// RankState answers a RankAsk or a RankOrder.
+type RankState struct {
+	Nonce   uint64
+	Verdict ranks.Verdict
+	Status  ranks.Status
+	// OK says that Status is valid.
+	OK     bool
+	Counts ranks.Counts
+	Lists  ranks.Lists
+}
+
+// Kind implements Message.
+func (*RankLoad) Kind() Kind { return KindRankLoad }
+
+// Kind implements Message.
+func (*EntryDigest) Kind() Kind { return KindEntryDigest }
+
+// Kind implements Message.
+func (*ConfigurationAsk) Kind() Kind { return KindConfigurationAsk }
+
+// Kind implements Message.
+func (*ConfigurationReply) Kind() Kind { return KindConfigurationReply }
+
+// Kind implements Message.
+func (*RankAsk) Kind() Kind { return KindRankAsk }
+
+// Kind implements Message.
+func (*RankOrder) Kind() Kind { return KindRankOrder }
+
+// Kind implements Message.
+func (*RankState) Kind() Kind { return KindRankState }
+
+var fleetFactories = map[Kind]factory{
+	KindRankLoad:           func() Message { return new(RankLoad) },
+	KindEntryDigest:        func() Message { return new(EntryDigest) },
+	KindConfigurationAsk:   func() Message { return new(ConfigurationAsk) },
+	KindConfigurationReply: func() Message { return new(ConfigurationReply) },
+	KindRankAsk:            func() Message { return new(RankAsk) },
+	KindRankOrder:          func() Message { return new(RankOrder) },
+	KindRankState:          func() Message { return new(RankState) },
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -96,3 +96,13 @@
 	}
 	return m, nil
 }
+
+// DecodeFrame decodes a buffer that holds one frame.
+func DecodeFrame(frame []byte) (Message, error) {
+	r := bytes.NewReader(frame)
+	m, _, err := readFrame(r)
+	if err == nil && r.Len() > 0 {
+		err = fault.New(fault.Invalid, "check that the peer speaks this protocol", "%d bytes after the frame", r.Len())
+	}
+	return m, err
+}
