Dispatch by fresh reports, and plan maps at a price per copy

Cause: reports smoothed for lagging engines hid the ranks' state; plans were made at any gain, and each copy is priced and slows the steps.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -19,8 +19,8 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
-	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/directory"
+	"github.com/kingcupreel/kingcupreel/internal/dispatch"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/fleet"
 	"github.com/kingcupreel/kingcupreel/internal/gateway"
@@ -97,7 +97,7 @@
 	g := gateway.New(gateway.Options{
 		Routes: routes, Directory: dir, Codec: platform.Headers{},
 		Transport: upstream.NewTransport(upstream.Options{Codec: platform.Headers{}}),
-		Pools:     gateway.NewPools(h.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), h.node.DataCentre, balance.LeastWork{}),
+		Pools:     gateway.NewPools(h.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		Limits:    outcome.WindowLimits{Window: h.node.RetryWindow, Ratio: h.node.RetryRatio, Allowance: h.node.RetryAllowance},
 		Clock:     h.clock, Log: h.log, Metrics: h.metrics,
 	})
@@ -121,7 +121,7 @@
 		case *wire.EntryDigest:
 			x.Receive(work, from, m)
 		case *wire.RankLoad:
-			g.Pools.Reported(m.Address, m.Started, balance.Load{Work: m.Queued + m.Active, Capacity: 0})
+			g.Pools.Reported(m.Address, m.Started, dispatch.Load{Queued: m.Queued, Active: m.Active, Pace: float64(m.Pace), Open: m.Open})
 		}
 	})
 	go x.Run(work)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -125,9 +125,20 @@
 		return
 	}
 	d.records[u.ID] = &record{Upstream: u, revision: revision}
+	d.supersede(u)
 	d.signal()
 }
 
+// supersede drops the upstreams that had the address before: a process that
+// starts at an address is the only one there. The caller holds mu.
+func (d *Directory) supersede(u Upstream) {
+	for id, r := range d.records {
+		if id != u.ID && r.Address == u.Address && r.Started < u.Started {
+			delete(d.records, id)
+		}
+	}
+}
+
 // Delete takes the removal of an upstream's entry at a revision.
 func (d *Directory) Delete(id string, revision int64) {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,209 @@
+// Package dispatch decides which upstream gets a request when every upstream's
+// load is reported within a fraction of a second: the one where the request
+// delays others least, and none that is known to be unable to serve. It is pure:
+// state and a clock in, decisions out. A Pool is not safe for concurrent use.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Replica identifies an upstream of a pool.
+type Replica struct {
+	ID, DataCentre string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+}
+
+// Load is an upstream's report of its load.
+type Load struct {
+	Queued, Active int
+	// Pace is how much slower than usual the upstream is; 0 means unknown.
+	Pace float64
+	// Open says that its group serves.
+	Open bool
+}
+
+// Cost is what a request costs the requests beside it at an engine: a step
+// takes Base, and Each more for every request that runs. Both are 0 for an
+// upstream whose requests don't share steps.
+type Cost struct{ Base, Each time.Duration }
+
+const (
+	// reportLife is how long a report counts. An unchanged load is reported
+	// every second.
+	reportLife = 2500 * time.Millisecond
+	// shutTime is how long an upstream that refused for its group's sake is
+	// passed over, unless a report sent later says that the group serves.
+	shutTime = 600 * time.Millisecond
+	// reportDelay is the age that a report may have when it comes in.
+	reportDelay = 350 * time.Millisecond
+	// goneTime is how long an upstream whose address another one has is passed
+	// over: until its own entry lapses.
+	goneTime = 5 * time.Second
+	// failureWeight is the weight of an attempt in the mean of failures, and
+	// failureMemory the time constant at which that is forgotten.
+	failureWeight = 0.3
+	failureMemory = 4 * time.Second
+	// failureCost multiplies an upstream's cost by 1 more for each tenth of its
+	// attempts that fail.
+	failureCost = 10
+	// sample is the number of upstreams that are compared. Entries that all
+	// compare the whole pool by the same reports send to the same upstream.
+	sample = 6
+)
+
+// Node is an entry's view of one upstream.
+type Node struct {
+	Replica
+	inFlight int
+	// others is the reported work that isn't this entry's.
+	others     int
+	pace       float64
+	open       bool
+	reportedAt time.Time
+	shutUntil  time.Time
+	shutAt     time.Time
+	failures   float64
+	failedAt   time.Time
+}
+
+// Pool is an entry's view of the upstreams of one service.
+type Pool struct {
+	rand  *rand.Rand
+	cost  Cost
+	nodes []*Node
+}
+
+// NewPool returns an empty pool.
+func NewPool(rng *rand.Rand) *Pool { return &Pool{rand: rng} }
+
+// SetCost sets what a request costs at the pool's upstreams.
+func (p *Pool) SetCost(c Cost) { p.cost = c }
+
+// Add adds an upstream and returns its node.
+func (p *Pool) Add(r Replica) *Node {
+	n := &Node{Replica: r, pace: 1}
+	p.nodes = append(p.nodes, n)
+	return n
+}
+
+// Remove drops an upstream.
+func (p *Pool) Remove(n *Node) {
+	p.nodes = slices.DeleteFunc(p.nodes, func(o *Node) bool { return o == n })
+}
+
+// Pick returns the upstream that a request should go to, or nil. Those tried
+// before are passed over. It counts nothing: see Node.Sent.
+func (p *Pool) Pick(now time.Time, tried []string) *Node {
+	var best *Node
+	bestCost := 0.0
+	drawn := 0
+	for _, i := range p.rand.Perm(len(p.nodes)) {
+		n := p.nodes[i]
+		if slices.Contains(tried, n.ID) || !n.usable(now) {
+			continue
+		}
+		if c := p.costAt(n, now); best == nil || c < bestCost {
+			best, bestCost = n, c
+		}
+		if drawn++; drawn == sample {
+			break
+		}
+	}
+	return best
+}
+
+// Serving says whether any upstream can take a request.
+func (p *Pool) Serving(now time.Time) bool {
+	return slices.ContainsFunc(p.nodes, func(n *Node) bool { return n.usable(now) })
+}
+
+// Waiting returns the requests that wait for a slot, and the slots, of the
+// upstreams that can take a request.
+func (p *Pool) Waiting(now time.Time) (waiting, slots int) {
+	for _, n := range p.nodes {
+		if n.usable(now) {
+			slots += n.Slots
+			waiting += max(n.work(now)-n.Slots, 0)
+		}
+	}
+	return waiting, slots
+}
+
+// costAt returns how much one more request would slow the upstream's requests.
+func (p *Pool) costAt(n *Node, now time.Time) float64 {
+	work := float64(n.work(now) + 1)
+	cost := work / float64(max(n.Slots, 1))
+	if p.cost.Base > 0 && work <= float64(n.Slots) {
+		full := p.cost.Base + time.Duration(n.Slots)*p.cost.Each
+		cost = float64(p.cost.Base+time.Duration(work)*p.cost.Each) / float64(full)
+	}
+	return cost * max(n.pace, 1) * (1 + failureCost*n.failing(now))
+}
+
+// work returns the requests at the upstream, this entry's and others'.
+func (n *Node) work(now time.Time) int {
+	if now.Sub(n.reportedAt) > reportLife {
+		return n.inFlight
+	}
+	return n.inFlight + n.others
+}
+
+func (n *Node) usable(now time.Time) bool {
+	if now.Before(n.shutUntil) {
+		return false
+	}
+	return n.open || now.Sub(n.reportedAt) > reportLife
+}
+
+// failing returns the part of the recent attempts that failed.
+func (n *Node) failing(now time.Time) float64 {
+	if n.failures == 0 {
+		return 0
+	}
+	faded := 1 - now.Sub(n.failedAt).Seconds()/failureMemory.Seconds()
+	return n.failures * max(faded, 0)
+}
+
+// InFlight returns this entry's own requests at the upstream.
+func (n *Node) InFlight() int { return n.inFlight }
+
+// Reported takes a report of the upstream's load.
+func (n *Node) Reported(l Load, now time.Time) {
+	n.others = max(l.Queued+l.Active-n.inFlight, 0)
+	n.pace = l.Pace
+	n.open = l.Open
+	n.reportedAt = now
+	if l.Open && now.Sub(n.shutAt) > reportDelay {
+		n.shutUntil = time.Time{}
+	}
+}
+
+// Sent counts a request sent to the upstream.
+func (n *Node) Sent() { n.inFlight++ }
+
+// Ended counts the end of a request; failed says that the upstream was at
+// fault.
+func (n *Node) Ended(failed bool, now time.Time) {
+	n.inFlight--
+	before := n.failing(now)
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	n.failures = before + failureWeight*(sample-before)
+	n.failedAt = now
+}
+
+// Shut passes the upstream over for a while: its group can't serve.
+func (n *Node) Shut(now time.Time) {
+	n.shutAt, n.shutUntil = now, now.Add(shutTime)
+}
+
+// Gone passes the upstream over: another one has its address.
+func (n *Node) Gone(now time.Time) {
+	n.shutAt, n.shutUntil = now.Add(goneTime), now.Add(goneTime)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -54,14 +55,14 @@
 func (q *request) run() {
 	var last result
 	for {
-		m := q.g.Pools.Pick(q.service, q.Prefix, q.tried)
+		m := q.g.Pools.Pick(q.service, q.tried)
 		if m == nil {
-			q.conclude(last, errNoUpstream)
+			q.conclude(last, errNoUpstream.After(q.comeBack()))
 			return
 		}
 		repeat := q.attempts > 0
 		if repeat && !q.g.budget(q.service).Spend() {
-			m.Finished(false)
+			m.Ended(false)
 			q.conclude(last, errBudget)
 			return
 		}
@@ -81,6 +82,20 @@
 	errBudget     = fault.New(fault.Unavailable, "try again shortly", "the service's budget for repeats is used up").After(busyDelay)
 )
 
+const (
+	// shutDelay is when a caller may come back to a group that can't serve: a
+	// rank that has crashed or is cut off is away for seconds.
+	shutDelay = 2500 * time.Millisecond
+	// delaySpread spreads callers that come back over that part of the delay.
+	delaySpread = 0.2
+)
+
+// comeBack returns when a caller may come back to a service without a usable
+// upstream.
+func (q *request) comeBack() time.Duration {
+	return time.Duration(float64(shutDelay) * (1 - delaySpread*rand.Float64()))
+}
+
 // busyDelay is when a caller may come back to a service that could not take
 // its request.
 const busyDelay = 500 * time.Millisecond
@@ -111,7 +126,7 @@
 		q.mayHaveRun = true
 	}
 	atFault := (res.fate == unknown || res.fate == broken || res.fate == notRun && !res.refused) && q.ctx.Err() == nil
-	m.Finished(atFault)
+	m.Ended(atFault)
 	q.g.stats.attempted(q.service, res.fate, time.Since(start))
 	q.log.Info("attempt ended",
 		zap.String("upstream", m.ID), zap.String("address", m.Address), zap.String("fate", fateNames[res.fate]), zap.Error(res.cause),
@@ -164,7 +179,8 @@
 	defer reply.Close()
 	switch {
 	case reply.NotRun || reply.Misdirected:
-		_, _ = reply.ReadAll()
+		_, _ = reply.ReadAll() // so that the connection can be kept
+		q.learn(m, reply)
 		return result{fate: notRun, sent: true, refused: true, cause: fault.New(fault.Overloaded, "try another upstream", "the upstream refused the request with %d", reply.Status)}
 	case !reply.Genuine && reply.Status < http.StatusInternalServerError, promisesNotRun(reply.Status):
 		return result{fate: unknown, sent: true, cause: fault.New(fault.Crashed, "try again if it may run twice", "the upstream's answer %d can't be trusted", reply.Status)}
@@ -174,6 +190,18 @@
 	return q.collect(reply)
 }
 
+// learn takes what a refusal says of the upstream and its group.
+func (q *request) learn(m *Member, reply *upstream.Reply) {
+	switch {
+	case reply.Culprit != "" && reply.Culprit != m.ID:
+		q.log.Info("group can't serve", zap.String("upstream", m.ID), zap.String("culprit", reply.Culprit), zap.Int("status", reply.Status))
+		m.ShutGroup()
+	case reply.Misdirected:
+		q.log.Info("another upstream has the address", zap.String("upstream", m.ID), zap.String("address", m.Address), zap.String("instance", reply.Instance))
+		m.Gone()
+	}
+}
+
 // sendFailure translates the error of an attempt without an answer.
 func sendFailure(err error) result {
 	if upstream.IsNotSent(err) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,7 @@
 	Options
 	stats    *stats
 	draining atomic.Bool
+	began    time.Time
 
 	mu      sync.Mutex
 	running map[*request]struct{}
@@ -97,6 +98,7 @@
 		running: map[*request]struct{}{},
 		budgets: map[string]*outcome.WindowBudget{},
 		part:    unknownPart,
+		began:   o.Clock.Now(),
 		bodies:  newBodyBudget(maxBodies),
 	}
 	o.Routes.OnChange(g.reroute)
@@ -123,7 +125,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = outcome.NewWindowBudget(g.Clock, g.Limits)
+		b = outcome.NewWindowBudget(g.Clock, g.Limits, g.began)
 		b.SetPart(g.part)
 		g.budgets[service] = b
 	}
@@ -148,8 +150,10 @@
 	return len(g.running)
 }
 
-// reroute applies a new configuration's timeouts to the running requests.
+// reroute applies a new configuration to the pools, and its timeouts to the
+// running requests.
 func (g *Gateway) reroute(t *routing.Table) {
+	g.Pools.Configure(t.Services)
 	g.mu.Lock()
 	running := make([]*request, 0, len(g.running))
 	for r := range g.running {
@@ -186,7 +190,6 @@
 		case <-g.Directory.Changed():
 		case <-ticker.Chan():
 			g.Directory.Tick()
-			g.Pools.Tick()
 		}
 		list := g.Directory.Usable()
 		if !g.Pools.Reconcile(list) {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -6,19 +6,19 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/directory"
+	"github.com/kingcupreel/kingcupreel/internal/dispatch"
+	"github.com/kingcupreel/kingcupreel/internal/routing"
 )
 
-// Pools choose the upstreams of each service. It is safe for concurrent use.
+// Pools choose the upstreams of each service. It is safe for concurrent use;
+// mu is a leaf lock.
 type Pools struct {
-	clock      clockwork.Clock
-	rand       *rand.Rand
-	dataCentre string
-	picker     balance.Picker
+	clock clockwork.Clock
+	rand  *rand.Rand
 
 	mu      sync.Mutex
-	pools   map[string]*balance.Pool
+	pools   map[string]*dispatch.Pool
 	members map[string]*Member
 	// byAddress holds the member last added at each address.
 	byAddress map[string]*Member
@@ -28,12 +28,33 @@
 type Member struct {
 	directory.Upstream
 	pools *Pools
-	node  *balance.Node
+	node  *dispatch.Node
 }
 
-// NewPools returns empty pools as seen from a data centre.
-func NewPools(clock clockwork.Clock, rng *rand.Rand, dataCentre string, picker balance.Picker) *Pools {
-	return &Pools{clock: clock, rand: rng, dataCentre: dataCentre, picker: picker, pools: map[string]*balance.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}}
+// NewPools returns empty pools.
+func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}}
+}
+
+// Configure takes what the configuration says of the services' engines.
+func (p *Pools) Configure(services []routing.Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range services {
+		if s.Engine != nil {
+			p.pool(s.Name).SetCost(dispatch.Cost{Base: s.Engine.Step, Each: s.Engine.PerSequence})
+		}
+	}
+}
+
+// pool returns the pool of a service. The caller holds mu.
+func (p *Pools) pool(service string) *dispatch.Pool {
+	pool := p.pools[service]
+	if pool == nil {
+		pool = dispatch.NewPool(p.rand)
+		p.pools[service] = pool
+	}
+	return pool
 }
 
 // Reconcile makes the pools hold the given upstreams and says whether that
@@ -46,7 +67,7 @@
 	for _, u := range list {
 		wanted[u.ID] = true
 		m := p.members[u.ID]
-		if m != nil && m.Upstream == u {
+		if m != nil && m.same(u) {
 			continue
 		}
 		changed = true
@@ -64,16 +85,14 @@
 	return changed
 }
 
+// same says whether an entry still speaks of this incarnation at this place.
+func (m *Member) same(u directory.Upstream) bool {
+	return m.Service == u.Service && m.Address == u.Address && m.Started == u.Started && m.Slots == u.Slots
+}
+
 func (p *Pools) add(u directory.Upstream) {
-	pool := p.pools[u.Service]
-	if pool == nil {
-		pool = balance.NewPool(p.clock, p.rand, p.dataCentre)
-		p.pools[u.Service] = pool
-	}
 	m := &Member{Upstream: u, pools: p}
-	m.node = pool.Add(balance.Upstream{Name: u.ID, DataCentre: u.DataCentre})
-	m.node.SetUsable(true)
-	m.node.Reported(balance.Load{Capacity: u.Slots})
+	m.node = p.pool(u.Service).Add(dispatch.Replica{ID: u.ID, DataCentre: u.DataCentre, Slots: u.Slots})
 	p.members[u.ID] = m
 	p.byAddress[u.Address] = m
 }
@@ -86,55 +105,60 @@
 	}
 }
 
-// Pick chooses an upstream of a service that has not been tried and counts an
-// attempt there; nil means that there is none.
-func (p *Pools) Pick(service, prefix string, tried []string) *Member {
+// Pick chooses an upstream of a service that has not been tried and counts a
+// request there; nil means that there is none.
+func (p *Pools) Pick(service string, tried []string) *Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pool := p.pools[service]
-	if pool == nil {
-		return nil
-	}
-	n := p.picker.Pick(pool, balance.Request{Prefix: prefix, Tried: tried})
+	n := p.pool(service).Pick(p.clock.Now(), tried)
 	if n == nil {
 		return nil
 	}
-	m := p.members[n.Name]
-	n.Dispatched()
-	return m
+	n.Sent()
+	return p.members[n.ID]
 }
 
-// Reported takes the load of the upstream at an address, if it is the one that
-// started then.
-func (p *Pools) Reported(address string, started int64, load balance.Load) {
+// Serving says whether any upstream of a service can take a request.
+func (p *Pools) Serving(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m := p.byAddress[address]
-	if m == nil || m.Started != started {
-		return
-	}
-	load.Capacity = m.Slots
-	m.node.Reported(load)
+	return p.pool(service).Serving(p.clock.Now())
 }
 
-// Tick looks for upstreams that have gone silent.
-func (p *Pools) Tick() {
+// Reported takes the load of the upstream at an address, if it is the one that
+// started then.
+func (p *Pools) Reported(address string, started int64, load dispatch.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, pool := range p.pools {
-		pool.Tick()
+	if m := p.byAddress[address]; m != nil && m.Started == started {
+		m.node.Reported(load, p.clock.Now())
 	}
 }
 
-// Finished counts the end of an attempt; failed says that the upstream was at
+// Ended counts the end of an attempt; failed says that the upstream was at
 // fault.
-func (m *Member) Finished(failed bool) {
+func (m *Member) Ended(failed bool) {
+	m.pools.mu.Lock()
+	defer m.pools.mu.Unlock()
+	m.node.Ended(failed, m.pools.clock.Now())
+}
+
+// Gone says that another upstream has the address.
+func (m *Member) Gone() {
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
-	m.node.Finished()
-	if failed {
-		m.node.Failed()
-	} else {
-		m.node.Progressed(0)
+	m.node.Gone(m.pools.clock.Now())
+}
+
+// ShutGroup passes over all upstreams of the service for a while: they share
+// their steps, and one of them has failed.
+func (m *Member) ShutGroup() {
+	p := m.pools
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.members {
+		if o.Service == m.Service {
+			o.node.Shut(p.clock.Now())
+		}
 	}
 }
--- a/internal/outcome/window.go
+++ b/internal/outcome/window.go
@@ -24,7 +24,9 @@
 // WindowBudget is one entry's part of the repeats of a service. Over any
 // window it allows ratio times this entry's own requests and this entry's part
 // of the allowance, so that the entries together stay within the limits
-// without asking each other. It is safe for concurrent use; its lock is a leaf.
+// without asking each other. In its first window it allows no part of the
+// allowance: an earlier life of the process may have used it. It is safe for
+// concurrent use; its lock is a leaf.
 type WindowBudget struct {
 	limits WindowLimits
 	clock  clockwork.Clock
@@ -37,10 +39,10 @@
 	repeats  [buckets + 1]int
 }
 
-// NewWindowBudget returns a budget that has counted nothing and has no part of
-// the allowance yet.
-func NewWindowBudget(clock clockwork.Clock, limits WindowLimits) *WindowBudget {
-	return &WindowBudget{limits: limits, clock: clock, start: clock.Now()}
+// NewWindowBudget returns a budget of a process that began then. It has counted
+// nothing and has no part of the allowance yet.
+func NewWindowBudget(clock clockwork.Clock, limits WindowLimits, began time.Time) *WindowBudget {
+	return &WindowBudget{limits: limits, clock: clock, start: began}
 }
 
 // SetPart sets this entry's part of the allowance, 0 to 1. The parts of all
@@ -86,7 +88,11 @@
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	return b.limits.Ratio*float64(requests) + b.limits.Allowance*b.part - float64(repeats)
+	left := b.limits.Ratio*float64(requests) - float64(repeats)
+	if b.slot > buckets {
+		left += b.limits.Allowance * b.part
+	}
+	return left
 }
 
 // advance clears the parts of the window that have passed. The caller holds mu.
--- a/internal/planner/even.go
+++ b/internal/planner/even.go
@@ -1,10 +1,38 @@
 package planner
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
 
+// EvenSets plans all sets of layers together: each rank gets at most copies new
+// experts in all, the sets with the most to gain first.
+func EvenSets(current []Placement, load [][]float64, limits EvenLimits, copies int) []Placement {
+	next := make([]Placement, len(current))
+	order := make([]int, len(current))
+	peak := make([]float64, len(current))
+	for set := range current {
+		order[set], peak[set] = set, current[set].Peak(load[set])
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(peak[b], peak[a]) })
+	limits.Left = make([]int, len(current[0]))
+	for r := range limits.Left {
+		limits.Left[r] = copies
+	}
+	for _, set := range order {
+		next[set] = Even(current[set], load[set], limits)
+		for r, experts := range next[set] {
+			for _, e := range experts {
+				if !slices.Contains(current[set][r], e) {
+					limits.Left[r]--
+				}
+			}
+		}
+	}
+	return next
+}
+
 // Even shares: ranks that hold an expert share its tokens evenly, and a step
 // waits, set of layers by set, for the most loaded rank. Weights of shares
 // can't be set, so only where the copies lie decides.
@@ -70,6 +98,8 @@
 	// Places is how many experts a rank may hold, Spare how many new ones it
 	// may get.
 	Places, Spare int
+	// Left bounds the new experts of each rank further; nil means no bound.
+	Left []int
 	// Moves bounds the search.
 	Moves int
 }
@@ -77,7 +107,7 @@
 const (
 	// copyGain is the least fall of the peak, in parts of the mean load, that
 	// pays for bringing one more expert to a rank: the copy slows the steps.
-	copyGain = 0.004
+	copyGain = 0.02
 	// evenTolerance ends the search.
 	evenTolerance = 1e-6
 )
@@ -190,7 +220,7 @@
 
 // offers considers all ways to bring an expert of rank top to rank r.
 func (s *evenState) offers(e, top, r int, consider func(evenChange)) {
-	if !s.had[r][e] && s.added[r] >= s.limits.Spare {
+	if !s.had[r][e] && s.full(r) {
 		return
 	}
 	if len(s.ranks[r]) < s.limits.Places {
@@ -201,12 +231,17 @@
 		if s.copies[f] > 1 {
 			consider(evenChange{expert: e, from: top, to: r, keep: true, drop: f})
 		}
-		if !s.holds[top][f] && (s.had[top][f] || s.added[top] < s.limits.Spare) {
+		if !s.holds[top][f] && (s.had[top][f] || !s.full(top)) {
 			consider(evenChange{expert: e, from: top, to: r, drop: f, swapped: true})
 		}
 	}
 }
 
+// full says whether a rank may get no more new experts.
+func (s *evenState) full(r int) bool {
+	return s.added[r] >= s.limits.Spare || s.limits.Left != nil && s.added[r] >= s.limits.Left[r]
+}
+
 // gain returns how much a change lowers the energy, less its price.
 func (s *evenState) gain(c evenChange) float64 {
 	clear(s.delta)
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -18,7 +18,7 @@
 
 const (
 	// leadInterval is how often a leader reads its group.
-	leadInterval = 300 * time.Millisecond
+	leadInterval = 200 * time.Millisecond
 	// standInterval is how often a follower looks whether the group has a
 	// leader, which its view tells without a call.
 	standInterval = 500 * time.Millisecond
@@ -226,7 +226,13 @@
 const (
 	// minGain is the least fall of a step's time, as a part of it, that a new
 	// map must promise.
-	minGain = 0.03
+	minGain = 0.06
+	// worthPlanning is the least load of the most loaded ranks, over the mean,
+	// for which a plan is made.
+	worthPlanning = 1.1
+	// maxCopies bounds the experts that one switch brings to a rank, over all
+	// sets: while they are copied every step is slower, and the next switch waits.
+	maxCopies = 4
 	// minSeen is the least number of choices that a plan rests on, per expert.
 	minSeen = 20
 )
@@ -234,23 +240,24 @@
 // plan returns the next map by set, or nil when the map in force should stay.
 func (l *leader) plan() []planner.Placement {
 	limits := planner.EvenLimits{Places: l.shape.Places, Spare: l.shape.Spare, Moves: planMoves}
-	next := make([]planner.Placement, l.shape.Sets)
+	loads := make([][]float64, l.shape.Sets)
 	before, after, seen := 0.0, 0.0, 0.0
-	for set := range next {
-		load := l.demand.Set(set, l.shape.Experts)
-		if load == nil {
+	for set := range loads {
+		if loads[set] = l.demand.Set(set, l.shape.Experts); loads[set] == nil {
 			return nil
 		}
-		for _, n := range load {
+		for _, n := range loads[set] {
 			seen += n
 		}
-		next[set] = planner.Even(l.placed[set], load, limits)
-		before += l.placed[set].Peak(load) / float64(l.shape.Sets)
-		after += next[set].Peak(load) / float64(l.shape.Sets)
+		before += l.placed[set].Peak(loads[set]) / float64(l.shape.Sets)
 	}
-	if seen < float64(minSeen*l.shape.Sets*l.shape.Experts) {
+	if seen < float64(minSeen*l.shape.Sets*l.shape.Experts) || before < worthPlanning {
 		return nil
 	}
+	next := planner.EvenSets(l.placed, loads, limits, maxCopies)
+	for set := range next {
+		after += next[set].Peak(loads[set]) / float64(l.shape.Sets)
+	}
 	stepBefore := 1 - l.shape.TokenShare + l.shape.TokenShare*before
 	stepAfter := 1 - l.shape.TokenShare + l.shape.TokenShare*after
 	if stepAfter > stepBefore*(1-minGain) {
--- a/internal/ranks/demand.go
+++ b/internal/ranks/demand.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// demandMemory is the time constant at which demand is forgotten: a few times
-// the interval of the readings, and less than demand takes to shift again.
-const demandMemory = 1200 * time.Millisecond
+// demandMemory is the time constant at which demand is forgotten: twice the
+// interval of the readings. A reading holds thousands of choices an expert, so
+// that demand that has shifted matters more than noise.
+const demandMemory = 400 * time.Millisecond
 
 // Demand estimates how often a group's requests choose each expert now, from
 // the ranks' running counts. The zero value has seen nothing.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -36,6 +36,8 @@
 	NotRun bool
 	// Misdirected says that another upstream has the address.
 	Misdirected bool
+	// Instance is the upstream that has the address, if the answer tells.
+	Instance string
 	// Culprit is the upstream that is at fault when it isn't the one called.
 	Culprit string
 	// Encoded says that the body is encoded and so is not the upstream's own.
