Let the watches of a fleet end soon and at different moments

Ruled out: a cut between the entries (edge-plateau-a-2 was not cut off; the others' watches were as deaf as its own).

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -43,6 +43,13 @@
 	// drainNotice is how long a stopping process still takes connections: the
 	// balancer looks at readiness once a second and acts after two misses.
 	drainNotice = 2500 * time.Millisecond
+	// configurationWait bounds a watch of the configuration. A watch may hear
+	// nothing of a change, and one that ends soon after lets an entry that can't
+	// hear others know within the bound on a change.
+	configurationWait = 2500 * time.Millisecond
+	// replicasWait bounds a watch of the upstreams, whose changes entries also
+	// tell each other.
+	replicasWait = 5 * time.Second
 	// drainMargin is kept back from the grace for closing down.
 	drainMargin = 400 * time.Millisecond
 )
@@ -127,8 +134,8 @@
 	go x.Run(work)
 	go g.Run(work)
 	go shareAllowances(work, h.clock, g, f.view)
-	h.follow(work, platform.KeyConfiguration, configuration)
-	h.follow(work, platform.PrefixReplicas, replicas)
+	h.follow(work, platform.KeyConfiguration, configuration, configurationWait)
+	h.follow(work, platform.PrefixReplicas, replicas, replicasWait)
 	callers, err := h.serve(work, h.node.CallerListen, g)
 	if err != nil {
 		return err
--- a/internal/daemon/rank.go
+++ b/internal/daemon/rank.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	routes := &routing.Store{}
-	h.follow(work, platform.KeyConfiguration, platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log})
+	h.follow(work, platform.KeyConfiguration, platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log}, feed.DefaultWait)
 	a := rankagent.New(rankagent.Options{
 		Self: f.self, Service: h.node.LocalService, Engine: platform.NewEngine(h.node.LocalUpstream),
 		Connect: func(address string) rankagent.Engine { return platform.NewEngine(address) },
@@ -94,12 +94,13 @@
 	if f.datagrams, err = fleet.ListenDatagrams(f.self.Address, h.log); err != nil {
 		return nil, err
 	}
-	h.follow(ctx, fleet.Prefix, f.view)
+	h.follow(ctx, fleet.Prefix, f.view, feed.DefaultWait)
 	go (&fleet.Registrar{KV: h.store, Self: f.self, Clock: h.clock, Log: h.log}).Run(ctx)
 	return f, nil
 }
 
-// follow keeps a sink in step with the keys below a prefix.
-func (h *host) follow(ctx context.Context, prefix string, sink feed.Sink) {
-	go (&feed.Feed{KV: h.store, Prefix: prefix, Sink: sink, Clock: h.clock, Log: h.log}).Run(ctx)
+// follow keeps a sink in step with the keys below a prefix, by watches that
+// wait at most that long.
+func (h *host) follow(ctx context.Context, prefix string, sink feed.Sink, wait time.Duration) {
+	go (&feed.Feed{KV: h.store, Prefix: prefix, Sink: sink, Wait: wait, Clock: h.clock, Log: h.log}).Run(ctx)
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,6 +18,9 @@
 	// DefaultWait is how long a watch waits. Each return is a priced call, and
 	// a watch that has gone silent is noticed only at its end.
 	DefaultWait = 10 * time.Second
+	// waitSpread takes up to that part off each wait, so that the watches of a
+	// fleet end at different moments.
+	waitSpread = 0.25
 	// minBackoff and maxBackoff bound the wait after a failed call. The upper
 	// one is half of the time in which a change has to be known.
 	minBackoff = 100 * time.Millisecond
@@ -84,7 +87,7 @@
 		f.Sink.Replace(l)
 		return nil
 	}
-	b, err := f.KV.Watch(ctx, f.Prefix, f.revision, f.Wait)
+	b, err := f.KV.Watch(ctx, f.Prefix, f.revision, time.Duration(float64(f.Wait)*(1-waitSpread*rand.Float64())))
 	if fault.KindOf(err) == fault.Stale {
 		f.Log.Info("history of the store is gone, listing anew", zap.String("prefix", f.Prefix), zap.Int64("revision", f.revision))
 		f.revision = 0
