--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -75,7 +75,7 @@
 	stop := c.interruptible(ctx)
 	fail := func(stage Stage, err error) (*Reply, error) {
 		stop()
-		t.discard(address, c)
+		t.abandon(address, c)
 		return nil, &Error{Stage: stage, Address: address, Reused: reused, Cause: contextError(ctx, err)}
 	}
 	if err := c.write(call); err != nil {
@@ -164,6 +164,15 @@
 	t.released(address)
 }
 
+// abandon closes a connection whose request has no whole answer. It is reset,
+// so that what the upstream's host has not taken yet never arrives.
+func (t *Transport) abandon(address string, c *conn) {
+	if tc, ok := c.nc.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // an error means that the connection is gone already
+	}
+	t.discard(address, c)
+}
+
 // released counts the end of a connection.
 func (t *Transport) released(address string) {
 	t.mu.Lock()
@@ -245,7 +254,11 @@
 	r.closed = true
 	interrupted := !r.stop()
 	c := r.conn
-	if interrupted || !r.whole || r.resp.Close || !c.written() || c.br.Buffered() > 0 || c.foreign {
+	if interrupted || !r.whole {
+		r.transport.abandon(r.address, c)
+		return
+	}
+	if r.resp.Close || !c.written() || c.br.Buffered() > 0 || c.foreign {
 		r.transport.discard(r.address, c)
 		return
 	}
