Excuse an entry's absence only if it was found at the store's return

The first watch after a failure now returns at once, and only what it brings, or the loss of half a service in one moment, is excused. Each case is a test without network.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -30,6 +30,9 @@
 	// ReturnGrace is how long after the store's return an absent upstream is
 	// still used: those alive are back in about two seconds.
 	ReturnGrace = 2200 * time.Millisecond
+	// catchUp is the time after the store's return in which what was missed
+	// comes in.
+	catchUp = 300 * time.Millisecond
 	// massLoss is the part of a service's upstreams whose loss at one moment is
 	// taken for an outage of the store and not for the loss of upstreams.
 	massLoss = 0.5
@@ -50,7 +53,8 @@
 	Upstream
 	revision int64
 	// absentSince is when the entry was found missing; zero while it is there.
-	absentSince time.Time
+	// It is used until excusedUntil all the same.
+	absentSince, excusedUntil time.Time
 }
 
 // Directory holds the upstreams. It is safe for concurrent use; its lock is a
@@ -61,10 +65,10 @@
 	mu       sync.Mutex
 	records  map[string]*record
 	departed map[Departure]time.Time
-	// contactLost says that the store can't be reached, graceUntil is until
-	// when an absence after its return means nothing.
+	// contactLost says that the store can't be reached, regainedAt is when it
+	// could be again.
 	contactLost bool
-	graceUntil  time.Time
+	regainedAt  time.Time
 	synced      bool
 	changed     chan struct{}
 	// onDeparture is called, without the lock, after a departure becomes known
@@ -155,12 +159,25 @@
 	now := d.clock.Now()
 	r.revision = revision
 	r.absentSince = now
-	if d.isMassLoss(r.Service, now) {
-		d.graceUntil = laterOf(d.graceUntil, now.Add(ReturnGrace))
+	switch {
+	case now.Sub(d.regainedAt) < catchUp:
+		r.excusedUntil = d.regainedAt.Add(ReturnGrace)
+	case d.isMassLoss(r.Service, now):
+		d.excuseLosses(r.Service, now)
 	}
 	d.signal()
 }
 
+// excuseLosses keeps in use the upstreams of a service that vanished just now.
+// The caller holds mu.
+func (d *Directory) excuseLosses(service string, now time.Time) {
+	for _, r := range d.records {
+		if r.Service == service && !r.absentSince.IsZero() && now.Sub(r.absentSince) < burstWindow {
+			r.excusedUntil = now.Add(ReturnGrace)
+		}
+	}
+}
+
 // isMassLoss says whether so many upstreams of a service vanished just now that
 // the store's own outage explains it better. The caller holds mu.
 func (d *Directory) isMassLoss(service string, now time.Time) bool {
@@ -233,13 +250,13 @@
 	return list
 }
 
-// Contact takes whether the store answers. An upstream whose entry is missing
-// when it answers again is used until ReturnGrace has passed.
+// Contact takes whether the store answers. An upstream whose entry is found
+// missing just when it answers again is used until ReturnGrace has passed.
 func (d *Directory) Contact(ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if ok && d.contactLost {
-		d.graceUntil = d.clock.Now().Add(ReturnGrace)
+		d.regainedAt = d.clock.Now()
 	}
 	d.contactLost = !ok
 }
@@ -250,16 +267,17 @@
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	for id, r := range d.records {
-		if !r.absentSince.IsZero() && !d.excused(now) {
+		if !r.inUse(now) {
 			delete(d.records, id)
 			d.signal()
 		}
 	}
 }
 
-// excused says whether an absence means nothing now. The caller holds mu.
-func (d *Directory) excused(now time.Time) bool {
-	return d.contactLost || now.Before(d.graceUntil)
+// inUse says whether the upstream's entry is there, or its absence means
+// nothing.
+func (r *record) inUse(now time.Time) bool {
+	return r.absentSince.IsZero() || now.Before(r.excusedUntil)
 }
 
 // Usable returns the upstreams that take new work, by id.
@@ -269,7 +287,7 @@
 	now := d.clock.Now()
 	var list []Upstream
 	for _, r := range d.records {
-		if !r.Leaving && (r.absentSince.IsZero() || d.excused(now)) {
+		if !r.Leaving && r.inUse(now) {
 			list = append(list, r.Upstream)
 		}
 	}
@@ -295,10 +313,3 @@
 	default:
 	}
 }
-
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,133 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/directory"
+)
+
+// upstream returns an entry of a service.
+func upstream(id string, started int64) directory.Upstream {
+	return directory.Upstream{ID: id, Service: "model", Address: "10.0.0.1:" + id, DataCentre: "a", Slots: 12, Started: started}
+}
+
+// fixture is a directory with some upstreams, "1" to "n".
+func fixture(n int) (*directory.Directory, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	d := directory.New(clock)
+	list, revisions := map[string]directory.Upstream{}, map[string]int64{}
+	for i := range n {
+		id := fmt.Sprint(i + 1)
+		list[id], revisions[id] = upstream(id, 100), int64(i+1)
+	}
+	d.Contact(true)
+	d.Replace(list, revisions, int64(n))
+	clock.Advance(time.Minute)
+	return d, clock
+}
+
+func usable(d *directory.Directory) []string {
+	ids := []string{}
+	for _, u := range d.Usable() {
+		ids = append(ids, u.ID)
+	}
+	return ids
+}
+
+func TestLeavingUpstreamGetsNoWork(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := fixture(2)
+	told := 0
+	d.OnDeparture(func() { told++ })
+	u := upstream("1", 100)
+	u.Leaving = true
+	d.Put(u, 10)
+	g.Expect(usable(d)).To(Equal([]string{"2"}))
+	g.Expect(told).To(Equal(1))
+	g.Expect(d.Departures()).To(Equal([]directory.Departure{{ID: "1", Started: 100}}))
+	// A later start under the same id serves again.
+	d.Put(upstream("1", 200), 11)
+	g.Expect(usable(d)).To(Equal([]string{"1", "2"}))
+}
+
+// An entry that another entry told as leaving stays so, whatever an older
+// reading of the store says.
+func TestDepartureFromAPeerHolds(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := fixture(2)
+	g.Expect(d.Depart(directory.Departure{ID: "2", Started: 100})).To(BeTrue())
+	g.Expect(d.Depart(directory.Departure{ID: "2", Started: 100})).To(BeFalse())
+	d.Put(upstream("2", 100), 12)
+	g.Expect(usable(d)).To(Equal([]string{"1"}))
+}
+
+// An upstream may leave by removing its entry and never say so.
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := fixture(12)
+	d.Delete("3", 20)
+	g.Expect(usable(d)).NotTo(ContainElement("3"))
+}
+
+// Entries that lapsed while the store was away mean nothing until those alive
+// had the time to come back.
+func TestEntriesLostWithTheStoreAreExcused(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := fixture(3)
+	d.Contact(false)
+	clock.Advance(5 * time.Second)
+	d.Contact(true)
+	for i := range 3 {
+		d.Delete(fmt.Sprint(i+1), int64(20+i))
+	}
+	g.Expect(usable(d)).To(HaveLen(3))
+	clock.Advance(time.Second)
+	d.Put(upstream("1", 100), 30)
+	clock.Advance(directory.ReturnGrace)
+	d.Tick()
+	g.Expect(usable(d)).To(Equal([]string{"1"}))
+}
+
+// An entry removed after the store's return has been seen to be there then: its
+// upstream leaves. Before, it was used for 2.1 s more, over the bound of 2 s.
+func TestEntryRemovedAfterTheReturnIsGoneAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := fixture(12)
+	d.Contact(false)
+	clock.Advance(5 * time.Second)
+	d.Contact(true)
+	clock.Advance(time.Second)
+	d.Delete("3", 20)
+	g.Expect(usable(d)).NotTo(ContainElement("3"))
+}
+
+// The store may have been away without a call of this process failing: half of
+// a service doesn't leave in one moment.
+func TestMassLossIsTakenForAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := fixture(6)
+	for i := range 4 {
+		d.Delete(fmt.Sprint(i+1), int64(20+i))
+		clock.Advance(10 * time.Millisecond)
+	}
+	g.Expect(usable(d)).To(HaveLen(6))
+	clock.Advance(directory.ReturnGrace)
+	g.Expect(usable(d)).To(Equal([]string{"5", "6"}))
+}
+
+// A process that starts at an address is the only one there: after a loss of
+// power the old ids stood in the store for three heartbeats more, and requests
+// for them came back as misdirected.
+func TestNewStartAtAnAddressEndsTheOldOne(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := fixture(2)
+	u := upstream("9", 300)
+	u.Address = "10.0.0.1:1"
+	d.Put(u, 20)
+	g.Expect(usable(d)).To(Equal([]string{"2", "9"}))
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,6 +21,8 @@
 	// waitSpread takes up to that part off each wait, so that the watches of a
 	// fleet end at different moments.
 	waitSpread = 0.25
+	// catchUpWait is the wait of a watch that only fetches what was missed.
+	catchUpWait = 1 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait after a failed call. The upper
 	// one is half of the time in which a change has to be known.
 	minBackoff = 100 * time.Millisecond
@@ -65,10 +67,10 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.note(err)
 		if err == nil {
 			continue
 		}
+		f.note(err)
 		select {
 		case <-ctx.Done():
 		case <-f.Clock.After(f.backoff/2 + rand.N(f.backoff/2)):
@@ -84,10 +86,11 @@
 			return err
 		}
 		f.revision = l.Revision
+		f.note(nil)
 		f.Sink.Replace(l)
 		return nil
 	}
-	b, err := f.KV.Watch(ctx, f.Prefix, f.revision, time.Duration(float64(f.Wait)*(1-waitSpread*rand.Float64())))
+	b, err := f.KV.Watch(ctx, f.Prefix, f.revision, f.wait())
 	if fault.KindOf(err) == fault.Stale {
 		f.Log.Info("history of the store is gone, listing anew", zap.String("prefix", f.Prefix), zap.Int64("revision", f.revision))
 		f.revision = 0
@@ -97,12 +100,22 @@
 		return err
 	}
 	f.revision = max(f.revision, b.Revision)
+	f.note(nil)
 	if len(b.Events) > 0 {
 		f.Sink.Apply(b)
 	}
 	return nil
 }
 
+// wait returns how long the next watch waits. The first one after a failure
+// returns at once, so that the service's return is known from then.
+func (f *Feed) wait() time.Duration {
+	if !f.contact {
+		return catchUpWait
+	}
+	return time.Duration(float64(f.Wait) * (1 - waitSpread*rand.Float64()))
+}
+
 // note keeps the state of the contact and the backoff.
 func (f *Feed) note(err error) {
 	now := f.Clock.Now()
