Reload the settings at SIGHUP and when the file has changed

What a running process can change is changed: the bounds on repeats and the memory limit; faulty settings leave the old ones in force. The parts that all roles share are in host.go now.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -7,27 +7,20 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/go-kratos/kratos/v2"
-	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/jonboulle/clockwork"
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/directory"
 	"github.com/kingcupreel/kingcupreel/internal/dispatch"
-	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/fleet"
 	"github.com/kingcupreel/kingcupreel/internal/gateway"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 	"github.com/kingcupreel/kingcupreel/internal/settings"
-	"github.com/kingcupreel/kingcupreel/internal/socket"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/upstream"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -35,11 +28,6 @@
 )
 
 const (
-	// memoryPart is the part of a VM's memory that the runtime aims at; the
-	// rest is for what it doesn't count, such as sockets' buffers.
-	memoryPart = 0.6
-	// callerSilence ends a caller's connection that acknowledges nothing.
-	callerSilence = 5 * time.Second
 	// drainNotice is how long a stopping process still takes connections: the
 	// balancer looks at readiness once a second and acts after two misses.
 	drainNotice = 2500 * time.Millisecond
@@ -50,45 +38,8 @@
 	// replicasWait bounds a watch of the upstreams, whose changes entries also
 	// tell each other.
 	replicasWait = 5 * time.Second
-	// drainMargin is kept back from the grace for closing down.
-	drainMargin = 400 * time.Millisecond
 )
 
-// host is what every process on the platform has.
-type host struct {
-	node    settings.Node
-	log     *zap.Logger
-	metrics metrics.Registry
-	store   *platform.Store
-	clock   clockwork.Clock
-}
-
-// newHost reads the platform's settings and sets up what all roles share.
-func newHost(s settings.Hosted, out io.Writer) (*host, error) {
-	node, err := platform.ReadSettings()
-	if err != nil {
-		return nil, err
-	}
-	log, _, err := telemetry.NewBoundedLogger(out, s.LogLevel, node.Name)
-	if err != nil {
-		return nil, fault.Wrap(fault.Invalid, err, "use debug, info, warn or error", "log level")
-	}
-	debug.SetMemoryLimit(int64(memoryPart * float64(node.MemoryBytes)))
-	reg := metrics.NewRegistry()
-	telemetry.RegisterProcess(reg)
-	h := &host{node: node, log: log, metrics: reg, clock: clockwork.NewRealClock()}
-	h.store = platform.NewStore(node.StoreAddress, platform.DefaultStoreTimeout)
-	h.store.Observe = func(path string, err error) {
-		result := "ok"
-		if err != nil {
-			result = string(fault.KindOf(err))
-		}
-		path, _, _ = strings.Cut(path, "?")
-		telemetry.Counter(reg, "store_calls."+path+"."+result).Inc(1)
-	}
-	return h, nil
-}
-
 // RunGateway serves callers on a VM of the platform until ctx is done or the
 // process is told to stop.
 func RunGateway(ctx context.Context, s settings.Hosted, out io.Writer) error {
@@ -105,7 +56,7 @@
 		Routes: routes, Directory: dir, Codec: platform.Headers{},
 		Transport: upstream.NewTransport(upstream.Options{Codec: platform.Headers{}}),
 		Pools:     gateway.NewPools(h.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		Limits:    outcome.WindowLimits{Window: h.node.RetryWindow, Ratio: h.node.RetryRatio, Allowance: h.node.RetryAllowance},
+		Limits:    retryLimits(h.node),
 		Clock:     h.clock, Log: h.log, Metrics: h.metrics,
 	})
 	configuration := platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log}
@@ -133,6 +84,7 @@
 	})
 	go x.Run(work)
 	go g.Run(work)
+	h.reload(work, func(n settings.Node) { g.SetLimits(retryLimits(n)) })
 	go shareAllowances(work, h.clock, g, f.view)
 	h.follow(work, platform.KeyConfiguration, configuration, configurationWait)
 	h.follow(work, platform.PrefixReplicas, replicas, replicasWait)
@@ -212,16 +164,9 @@
 // Depart implements fleet.Knowledge.
 func (k *knowledge) Depart(d wire.Departure) bool { return k.directory.Depart(directory.Departure(d)) }
 
-// serve opens a listener and returns a server of h on it. Paths reach h as the
-// caller sent them.
-func (h *host) serve(ctx context.Context, address string, handler http.Handler) (*khttp.Server, error) {
-	l, err := socket.ListenConfig(callerSilence).Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, fault.Wrap(fault.Unavailable, err, "check the platform's settings", "listening on %s", address)
-	}
-	s := httpServer(l, handler)
-	s.Handler = handler // past the router, which redirects paths that aren't clean
-	return s, nil
+// retryLimits are the bounds on repeats that the platform's settings state.
+func retryLimits(n settings.Node) outcome.WindowLimits {
+	return outcome.WindowLimits{Window: n.RetryWindow, Ratio: n.RetryRatio, Allowance: n.RetryAllowance}
 }
 
 func readiness(g *gateway.Gateway) http.Handler {
@@ -232,26 +177,6 @@
 	})
 }
 
-// newApp builds the kratos application; drain runs before the servers stop.
-func (h *host) newApp(ctx context.Context, drain func(context.Context) error, servers ...transport.Server) *kratos.App {
-	return kratos.New(
-		kratos.Context(ctx),
-		kratos.Name(h.node.Name),
-		kratos.Logger(telemetry.KratosLogger{Zap: h.log}),
-		kratos.StopTimeout(drainMargin),
-		kratos.BeforeStop(func(context.Context) error {
-			h.log.Info("stopping", zap.Duration("grace", h.node.Grace))
-			ctx, cancel := context.WithTimeout(context.Background(), h.node.Grace-drainMargin)
-			defer cancel()
-			if err := drain(ctx); err != nil {
-				h.log.Warn("stopped with requests in flight", zap.Error(err))
-			}
-			return nil
-		}),
-		kratos.Server(servers...),
-	)
-}
-
 // drainGateway turns readiness off, still takes connections until the balancer
 // has seen that, and waits for the requests in flight.
 func drainGateway(ctx context.Context, g *gateway.Gateway, callers *khttp.Server) error {
--- a/internal/daemon/rank.go
+++ b/internal/daemon/rank.go
@@ -47,6 +47,7 @@
 	if err := fleet.Serve(work, f.self.Address, a.Handler(work), h.log); err != nil {
 		return err
 	}
+	h.reload(work, func(settings.Node) {})
 	go f.datagrams.Run(work, a.Received)
 	go a.Run(work)
 	led := make(chan struct{})
@@ -73,34 +74,3 @@
 	h.log.Info("rank agent started", zap.String("data_centre", h.node.DataCentre), zap.String("upstream", h.node.LocalUpstream))
 	return app.Run()
 }
-
-// fleetPart is a process's part in the fleet.
-type fleetPart struct {
-	self      fleet.Member
-	view      *fleet.View
-	datagrams *fleet.Datagrams
-}
-
-// join registers the process and follows the others' registrations.
-func (h *host) join(ctx context.Context, role fleet.Role) (*fleetPart, error) {
-	f := &fleetPart{
-		self: fleet.Member{
-			Name: h.node.Name, Role: role, DataCentre: h.node.DataCentre,
-			Address: net.JoinHostPort(h.node.IP, strconv.Itoa(h.node.FirstPort)), Upstream: h.node.LocalUpstream,
-		},
-		view: fleet.NewView(h.clock, h.log),
-	}
-	var err error
-	if f.datagrams, err = fleet.ListenDatagrams(f.self.Address, h.log); err != nil {
-		return nil, err
-	}
-	h.follow(ctx, fleet.Prefix, f.view, feed.DefaultWait)
-	go (&fleet.Registrar{KV: h.store, Self: f.self, Clock: h.clock, Log: h.log}).Run(ctx)
-	return f, nil
-}
-
-// follow keeps a sink in step with the keys below a prefix, by watches that
-// wait at most that long.
-func (h *host) follow(ctx context.Context, prefix string, sink feed.Sink, wait time.Duration) {
-	go (&feed.Feed{KV: h.store, Prefix: prefix, Sink: sink, Wait: wait, Clock: h.clock, Log: h.log}).Run(ctx)
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// SetLimits changes the bounds on repeats.
+func (g *Gateway) SetLimits(l outcome.WindowLimits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Limits = l
+	for _, b := range g.budgets {
+		b.SetLimits(l)
+	}
+}
+
 // budget returns the repeats of a service.
 func (g *Gateway) budget(service string) *outcome.WindowBudget {
 	g.mu.Lock()
--- a/internal/outcome/window.go
+++ b/internal/outcome/window.go
@@ -53,6 +53,18 @@
 	b.part = part
 }
 
+// SetLimits changes the limits. What was counted in another window's parts
+// counts on.
+func (b *WindowBudget) SetLimits(l WindowLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	if l.Window != b.limits.Window {
+		b.start = b.clock.Now().Add(-time.Duration(b.slot) * (l.Window / buckets))
+	}
+	b.limits = l
+}
+
 // Requested counts a caller's request.
 func (b *WindowBudget) Requested() {
 	b.mu.Lock()
