Read demand once more after a shift, and plan from a peak of 1.25

Cause: the reading that shows a shift of demand mixes what was and what is, and the plan made of it had to be made again half a second later, with copies twice. A reading that differs by a quarter from what is remembered is dropped now, and the next one, 80 ms later, makes the plan.

--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -17,6 +17,9 @@
 const (
 	// leadInterval is how often a leader reads its group.
 	leadInterval = 200 * time.Millisecond
+	// settleInterval is how soon a leader reads again after demand has shifted:
+	// a step or two later.
+	settleInterval = 80 * time.Millisecond
 	// standInterval is how often a follower looks whether the group has a
 	// leader, which its view tells without a call.
 	standInterval = 500 * time.Millisecond
@@ -41,6 +44,7 @@
 
 	demand   ranks.Demand
 	epoch    int64
+	moved    float64
 	placed   []planner.Placement // by set; nil when not known
 	version  int64
 	lastStep int64
@@ -107,7 +111,11 @@
 		if l.tenure.leads() {
 			l.tick()
 		}
-		l.a.sleep(ctx, leadInterval)
+		if l.demand.Settling() {
+			l.a.sleep(ctx, settleInterval)
+		} else {
+			l.a.sleep(ctx, leadInterval)
+		}
 	}
 }
 
@@ -135,7 +143,12 @@
 		return
 	}
 	now := l.a.Clock.Now()
-	l.demand.Add(counts, now)
+	moved := l.demand.Add(counts, now)
+	l.moved = moved
+	if l.demand.Settling() {
+		l.a.Log.Info("demand has shifted", zap.Float64("moved", moved), zap.Int64("in_force", l.version))
+		return
+	}
 	if next := l.plan(); next != nil {
 		l.switchTo(s, next)
 	}
@@ -214,7 +227,7 @@
 	minGain = 0.06
 	// worthPlanning is the least load of the most loaded ranks, over the mean,
 	// for which a plan is made.
-	worthPlanning = 1.1
+	worthPlanning = 1.25
 	// maxCopies bounds the experts that one switch brings to a rank, over all
 	// sets: while they are copied every step is slower, and the next switch waits.
 	maxCopies = 4
@@ -248,7 +261,7 @@
 	if stepAfter > stepBefore*(1-minGain) {
 		return nil
 	}
-	l.a.Log.Info("new map planned", zap.Float64("peak_before", before), zap.Float64("peak_after", after), zap.Float64("seen", seen),
+	l.a.Log.Info("new map planned", zap.Float64("moved", l.moved), zap.Float64("peak_before", before), zap.Float64("peak_after", after), zap.Float64("seen", seen),
 		zap.Duration("step_time", l.stepTime), zap.Int64("in_force", l.version))
 	return next
 }
--- a/internal/ranks/demand.go
+++ b/internal/ranks/demand.go
@@ -10,46 +10,95 @@
 // that demand that has shifted matters more than noise.
 const demandMemory = 400 * time.Millisecond
 
+// shiftLimit is the part of the choices that must have moved to other experts,
+// from what was remembered to one reading, for demand to count as shifted. Two
+// readings of a steady demand differ by about a tenth.
+const shiftLimit = 0.25
+
 // Demand estimates how often a group's requests choose each expert now, from
 // the ranks' running counts. The zero value has seen nothing.
 type Demand struct {
 	last map[int]Counts
 	at   time.Time
 	load []float64
+	// settling says that demand has just shifted: the reading that showed it
+	// mixes what was and what is, and so counts for nothing.
+	settling bool
 }
 
-// Add takes the counts of some ranks. Counts of another epoch begin anew.
-func (d *Demand) Add(counts map[int]Counts, now time.Time) {
+// Add takes the counts of some ranks. It returns the part of the choices that
+// went to other experts than before.
+func (d *Demand) Add(counts map[int]Counts, now time.Time) (moved float64) {
 	if d.last == nil {
 		d.last = map[int]Counts{}
 	}
+	var fresh []float64
+	for rank, c := range counts {
+		fresh = addCounts(fresh, d.last[rank], c)
+		d.last[rank] = c
+	}
 	fade := math.Exp(-now.Sub(d.at).Seconds() / demandMemory.Seconds())
 	d.at = now
-	for i := range d.load {
-		d.load[i] *= fade
+	moved = difference(fresh, d.load)
+	if moved > shiftLimit && !d.settling {
+		d.settling = true
+		d.load = nil
+		return moved
 	}
-	for rank, c := range counts {
-		d.addRank(rank, c)
+	if fresh == nil {
+		return 0
 	}
+	d.settling = false
+	if len(d.load) != len(fresh) {
+		d.load = make([]float64, len(fresh))
+	}
+	for i := range d.load {
+		d.load[i] = d.load[i]*fade + fresh[i]
+	}
+	return moved
 }
 
-func (d *Demand) addRank(rank int, c Counts) {
-	old, known := d.last[rank]
-	d.last[rank] = c
-	if !known || len(old.Chosen) != len(c.Chosen) || c.Step < old.Step {
-		return
-	}
-	if len(d.load) != len(c.Chosen) {
-		d.load = make([]float64, len(c.Chosen))
+// Settling says that demand has shifted and the next reading shows the new one.
+func (d *Demand) Settling() bool { return d.settling }
+
+// addCounts adds what a rank chose between two readings. One that isn't the
+// later of the two, or of an engine that started in between, adds nothing.
+func addCounts(sum []float64, old, c Counts) []float64 {
+	if len(old.Chosen) != len(c.Chosen) || c.Step < old.Step || len(c.Chosen) == 0 {
+		return sum
 	}
 	for i, n := range c.Chosen {
 		if n < old.Chosen[i] {
-			return // the engine has started again
+			return sum
 		}
 	}
+	if len(sum) != len(c.Chosen) {
+		sum = make([]float64, len(c.Chosen))
+	}
 	for i, n := range c.Chosen {
-		d.load[i] += float64(n - old.Chosen[i])
+		sum[i] += float64(n - old.Chosen[i])
+	}
+	return sum
+}
+
+// difference returns the part of the whole by which two loads differ, 0 when
+// one of them is empty.
+func difference(a, b []float64) float64 {
+	sumA, sumB := 0.0, 0.0
+	for i := range a {
+		sumA += a[i]
+	}
+	for i := range b {
+		sumB += b[i]
+	}
+	if sumA == 0 || sumB == 0 || len(a) != len(b) {
+		return 0
+	}
+	moved := 0.0
+	for i := range a {
+		moved += math.Abs(a[i]/sumA-b[i]/sumB) / 2
 	}
+	return moved
 }
 
 // Set returns the load of each expert of a set, nil while nothing was seen.
