Bring at most two experts to a rank in one switch

Cause: a switch with four copies took 0.45 s, and steps went on at two to three times their length until it ended. Two copies take 0.2 s and are most of the gain; the next switch brings the rest. A reading follows each switch at once.

--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -45,6 +45,8 @@
 	demand   ranks.Demand
 	epoch    int64
 	moved    float64
+	// settling asks for the next reading at once.
+	settling bool
 	placed   []planner.Placement // by set; nil when not known
 	version  int64
 	lastStep int64
@@ -111,9 +113,12 @@
 		if l.tenure.leads() {
 			l.tick()
 		}
-		if l.demand.Settling() {
+		switch {
+		case l.settling:
+			l.settling = false
+		case l.demand.Settling():
 			l.a.sleep(ctx, settleInterval)
-		} else {
+		default:
 			l.a.sleep(ctx, leadInterval)
 		}
 	}
@@ -151,6 +156,10 @@
 	}
 	if next := l.plan(); next != nil {
 		l.switchTo(s, next)
+		// Demand may have shifted in the meantime. A reading of that time would
+		// mix both.
+		l.demand.Restart()
+		l.settling = true
 	}
 }
 
@@ -230,7 +239,7 @@
 	worthPlanning = 1.25
 	// maxCopies bounds the experts that one switch brings to a rank, over all
 	// sets: while they are copied every step is slower, and the next switch waits.
-	maxCopies = 4
+	maxCopies = 2
 	// minSeen is the least number of choices that a plan rests on, per expert.
 	minSeen = 20
 )
--- a/internal/ranks/demand.go
+++ b/internal/ranks/demand.go
@@ -58,6 +58,10 @@
 	return moved
 }
 
+// Restart forgets the last readings, but not what demand was: what was chosen
+// since then counts for nothing.
+func (d *Demand) Restart() { d.last = nil }
+
 // Settling says that demand has shifted and the next reading shows the new one.
 func (d *Demand) Settling() bool { return d.settling }
 
