Gather changes between watches, and price copies higher in the plans

Cause: at a start each of 21 registrations woke 21 watches, a priced call each; plans brought copies for gains that no caller sees.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -38,6 +38,9 @@
 	// replicasWait bounds a watch of the upstreams, whose changes entries also
 	// tell each other.
 	replicasWait = 5 * time.Second
+	// replicasGather is the pause after changes of upstreams: a small part of
+	// the bound on leaving ones.
+	replicasGather = 100 * time.Millisecond
 )
 
 // RunGateway serves callers on a VM of the platform until ctx is done or the
@@ -86,8 +89,8 @@
 	go g.Run(work)
 	h.reload(work, func(n settings.Node) { g.SetLimits(retryLimits(n)) })
 	go shareAllowances(work, h.clock, g, f.view)
-	h.follow(work, platform.KeyConfiguration, configuration, configurationWait)
-	h.follow(work, platform.PrefixReplicas, replicas, replicasWait)
+	h.follow(work, platform.KeyConfiguration, configuration, configurationWait, 0)
+	h.follow(work, platform.PrefixReplicas, replicas, replicasWait, replicasGather)
 	callers, err := h.serve(work, h.node.CallerListen, g)
 	if err != nil {
 		return err
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -35,6 +35,9 @@
 	memoryPart = 0.6
 	// callerSilence ends a caller's connection that acknowledges nothing.
 	callerSilence = 5 * time.Second
+	// registrationGather is the pause after changes of registrations, which
+	// come in series when a deployment starts.
+	registrationGather = 500 * time.Millisecond
 	// drainMargin is kept back from the grace for closing down.
 	drainMargin = 400 * time.Millisecond
 )
@@ -170,13 +173,13 @@
 	}
 	registrar := &fleet.Registrar{KV: h.store, Self: f.self, Clock: h.clock, Log: h.log}
 	registrar.Watch(f.view)
-	h.follow(ctx, fleet.Prefix, f.view, feed.DefaultWait)
+	h.follow(ctx, fleet.Prefix, f.view, feed.DefaultWait, registrationGather)
 	go registrar.Run(ctx)
 	return f, nil
 }
 
 // follow keeps a sink in step with the keys below a prefix, by watches that
-// wait at most that long.
-func (h *host) follow(ctx context.Context, prefix string, sink feed.Sink, wait time.Duration) {
-	go (&feed.Feed{KV: h.store, Prefix: prefix, Sink: sink, Wait: wait, Clock: h.clock, Log: h.log}).Run(ctx)
+// wait at most that long, with a pause after changes.
+func (h *host) follow(ctx context.Context, prefix string, sink feed.Sink, wait, gather time.Duration) {
+	go (&feed.Feed{KV: h.store, Prefix: prefix, Sink: sink, Wait: wait, Gather: gather, Clock: h.clock, Log: h.log}).Run(ctx)
 }
--- a/internal/daemon/rank.go
+++ b/internal/daemon/rank.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	routes := &routing.Store{}
-	h.follow(work, platform.KeyConfiguration, platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log}, feed.DefaultWait)
+	h.follow(work, platform.KeyConfiguration, platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log}, feed.DefaultWait, 0)
 	a := rankagent.New(rankagent.Options{
 		Self: f.self, Service: h.node.LocalService, Engine: platform.NewEngine(h.node.LocalUpstream),
 		Connect: func(address string) rankagent.Engine { return platform.NewEngine(address) },
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -45,6 +45,9 @@
 	Prefix string
 	Sink   Sink
 	Wait   time.Duration
+	// Gather is the pause after changes, in which more of them gather for the
+	// next watch; 0 means none.
+	Gather time.Duration
 	Clock  clockwork.Clock
 	Log    *zap.Logger
 
@@ -101,8 +104,15 @@
 	}
 	f.revision = max(f.revision, b.Revision)
 	f.note(nil)
-	if len(b.Events) > 0 {
-		f.Sink.Apply(b)
+	if len(b.Events) == 0 {
+		return nil
+	}
+	f.Sink.Apply(b)
+	if f.Gather > 0 {
+		select {
+		case <-ctx.Done():
+		case <-f.Clock.After(f.Gather):
+		}
 	}
 	return nil
 }
--- a/internal/planner/even.go
+++ b/internal/planner/even.go
@@ -107,7 +107,7 @@
 const (
 	// copyGain is the least fall of the peak, in parts of the mean load, that
 	// pays for bringing one more expert to a rank: the copy slows the steps.
-	copyGain = 0.02
+	copyGain = 0.08
 	// evenTolerance ends the search.
 	evenTolerance = 1e-6
 )
