Read the ranks soon after a switch, and set switches nearer ahead

Cause: after a switch the leader found the ranks still armed and slept a whole interval, and planned once more on what it remembered from before; while steps were slow a switch lay three or four of them ahead.

--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -28,7 +28,7 @@
 	standStagger = 150 * time.Millisecond
 	// leadTime is how far ahead of the present a switch is set, so that the
 	// group seldom waits for it.
-	leadTime = 120 * time.Millisecond
+	leadTime = 50 * time.Millisecond
 	// fenceBits are the bits of a fence that count the orders of one leader.
 	fenceBits = 20
 	// planMoves bounds the search of a plan for one set.
@@ -42,11 +42,11 @@
 	tenure *tenure
 	shape  routing.ExpertShape
 
-	demand   ranks.Demand
-	epoch    int64
-	moved    float64
-	// settling asks for the next reading at once.
-	settling bool
+	demand ranks.Demand
+	epoch  int64
+	moved  float64
+	// pause is the time to the next reading.
+	pause    time.Duration
 	placed   []planner.Placement // by set; nil when not known
 	version  int64
 	lastStep int64
@@ -110,17 +110,11 @@
 // run leads until the leadership is lost.
 func (l *leader) run(ctx context.Context) {
 	for ctx.Err() == nil && !l.tenure.isOver() {
+		l.pause = leadInterval
 		if l.tenure.leads() {
 			l.tick()
 		}
-		switch {
-		case l.settling:
-			l.settling = false
-		case l.demand.Settling():
-			l.a.sleep(ctx, settleInterval)
-		default:
-			l.a.sleep(ctx, leadInterval)
-		}
+		l.a.sleep(ctx, l.pause)
 	}
 }
 
@@ -145,21 +139,27 @@
 		}
 	}
 	if !l.observe(states, statuses, size) {
+		if l.pending(statuses) {
+			l.pause = settleInterval
+		}
 		return
 	}
-	now := l.a.Clock.Now()
-	moved := l.demand.Add(counts, now)
+	moved, fresh := l.demand.Add(counts, l.a.Clock.Now())
 	l.moved = moved
-	if l.demand.Settling() {
+	switch {
+	case l.demand.Settling():
 		l.a.Log.Info("demand has shifted", zap.Float64("moved", moved), zap.Int64("in_force", l.version))
-		return
-	}
-	if next := l.plan(); next != nil {
-		l.switchTo(s, next)
-		// Demand may have shifted in the meantime. A reading of that time would
-		// mix both.
-		l.demand.Restart()
-		l.settling = true
+		l.pause = settleInterval
+	case !fresh:
+		l.pause = settleInterval
+	default:
+		if next := l.plan(); next != nil {
+			l.switchTo(s, next)
+			// Demand may have shifted in the meantime. A reading of that time
+			// would mix both.
+			l.demand.Restart()
+			l.pause = 0
+		}
 	}
 }
 
@@ -213,6 +213,16 @@
 	return l.learn(states, size)
 }
 
+// pending says whether a switch waits for its step.
+func (l *leader) pending(statuses map[int]ranks.Status) bool {
+	for _, st := range statuses {
+		if st.Armed != ranks.None {
+			return true
+		}
+	}
+	return false
+}
+
 // learn takes the map in force from the ranks' lists.
 func (l *leader) learn(states map[int]*wire.RankState, size int) bool {
 	placed := make([]planner.Placement, l.shape.Sets)
@@ -282,9 +292,10 @@
 		m[set] = p
 	}
 	version := l.tenure.next()
+	// The step under way is the first of those ahead.
 	lead := int64(2)
 	if l.stepTime > 0 {
-		lead += int64(leadTime / l.stepTime)
+		lead = 1 + int64((leadTime+l.stepTime-1)/l.stepTime)
 	}
 	start := l.a.Clock.Now()
 	err := s.Switch(version, m, lead)
--- a/internal/ranks/demand.go
+++ b/internal/ranks/demand.go
@@ -13,7 +13,7 @@
 // shiftLimit is the part of the choices that must have moved to other experts,
 // from what was remembered to one reading, for demand to count as shifted. Two
 // readings of a steady demand differ by about a tenth.
-const shiftLimit = 0.25
+const shiftLimit = 0.2
 
 // Demand estimates how often a group's requests choose each expert now, from
 // the ranks' running counts. The zero value has seen nothing.
@@ -27,35 +27,36 @@
 }
 
 // Add takes the counts of some ranks. It returns the part of the choices that
-// went to other experts than before.
-func (d *Demand) Add(counts map[int]Counts, now time.Time) (moved float64) {
+// went to other experts than before, and whether anything was chosen since the
+// last reading.
+func (d *Demand) Add(counts map[int]Counts, now time.Time) (moved float64, fresh bool) {
 	if d.last == nil {
 		d.last = map[int]Counts{}
 	}
-	var fresh []float64
+	var chosen []float64
 	for rank, c := range counts {
-		fresh = addCounts(fresh, d.last[rank], c)
+		chosen = addCounts(chosen, d.last[rank], c)
 		d.last[rank] = c
 	}
 	fade := math.Exp(-now.Sub(d.at).Seconds() / demandMemory.Seconds())
 	d.at = now
-	moved = difference(fresh, d.load)
+	moved = difference(chosen, d.load)
 	if moved > shiftLimit && !d.settling {
 		d.settling = true
 		d.load = nil
-		return moved
+		return moved, true
 	}
-	if fresh == nil {
-		return 0
+	if chosen == nil {
+		return 0, false
 	}
 	d.settling = false
-	if len(d.load) != len(fresh) {
-		d.load = make([]float64, len(fresh))
+	if len(d.load) != len(chosen) {
+		d.load = make([]float64, len(chosen))
 	}
 	for i := range d.load {
-		d.load[i] = d.load[i]*fade + fresh[i]
+		d.load[i] = d.load[i]*fade + chosen[i]
 	}
-	return moved
+	return moved, true
 }
 
 // Restart forgets the last readings, but not what demand was: what was chosen
