Pass an event on when it is whole, and test what the platform path decides

Cause: an event waited for the next one while a part of that had arrived; a test of a stream that breaks within an event found it: nothing had reached the caller. A refusal by an upstream is 503 now, as the others that promise not run.

--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,114 @@
+package feed_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/feed"
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
+)
+
+// service answers listings and watches by a script.
+type service struct {
+	kvstore.KV
+	mu      sync.Mutex
+	watches []time.Duration
+	script  []func() (kvstore.Batch, error)
+	lists   int
+}
+
+func (s *service) List(context.Context, string) (kvstore.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	return kvstore.Listing{Revision: int64(10 * s.lists), Items: []kvstore.Item{{Key: "p/a"}}}, nil
+}
+
+func (s *service) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) (kvstore.Batch, error) {
+	s.mu.Lock()
+	s.watches = append(s.watches, wait)
+	if len(s.script) == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		return kvstore.Batch{}, ctx.Err()
+	}
+	f := s.script[0]
+	s.script = s.script[1:]
+	s.mu.Unlock()
+	return f()
+}
+
+// sink records what it is told, in order.
+type sink struct {
+	mu   sync.Mutex
+	told []string
+}
+
+func (s *sink) note(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = append(s.told, what)
+}
+
+func (s *sink) Replace(kvstore.Listing) { s.note("replace") }
+func (s *sink) Apply(kvstore.Batch)     { s.note("apply") }
+
+func (s *sink) Contact(ok bool) {
+	if ok {
+		s.note("contact")
+	} else {
+		s.note("lost")
+	}
+}
+
+func (s *sink) seen() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.told...)
+}
+
+// The store's return is told before what it brings, and the first watch after a
+// failure doesn't wait: an absence that it brings may be the outage's doing, one
+// that comes later isn't.
+func TestReturnIsToldBeforeWhatItBrings(t *testing.T) {
+	g := NewWithT(t)
+	change := func() (kvstore.Batch, error) {
+		return kvstore.Batch{Revision: 12, Events: []kvstore.Event{{Item: kvstore.Item{Key: "p/a"}}}}, nil
+	}
+	fail := func() (kvstore.Batch, error) {
+		return kvstore.Batch{}, fault.New(fault.Unavailable, "", "away")
+	}
+	kv := &service{script: []func() (kvstore.Batch, error){change, fail, fail, change}}
+	out := &sink{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := &feed.Feed{KV: kv, Prefix: "p/", Sink: out, Wait: time.Minute, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+	go f.Run(ctx)
+	g.Eventually(out.seen, "3s").Should(Equal([]string{"contact", "replace", "apply", "lost", "contact", "apply"}))
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	g.Expect(kv.watches[0]).To(BeNumerically(">", 40*time.Second))
+	g.Expect(kv.watches[2]).To(BeNumerically("<", time.Second))
+	g.Expect(kv.watches[3]).To(BeNumerically("<", time.Second))
+}
+
+// A service that has forgotten its history is listed anew.
+func TestForgottenHistoryIsListedAnew(t *testing.T) {
+	g := NewWithT(t)
+	kv := &service{script: []func() (kvstore.Batch, error){
+		func() (kvstore.Batch, error) { return kvstore.Batch{}, fault.New(fault.Stale, "", "gone") },
+	}}
+	out := &sink{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := &feed.Feed{KV: kv, Prefix: "p/", Sink: out, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+	go f.Run(ctx)
+	g.Eventually(out.seen, "3s").Should(Equal([]string{"contact", "replace", "replace"}))
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,188 @@
+package fleet_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fleet"
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
+	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+	"github.com/kingcupreel/kingcupreel/platform"
+)
+
+func member(name string, role fleet.Role) kvstore.Item {
+	value, _ := json.Marshal(fleet.Member{Name: name, Role: role, Address: "10.0.0.1:1"})
+	return kvstore.Item{Key: "kingcupreel/members/" + name, Value: value}
+}
+
+func TestViewCountsTheMostEntriesOfLate(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	v := fleet.NewView(clock, zap.NewNop())
+	var items []kvstore.Item
+	for i := range 9 {
+		items = append(items, member(fmt.Sprint("e", i), fleet.RoleEntry))
+	}
+	v.Replace(kvstore.Listing{Items: append(items, member("r", fleet.RoleRank))})
+	g.Expect(v.Entries()).To(BeZero(), "registrations may still come in")
+	clock.Advance(4 * time.Second)
+	g.Expect(v.Entries()).To(Equal(9))
+	// All registrations lapse with an outage of the store: an entry that took
+	// itself for the only one would spend the allowance of all.
+	for i := range 9 {
+		v.Apply(kvstore.Batch{Events: []kvstore.Event{{Item: items[i], Deleted: true}}})
+	}
+	g.Expect(v.Entries()).To(Equal(9))
+	g.Expect(v.Members(fleet.RoleEntry)).To(HaveLen(9), "lapsed members are kept for a while")
+	clock.Advance(time.Minute)
+	v.Apply(kvstore.Batch{Events: []kvstore.Event{{Item: member("e9", fleet.RoleEntry)}}})
+	v.Apply(kvstore.Batch{Events: []kvstore.Event{{Item: member("r", fleet.RoleRank), Deleted: true}}})
+	g.Expect(v.Members(fleet.RoleEntry)).To(HaveLen(1))
+	clock.Advance(time.Minute)
+	g.Expect(v.Entries()).To(Equal(1))
+}
+
+func TestViewPassesGarbageOver(t *testing.T) {
+	g := NewWithT(t)
+	v := fleet.NewView(clockwork.NewFakeClock(), zap.NewNop())
+	v.Replace(kvstore.Listing{Items: []kvstore.Item{
+		{Key: "kingcupreel/members/x", Value: []byte("\xff")},
+		{Key: "kingcupreel/members/y", Value: []byte(`{"name":"z","address":"a"}`)},
+		{Key: "kingcupreel/leaders/g", Value: []byte("r1")},
+	}})
+	g.Expect(v.Members(fleet.RoleEntry)).To(BeEmpty())
+	g.Expect(v.Leader("g")).To(Equal("r1"))
+	v.Apply(kvstore.Batch{Events: []kvstore.Event{{Item: kvstore.Item{Key: "kingcupreel/leaders/g"}, Deleted: true}}})
+	g.Expect(v.Leader("g")).To(BeEmpty())
+}
+
+// A registration that lapsed is made again, and one ends with its process.
+func TestRegistrar(t *testing.T) {
+	g := NewWithT(t)
+	state := kv.NewStore(clockwork.NewRealClock())
+	srv := httptest.NewServer(kv.NewServer(state).Handler())
+	defer srv.Close()
+	store := platform.NewStore(srv.URL, time.Second)
+	v := fleet.NewView(clockwork.NewRealClock(), zap.NewNop())
+	r := &fleet.Registrar{KV: store, Self: fleet.Member{Name: "e1", Role: fleet.RoleEntry, Address: "10.0.0.1:1"}, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+	r.Watch(v)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	registered := func() int64 {
+		item, err := state.Get("kingcupreel/members/e1")
+		if err != nil {
+			return 0
+		}
+		return item.Lease
+	}
+	g.Eventually(registered).ShouldNot(BeZero())
+	first := registered()
+	item, err := state.Get("kingcupreel/members/e1")
+	g.Expect(err).NotTo(HaveOccurred())
+	v.Replace(kvstore.Listing{Items: []kvstore.Item{item}})
+	state.Revoke(first)
+	v.Apply(kvstore.Batch{Events: []kvstore.Event{{Item: item, Deleted: true}}})
+	g.Eventually(registered).Should(And(Not(BeZero()), Not(Equal(first))))
+	cancel()
+	<-done
+	g.Expect(registered()).To(BeZero())
+}
+
+// knowledge is an entry's.
+type knowledge struct {
+	mu      sync.Mutex
+	version int64
+	left    []wire.Departure
+}
+
+func (k *knowledge) Version() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.version
+}
+
+func (k *knowledge) Encoded() []byte { return fmt.Appendf(nil, "%d", k.Version()) }
+
+func (k *knowledge) Learn(encoded []byte, _ string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, _ = fmt.Sscan(string(encoded), &k.version)
+}
+
+func (k *knowledge) Departures() []wire.Departure {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]wire.Departure(nil), k.left...)
+}
+
+func (k *knowledge) Depart(d wire.Departure) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, known := range k.left {
+		if known == d {
+			return false
+		}
+	}
+	k.left = append(k.left, d)
+	return true
+}
+
+// Entries that the store turns away learn a new configuration and a departure
+// from one that it serves.
+func TestExchangeWithoutTheStore(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	const entries = 4
+	addresses := make([]string, entries)
+	var items []kvstore.Item
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		addresses[i] = l.Addr().String()
+		l.Close()
+		value, _ := json.Marshal(fleet.Member{Name: fmt.Sprint("e", i), Role: fleet.RoleEntry, Address: addresses[i]})
+		items = append(items, kvstore.Item{Key: fmt.Sprint("kingcupreel/members/e", i), Value: value})
+	}
+	known := make([]*knowledge, entries)
+	for i := range known {
+		known[i] = &knowledge{version: 7}
+		v := fleet.NewView(clockwork.NewRealClock(), zap.NewNop())
+		v.Replace(kvstore.Listing{Items: items})
+		d, err := fleet.ListenDatagrams(addresses[i], zap.NewNop())
+		g.Expect(err).NotTo(HaveOccurred())
+		x := &fleet.Exchange{Self: fmt.Sprint("e", i), View: v, Datagrams: d, Knowledge: known[i], Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+		mux := &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){wire.KindConfigurationAsk: x.Answer}}
+		g.Expect(fleet.Serve(ctx, addresses[i], mux, zap.NewNop())).To(Succeed())
+		go d.Run(ctx, func(from netip.AddrPort, m wire.Message) {
+			if digest, ok := m.(*wire.EntryDigest); ok {
+				x.Receive(ctx, from, digest)
+			}
+		})
+		go x.Run(ctx)
+	}
+	known[2].mu.Lock()
+	known[2].version = 12
+	known[2].mu.Unlock()
+	known[2].Depart(wire.Departure{ID: "i-1", Started: 5})
+	for _, k := range known {
+		g.Eventually(k.Version, "5s").Should(Equal(int64(12)))
+		g.Eventually(k.Departures, "5s").Should(Equal([]wire.Departure{{ID: "i-1", Started: 5}}))
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -181,7 +181,7 @@
 	case reply.NotRun || reply.Misdirected:
 		_, _ = reply.ReadAll() // so that the connection can be kept
 		q.learn(m, reply)
-		return result{fate: notRun, sent: true, refused: true, cause: fault.New(fault.Overloaded, "try another upstream", "the upstream refused the request with %d", reply.Status)}
+		return result{fate: notRun, sent: true, refused: true, cause: fault.New(fault.Unavailable, "try another upstream", "the upstream refused the request with %d", reply.Status)}
 	case !reply.Genuine && reply.Status < http.StatusInternalServerError, promisesNotRun(reply.Status):
 		return result{fate: unknown, sent: true, cause: fault.New(fault.Crashed, "try again if it may run twice", "the upstream's answer %d can't be trusted", reply.Status)}
 	case q.route.Kind == routing.Stream && reply.Status/100 == 2:
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,412 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/directory"
+	"github.com/kingcupreel/kingcupreel/internal/gateway"
+	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/routing"
+	"github.com/kingcupreel/kingcupreel/internal/upstream"
+	"github.com/kingcupreel/kingcupreel/platform"
+)
+
+// arrival is a request as an upstream got it.
+type arrival struct {
+	upstream string
+	*http.Request
+}
+
+// fixture is a gateway before upstreams whose handlers a test gives.
+type fixture struct {
+	t       *testing.T
+	routes  *routing.Store
+	gateway *gateway.Gateway
+	url     string
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+// stamped writes an upstream's own answer.
+func stamped(w http.ResponseWriter, r *http.Request, status int, body string) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Server-Stamp", "stamp")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
+}
+
+// refuse writes an upstream's word that it did not run the request.
+func refuse(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// events writes events first to last of a stream, and ends it within the next
+// one when broken.
+func events(w http.ResponseWriter, r *http.Request, first, last int, broken bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Server-Stamp", "stamp")
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+	if broken {
+		fmt.Fprintf(w, "id: %d\nda", last+1)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func configuration() routing.Configuration {
+	return routing.Configuration{
+		Version: 1,
+		Routes: []routing.Route{
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Safe, Timeout: 2 * time.Second, MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}}},
+			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routing.Unsafe, Timeout: 2 * time.Second, MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}}},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Stream, Timeout: 2 * time.Second, MaxAttempts: 2, Resumable: true, Split: []routing.Share{{Service: "s", Weight: 1}}},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.Stream, Timeout: 2 * time.Second, MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}}},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: routing.Safe, Timeout: 2 * time.Second, MaxAttempts: 1, Anonymous: true, Split: []routing.Share{{Service: "s", Weight: 1}}},
+		},
+		Services: []routing.Service{{Name: "s"}},
+		Accounts: []routing.Account{{Name: "clinic", Keys: []string{"k1", "k2"}}},
+		Limits:   routing.Limits{BodyBytes: 64},
+	}
+}
+
+// newFixture starts a gateway before one upstream for each handler.
+func newFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
+	t.Helper()
+	f := &fixture{t: t, routes: &routing.Store{}}
+	clock := clockwork.NewRealClock()
+	dir := directory.New(clock)
+	pools := gateway.NewPools(clock, rand.New(rand.NewPCG(1, 1)))
+	f.gateway = gateway.New(gateway.Options{
+		Routes: f.routes, Directory: dir, Codec: platform.Headers{}, Pools: pools, Clock: clock, Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
+		Transport: upstream.NewTransport(upstream.Options{Codec: platform.Headers{}}),
+		Limits:    outcome.WindowLimits{Window: 10 * time.Second, Ratio: 10},
+	})
+	var list []directory.Upstream
+	for i, h := range handlers {
+		id := fmt.Sprint("u", i)
+		srv := httptest.NewServer(f.record(id, h))
+		t.Cleanup(srv.Close)
+		list = append(list, directory.Upstream{ID: id, Service: "s", Address: srv.Listener.Addr().String(), Slots: 4})
+	}
+	pools.Reconcile(list)
+	f.routes.Apply(configuration(), time.Now())
+	srv := httptest.NewServer(f.gateway)
+	t.Cleanup(srv.Close)
+	f.url = srv.URL
+	return f
+}
+
+func (f *fixture) record(id string, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.arrivals = append(f.arrivals, arrival{id, r})
+		f.mu.Unlock()
+		h(w, r)
+	}
+}
+
+func (f *fixture) arrived() []arrival {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]arrival(nil), f.arrivals...)
+}
+
+// request builds a caller's request.
+func (f *fixture) request(method, path, body string) *http.Request {
+	f.t.Helper()
+	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Request-Id", "r1")
+	r.Header.Set("Authorization", "Bearer k1")
+	r.Header.Set("Deadline-Ms", "1500")
+	return r
+}
+
+// callers adds no header of its own.
+var callers = &http.Transport{DisableCompression: true}
+
+// send sends a request and returns the status, the header and the body as far as
+// it came.
+func (f *fixture) send(r *http.Request) (int, http.Header, string, error) {
+	f.t.Helper()
+	resp, err := callers.RoundTrip(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(body), err
+}
+
+func TestRequestPassesUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	var body string
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		body = string(b)
+		stamped(w, r, http.StatusOK, "done")
+	})
+	r := f.request(http.MethodPost, "/unsafe/a//b?x=%2F&y", "order")
+	r.Header.Set("Tenant", "someone-else")
+	r.Header.Set("Connection", "X-Hop")
+	r.Header.Set("X-Hop", "1")
+	r.Header.Set("X-End", "2")
+	r.Header.Set("Prefix-Hash", "a:1,b:2")
+	status, header, got, err := f.send(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(got).To(Equal("done"))
+	g.Expect(header.Get("Server-Stamp")).To(Equal("stamp"))
+	a := f.arrived()[0]
+	g.Expect(a.RequestURI).To(Equal("/unsafe/a//b?x=%2F&y"))
+	g.Expect(body).To(Equal("order"))
+	g.Expect(a.Host).To(Equal("h"))
+	g.Expect(a.Header.Get("Tenant")).To(Equal("clinic"))
+	g.Expect(a.Header.Get("Expect-Instance")).To(Equal("u0"))
+	g.Expect(a.Header.Get("X-End")).To(Equal("2"))
+	g.Expect(a.Header.Get("Prefix-Hash")).To(Equal("a:1,b:2"))
+	g.Expect(a.Header).NotTo(HaveKey("Authorization"))
+	g.Expect(a.Header).NotTo(HaveKey("X-Hop"))
+	g.Expect(a.Header).NotTo(HaveKey("Accept-Encoding"), "the caller asked for none")
+}
+
+// An unsafe request whose answer is lost may have run: it is sent once, also as
+// a GET, and the answer promises nothing.
+func TestUnsafeRequestIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		g := NewWithT(t)
+		f := newFixture(t, abort, abort)
+		status, _, _, _ := f.send(f.request(method, "/unsafe/x", ""))
+		g.Expect(status).To(Equal(http.StatusBadGateway))
+		g.Expect(f.arrived()).To(HaveLen(1))
+	}
+}
+
+// An upstream's word that it did not run a request allows another one.
+func TestRefusedRequestGoesElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, refuse, func(w http.ResponseWriter, r *http.Request) { stamped(w, r, http.StatusOK, "done") })
+	for range 5 {
+		status, _, body, _ := f.send(f.request(http.MethodPost, "/unsafe/x", "order"))
+		g.Expect(status).To(Equal(http.StatusOK))
+		g.Expect(body).To(Equal("done"))
+	}
+	f = newFixture(t, refuse, refuse)
+	status, header, _, _ := f.send(f.request(http.MethodPost, "/unsafe/x", "order"))
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(f.arrived()).To(HaveLen(2))
+}
+
+// Without that word, an upstream's 503 may come from a request that ran.
+func TestStatusThatPromisesTooMuchIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
+		g := NewWithT(t)
+		f := newFixture(t, func(w http.ResponseWriter, r *http.Request) { stamped(w, r, status, "") })
+		got, header, _, _ := f.send(f.request(http.MethodPost, "/unsafe/x", ""))
+		g.Expect(got).To(Equal(http.StatusBadGateway))
+		g.Expect(header.Get("Server-Stamp")).To(BeEmpty())
+	}
+}
+
+func TestSafeRequestIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	ok := func(w http.ResponseWriter, r *http.Request) { stamped(w, r, http.StatusOK, "done") }
+	for _, bad := range []http.HandlerFunc{abort, func(w http.ResponseWriter, r *http.Request) { stamped(w, r, http.StatusInternalServerError, "oh") }} {
+		f := newFixture(t, bad, ok)
+		for range 5 {
+			status, _, _, _ := f.send(f.request(http.MethodGet, "/safe/x", ""))
+			g.Expect(status).To(Equal(http.StatusOK))
+		}
+	}
+	// An upstream's own failure is passed on when no attempt is left.
+	fail := func(w http.ResponseWriter, r *http.Request) { stamped(w, r, http.StatusInternalServerError, "oh") }
+	f := newFixture(t, fail, fail, fail)
+	status, header, body, _ := f.send(f.request(http.MethodGet, "/safe/x", ""))
+	g.Expect(status).To(Equal(http.StatusInternalServerError))
+	g.Expect(header.Get("Server-Stamp")).To(Equal("stamp"))
+	g.Expect(body).To(Equal("oh"))
+	g.Expect(f.arrived()).To(HaveLen(2), "the route allows two attempts")
+}
+
+// A stream that breaks within an event goes on after the last whole one.
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") == "" {
+			events(w, r, 1, 3, true)
+			return
+		}
+		events(w, r, 4, 6, false)
+	}
+	f := newFixture(t, serve, serve)
+	status, _, body, err := f.send(f.request(http.MethodPost, "/stream/x", "prompt"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusOK))
+	var want strings.Builder
+	for i := 1; i <= 6; i++ {
+		fmt.Fprintf(&want, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	g.Expect(body).To(Equal(want.String()))
+	g.Expect(f.arrived()[1].Header.Get("Last-Event-Id")).To(Equal("3"))
+	g.Expect(f.arrived()[1].upstream).NotTo(Equal(f.arrived()[0].upstream))
+}
+
+// A stream that may not be resumed must not look complete when it breaks.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	g := NewWithT(t)
+	serve := func(w http.ResponseWriter, r *http.Request) { events(w, r, 1, 2, true) }
+	f := newFixture(t, serve, serve)
+	_, _, body, err := f.send(f.request(http.MethodPost, "/once/x", "prompt"))
+	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	g.Expect(body).To(Equal("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"))
+	g.Expect(f.arrived()).To(HaveLen(1))
+}
+
+// A caller that leaves ends the upstream's work.
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	g := NewWithT(t)
+	ended := make(chan struct{})
+	started := make(chan struct{})
+	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	fmt.Fprint(c, "POST /stream/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n")
+	g.Eventually(started).Should(BeClosed())
+	c.Close()
+	g.Eventually(ended).Should(BeClosed())
+	g.Eventually(f.gateway.InFlight).Should(BeZero())
+}
+
+// At the end of its time a request that an upstream has is answered 504, which
+// promises nothing.
+func TestDeadline(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		<-r.Context().Done()
+	})
+	r := f.request(http.MethodPost, "/unsafe/x", "order")
+	r.Header.Set("Deadline-Ms", "100")
+	status, _, _, _ := f.send(r)
+	g.Expect(status).To(Equal(http.StatusGatewayTimeout))
+}
+
+// A configuration that shortens a route's timeout ends its running requests.
+func TestShorterTimeoutEndsRunningRequests(t *testing.T) {
+	g := NewWithT(t)
+	started := make(chan struct{})
+	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		_, _ = io.ReadAll(r.Body)
+		<-r.Context().Done()
+	})
+	r := f.request(http.MethodPost, "/unsafe/x", "order")
+	r.Header.Del("Deadline-Ms")
+	statuses := make(chan int)
+	go func() {
+		status, _, _, _ := f.send(r)
+		statuses <- status
+	}()
+	<-started
+	c := configuration()
+	c.Version = 2
+	c.Routes[1].Timeout = time.Millisecond
+	f.routes.Apply(c, time.Now())
+	g.Eventually(statuses, "500ms").Should(Receive(Equal(http.StatusGatewayTimeout)))
+}
+
+func TestKeysAndRoutes(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) { stamped(w, r, http.StatusOK, "") })
+	status := func(path, key string) int {
+		r := f.request(http.MethodGet, path, "")
+		r.Header.Set("Authorization", "Bearer "+key)
+		s, _, _, _ := f.send(r)
+		return s
+	}
+	g.Expect(status("/safe/x", "k2")).To(Equal(http.StatusOK))
+	g.Expect(status("/safe/x", "k3")).To(Equal(http.StatusUnauthorized))
+	g.Expect(status("/open/x", "k3")).To(Equal(http.StatusOK))
+	g.Expect(status("/safe", "k2")).To(Equal(http.StatusNotFound))
+	g.Expect(status("/none/x", "k2")).To(Equal(http.StatusNotFound))
+	big := f.request(http.MethodPost, "/safe/x", strings.Repeat("x", 65))
+	s, _, _, _ := f.send(big)
+	g.Expect(s).To(Equal(http.StatusRequestEntityTooLarge))
+}
+
+// An entry that knows no configuration denies nothing.
+func TestNothingIsDeniedWithoutAConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	*f.routes = routing.Store{}
+	status, header, _, _ := f.send(f.request(http.MethodGet, "/none/x", ""))
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(f.gateway.Ready()).To(BeFalse())
+}
+
+// A rank that refuses because another rank of its group has failed speaks for
+// the whole group: no other rank is asked, and the caller is told at once.
+func TestBrokenGroupIsNotAskedAgain(t *testing.T) {
+	g := NewWithT(t)
+	broken := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("At-Server", "u9")
+		refuse(w, r)
+	}
+	f := newFixture(t, broken, broken, broken)
+	for range 3 {
+		status, header, _, _ := f.send(f.request(http.MethodPost, "/stream/x", ""))
+		g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+	}
+	g.Expect(f.arrived()).To(HaveLen(1))
+}
+
+// A process that stops tells each caller to use another connection.
+func TestDrainingClosesConnections(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) { stamped(w, r, http.StatusOK, "") })
+	f.gateway.Drain()
+	g.Expect(f.gateway.Ready()).To(BeFalse())
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	fmt.Fprint(c, "GET /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nAuthorization: Bearer k1\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(resp.Close).To(BeTrue())
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,7 +44,7 @@
 		if id := eventID(event); id != "" {
 			q.delivered = id
 		}
-		if br.Buffered() == 0 {
+		if !holdsEvent(br) {
 			if err := flusher.Flush(); err != nil {
 				return result{fate: broken, sent: true, cause: err}
 			}
@@ -52,6 +52,13 @@
 	}
 }
 
+// holdsEvent says whether a whole event has been read ahead: it shares the next
+// write. A part of one must not keep the events before it back.
+func holdsEvent(br *bufio.Reader) bool {
+	ahead, err := br.Peek(br.Buffered())
+	return err == nil && (bytes.Contains(ahead, []byte("\n\n")) || bytes.Contains(ahead, []byte("\n\r\n")))
+}
+
 // streamEnd judges how a stream ended. rest is what follows the last event.
 func (q *request) streamEnd(reply *upstream.Reply, rest []byte, err error) result {
 	if errors.Is(err, io.EOF) && len(rest) == 0 {
