Pass over ranks that stop reporting, and keep the group held for less time

Ranks report every 0.5 s and are passed over after 1.2 s of silence; orders are repeated every 12 ms at the rank; a switch is set as far ahead as two rounds of orders take.

Ruled out: another holder (a group can't go on while one rank can't be asked whether it is armed, wherever the hold stands).

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -32,9 +32,11 @@
 type Cost struct{ Base, Each time.Duration }
 
 const (
-	// reportLife is how long a report counts. An unchanged load is reported
-	// every second.
-	reportLife = 2500 * time.Millisecond
+	// reportLife is how long a report counts: an unchanged load is reported
+	// again within half of it. An upstream that has stopped reporting is passed
+	// over for silenceLife while others go on: it may be frozen or cut off.
+	reportLife  = 1200 * time.Millisecond
+	silenceLife = 10 * time.Second
 	// shutTime is how long an upstream that refused for its group's sake is
 	// passed over, unless a report sent later says that the group serves.
 	shutTime = 600 * time.Millisecond
@@ -98,12 +100,19 @@
 // Pick returns the upstream that a request should go to, or nil. Those tried
 // before are passed over. It counts nothing: see Node.Sent.
 func (p *Pool) Pick(now time.Time, tried []string) *Node {
+	if n := p.pick(now, tried, false); n != nil {
+		return n
+	}
+	return p.pick(now, tried, true)
+}
+
+func (p *Pool) pick(now time.Time, tried []string, silent bool) *Node {
 	var best *Node
 	bestCost := 0.0
 	drawn := 0
 	for _, i := range p.rand.Perm(len(p.nodes)) {
 		n := p.nodes[i]
-		if slices.Contains(tried, n.ID) || !n.usable(now) {
+		if slices.Contains(tried, n.ID) || !n.usable(now) || n.silent(now) != silent {
 			continue
 		}
 		if c := p.costAt(n, now); best == nil || c < bestCost {
@@ -159,6 +168,12 @@
 	return n.open || now.Sub(n.reportedAt) > reportLife
 }
 
+// silent says whether an upstream that reported has stopped to.
+func (n *Node) silent(now time.Time) bool {
+	age := now.Sub(n.reportedAt)
+	return age > reportLife && age <= silenceLife
+}
+
 // failing returns the part of the recent attempts that failed.
 func (n *Node) failing(now time.Time) float64 {
 	if n.failures == 0 {
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -93,6 +93,21 @@
 	g.Expect(p.Pick(later, nil)).To(Equal(nodes[0]))
 }
 
+// A rank whose VM is frozen or cut off stops reporting: nothing more is sent
+// there while others report. Where all have stopped it is the reports that are
+// missing, and the ranks are used.
+func TestSilentUpstreamIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	p, nodes := group(3)
+	later := start.Add(1300 * time.Millisecond)
+	nodes[1].Reported(dispatch.Load{Open: true, Pace: 1, Active: 9}, later)
+	for range 5 {
+		g.Expect(p.Pick(later, nil)).To(Equal(nodes[1]))
+	}
+	g.Expect(p.Pick(later, []string{"rank-1"})).NotTo(BeNil())
+	g.Expect(p.Pick(later.Add(1300*time.Millisecond), nil)).NotTo(BeNil())
+}
+
 // A slow rank slows the whole group by what it has to do, so it gets less.
 func TestSlowRankGetsLess(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -64,7 +64,7 @@
 	loadInterval = 100 * time.Millisecond
 	// loadRepeat is how often an unchanged load is sent, for entries that are
 	// new or missed a datagram.
-	loadRepeat = 1 * time.Second
+	loadRepeat = 500 * time.Millisecond
 )
 
 // Run tells the entries the rank's load until ctx is done.
@@ -150,7 +150,7 @@
 const (
 	// localTimeout bounds an order to the engine on the same VM, which answers
 	// within milliseconds or not at all.
-	localTimeout = 40 * time.Millisecond
+	localTimeout = 12 * time.Millisecond
 	// farTimeout bounds an order to an engine on another VM.
 	farTimeout = 150 * time.Millisecond
 )
--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -32,6 +32,26 @@
 	peers map[string]*peer
 	// byRank names the member that looks after each rank.
 	byRank map[int]string
+	// orderTime is how long a round of orders takes of late, the slowest rank's
+	// included.
+	orderTime time.Duration
+}
+
+// orderFade is the part of orderTime that a quicker round leaves.
+const orderFade = 0.85
+
+// took notes how long a round of orders has taken.
+func (g *group) took(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.orderTime = max(d, time.Duration(orderFade*float64(g.orderTime)))
+}
+
+// roundTime returns how long a round of orders takes of late.
+func (g *group) roundTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.orderTime
 }
 
 // peer is the connection to another agent.
@@ -205,6 +225,8 @@
 
 // Order implements ranks.Group.
 func (g *group) Order(orders map[int]ranks.Order) map[int]ranks.Answer {
+	start := g.a.Clock.Now()
+	defer func() { g.took(g.a.Clock.Since(start)) }()
 	var peers []*peer
 	rankOf := map[*peer]int{}
 	g.mu.Lock()
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -26,9 +26,10 @@
 	// standStagger keeps ranks from standing at the same moment: a rank waits
 	// that much for each one before it.
 	standStagger = 150 * time.Millisecond
-	// leadTime is how far ahead of the present a switch is set, so that the
-	// group seldom waits for it.
+	// leadTime is how far ahead of the present a switch is set at least.
 	leadTime = 50 * time.Millisecond
+	// maxLeadTime bounds that where orders take long.
+	maxLeadTime = 800 * time.Millisecond
 	// fenceBits are the bits of a fence that count the orders of one leader.
 	fenceBits = 20
 	// planMoves bounds the search of a plan for one set.
@@ -292,10 +293,13 @@
 		m[set] = p
 	}
 	version := l.tenure.next()
-	// The step under way is the first of those ahead.
+	// All ranks are armed and the hold is ended before the step is due, so that
+	// the group doesn't wait: two rounds of orders. The step under way is the
+	// first of those ahead.
+	ahead := min(max(leadTime, 2*l.group.roundTime()), maxLeadTime)
 	lead := int64(2)
 	if l.stepTime > 0 {
-		lead = 1 + int64((leadTime+l.stepTime-1)/l.stepTime)
+		lead = 1 + int64((ahead+l.stepTime-1)/l.stepTime)
 	}
 	start := l.a.Clock.Now()
 	err := s.Switch(version, m, lead)
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -56,7 +56,7 @@
 // Repeats is how many times, with fences from its own on, an order may be given
 // to an engine that doesn't answer. The fences between two orders of a leader
 // are kept free for that.
-const Repeats = 8
+const Repeats = 16
 
 // Map lists the experts by set and rank.
 type Map [][][]int
