--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -35,9 +35,12 @@
 	memoryPart = 0.6
 	// callerSilence ends a caller's connection that acknowledges nothing.
 	callerSilence = 5 * time.Second
+	// registrationWait bounds a watch of the registrations, whose loss harms
+	// nobody for some seconds.
+	registrationWait = 20 * time.Second
 	// registrationGather is the pause after changes of registrations, which
 	// come in series when a deployment starts.
-	registrationGather = 500 * time.Millisecond
+	registrationGather = 1 * time.Second
 	// drainMargin is kept back from the grace for closing down.
 	drainMargin = 400 * time.Millisecond
 )
@@ -173,7 +176,7 @@
 	}
 	registrar := &fleet.Registrar{KV: h.store, Self: f.self, Clock: h.clock, Log: h.log}
 	registrar.Watch(f.view)
-	h.follow(ctx, fleet.Prefix, f.view, feed.DefaultWait, registrationGather)
+	h.follow(ctx, fleet.Prefix, f.view, registrationWait, registrationGather)
 	go registrar.Run(ctx)
 	return f, nil
 }
--- a/internal/daemon/rank.go
+++ b/internal/daemon/rank.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/kingcupreel/kingcupreel/internal/feed"
 	"github.com/kingcupreel/kingcupreel/internal/fleet"
 	"github.com/kingcupreel/kingcupreel/internal/rankagent"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
@@ -22,6 +21,10 @@
 // its place. A group that the dead one holds waits that long.
 const leaderTerm = 1500 * time.Millisecond
 
+// shapeWait bounds a watch of the configuration, of which an agent needs the
+// engines' description only.
+const shapeWait = 30 * time.Second
+
 // RunRank looks after the model replica on this VM of the platform until ctx
 // is done or the process is told to stop.
 func RunRank(ctx context.Context, s settings.Hosted, out io.Writer) error {
@@ -37,7 +40,7 @@
 		return err
 	}
 	routes := &routing.Store{}
-	h.follow(work, platform.KeyConfiguration, platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log}, feed.DefaultWait, 0)
+	h.follow(work, platform.KeyConfiguration, platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log}, shapeWait, 0)
 	a := rankagent.New(rankagent.Options{
 		Self: f.self, Service: h.node.LocalService, Engine: platform.NewEngine(h.node.LocalUpstream),
 		Connect: func(address string) rankagent.Engine { return platform.NewEngine(address) },
--- a/internal/planner/even.go
+++ b/internal/planner/even.go
@@ -138,13 +138,18 @@
 	copies []int
 	holds  [][]bool // by rank and expert
 	had    [][]bool // the placement in force
+	// where lists the ranks that hold each expert.
+	where  [][]int
 	added  []int
 	ranked []float64
-	delta  map[int]float64
+	// delta is the change of each rank's load by the change looked at, touched
+	// the ranks that have one.
+	delta   []float64
+	touched []int
 }
 
 func newEvenState(current Placement, load []float64, limits EvenLimits) *evenState {
-	s := &evenState{limits: limits, ranks: current.Clone(), copies: make([]int, len(load)), delta: map[int]float64{}}
+	s := &evenState{limits: limits, ranks: current.Clone(), copies: make([]int, len(load)), where: make([][]int, len(load)), delta: make([]float64, len(current))}
 	for _, l := range load {
 		s.mean += l / float64(len(current))
 	}
@@ -160,6 +165,7 @@
 		for _, e := range current[r] {
 			holds[e], had[e] = true, true
 			s.copies[e]++
+			s.where[e] = append(s.where[e], r)
 		}
 		s.holds, s.had = append(s.holds, holds), append(s.had, had)
 	}
@@ -195,6 +201,7 @@
 			top = r
 		}
 	}
+	light := s.lightest()
 	best, bestGain := evenChange{expert: -1}, evenTolerance
 	consider := func(c evenChange) {
 		if gain := s.gain(c); gain > bestGain {
@@ -205,7 +212,7 @@
 		if s.copies[e] > 1 {
 			consider(evenChange{expert: -1, from: top, to: top, drop: e})
 		}
-		for r := range s.ranks {
+		for _, r := range light {
 			if r != top && !s.holds[r][e] {
 				s.offers(e, top, r, consider)
 			}
@@ -218,6 +225,20 @@
 	return true
 }
 
+// lightRanks is how many of the least loaded ranks a change may bring experts
+// to: in a large group the others gain nothing over them.
+const lightRanks = 10
+
+// lightest returns the least loaded ranks.
+func (s *evenState) lightest() []int {
+	order := make([]int, len(s.ranked))
+	for r := range order {
+		order[r] = r
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(s.ranked[a], s.ranked[b]) })
+	return order[:min(lightRanks, len(order))]
+}
+
 // offers considers all ways to bring an expert of rank top to rank r.
 func (s *evenState) offers(e, top, r int, consider func(evenChange)) {
 	if !s.had[r][e] && s.full(r) {
@@ -244,7 +265,10 @@
 
 // gain returns how much a change lowers the energy, less its price.
 func (s *evenState) gain(c evenChange) float64 {
-	clear(s.delta)
+	for _, r := range s.touched {
+		s.delta[r] = 0
+	}
+	s.touched = s.touched[:0]
 	if c.expert >= 0 {
 		s.shift(c.expert, c.to, c.from, c.keep)
 	}
@@ -256,42 +280,49 @@
 		s.unload(c.drop, from, to)
 	}
 	gain := 0.0
-	for r, d := range s.delta {
-		gain += energy(s.ranked[r]) - energy(s.ranked[r]+d)
+	for i, r := range s.touched {
+		if slices.Contains(s.touched[:i], r) {
+			continue
+		}
+		gain += energy(s.ranked[r]) - energy(s.ranked[r]+s.delta[r])
 	}
 	return gain - s.price(c)
 }
 
+// change adds to the change of a rank's load.
+func (s *evenState) change(r int, d float64) {
+	s.delta[r] += d
+	s.touched = append(s.touched, r)
+}
+
 // shift adds the effect of an expert coming to a rank to delta.
 func (s *evenState) shift(e, to, from int, keep bool) {
 	old := s.load[e] / float64(s.copies[e])
 	if !keep {
-		s.delta[from] -= old
-		s.delta[to] += old
+		s.change(from, -old)
+		s.change(to, old)
 		return
 	}
 	share := s.load[e] / float64(s.copies[e]+1)
-	for r := range s.ranks {
-		if s.holds[r][e] {
-			s.delta[r] += share - old
-		}
+	for _, r := range s.where[e] {
+		s.change(r, share-old)
 	}
-	s.delta[to] += share
+	s.change(to, share)
 }
 
 // unload adds the effect of an expert leaving a rank, for another one if to is
 // not negative.
 func (s *evenState) unload(e, from, to int) {
 	old := s.load[e] / float64(s.copies[e])
-	s.delta[from] -= old
+	s.change(from, -old)
 	if to >= 0 {
-		s.delta[to] += old
+		s.change(to, old)
 		return
 	}
 	share := s.load[e] / float64(s.copies[e]-1)
-	for r := range s.ranks {
-		if r != from && s.holds[r][e] {
-			s.delta[r] += share - old
+	for _, r := range s.where[e] {
+		if r != from {
+			s.change(r, share-old)
 		}
 	}
 }
@@ -328,6 +359,7 @@
 func (s *evenState) insert(r, e int) {
 	s.ranks[r] = append(s.ranks[r], e)
 	s.holds[r][e] = true
+	s.where[e] = append(s.where[e], r)
 	s.copies[e]++
 	if !s.had[r][e] {
 		s.added[r]++
@@ -338,6 +370,7 @@
 	i := slices.Index(s.ranks[r], e)
 	s.ranks[r] = slices.Delete(s.ranks[r], i, i+1)
 	s.holds[r][e] = false
+	s.where[e] = slices.DeleteFunc(s.where[e], func(o int) bool { return o == r })
 	s.copies[e]--
 	if !s.had[r][e] {
 		s.added[r]--
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -53,6 +54,10 @@
 // Agent looks after one rank. It is safe for concurrent use.
 type Agent struct {
 	Options
+
+	mu sync.Mutex // leaf
+	// counts are those of the last reading.
+	counts ranks.Counts
 }
 
 // New returns an agent.
@@ -112,24 +117,37 @@
 }
 
 func (a *Agent) answer(ctx context.Context, c *wire.Conn, ask *wire.RankAsk) {
-	reply := read(ctx, a.Engine, ask.Counts, ask.Lists)
+	reply := a.read(ctx, ask.Chosen, ask.Lists)
 	reply.Nonce = ask.Nonce
 	_ = c.Send(reply)
 }
 
-// read reads an engine's status, and its counts and lists if wanted.
-func read(ctx context.Context, e Engine, counts, lists bool) *wire.RankState {
+// read reads the own rank. What it chose is told since the reading before.
+func (a *Agent) read(ctx context.Context, chosen, lists bool) *wire.RankState {
+	reply := read(ctx, a.Engine, lists)
+	if !chosen || !reply.OK {
+		return reply
+	}
+	counts, err := a.Engine.Counts(ctx)
+	if err != nil {
+		reply.OK = false
+		return reply
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reply.Chosen, reply.Fresh = counts.Since(a.counts)
+	a.counts = counts
+	return reply
+}
+
+// read reads an engine's status, and its lists if wanted.
+func read(ctx context.Context, e Engine, lists bool) *wire.RankState {
 	reply := &wire.RankState{}
 	st, err := e.Status(ctx)
 	if err != nil {
 		return reply
 	}
 	reply.Status, reply.OK = st, true
-	if counts {
-		if reply.Counts, err = e.Counts(ctx); err != nil {
-			reply.OK = false
-		}
-	}
 	if lists {
 		if reply.Lists, err = e.Lists(ctx); err != nil {
 			reply.OK = false
@@ -165,7 +183,7 @@
 		verdict, _ = e.Order(ctx, o, timeout) // the verdict says all that a leader needs
 		o.Fence++
 	}
-	reply := read(ctx, e, false, false)
+	reply := read(ctx, e, false)
 	if repeats > 1 && verdict == ranks.Refused && o.Op == ranks.Prepare && reply.OK && reply.Status.Prepared == o.Version {
 		verdict = ranks.Taken // the first answer was lost
 	}
--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +18,8 @@
 	// askTimeout bounds a question to another rank's agent: all repeats of an
 	// order, and the reading after it.
 	askTimeout = 500 * time.Millisecond
-	// groupPause is the time between two readings of a group in a switch.
+	// groupPause is the time between two readings of a group in a switch, for
+	// each sampleRanks ranks.
 	groupPause = 30 * time.Millisecond
 )
 
@@ -175,15 +177,38 @@
 	}
 }
 
-// readAll reads all ranks of the group at once.
-func (g *group) readAll(counts, lists bool) map[int]*wire.RankState {
-	states := collect(g.refresh(), func(p *peer) *wire.RankState {
-		if st := g.ask(p, func(n uint64) wire.Message { return &wire.RankAsk{Nonce: n, Counts: counts, Lists: lists} }); st != nil {
+// sampleRanks is about how many ranks are read for what the group chooses now.
+// Their requests are as good a sample of the group's as any others'.
+const sampleRanks = 16
+
+// sample returns the peers of about sampleRanks ranks, always the same ones, and
+// those whose rank isn't known yet.
+func (g *group) sample(size int) []*peer {
+	all := g.refresh()
+	stride := max((size+sampleRanks-1)/sampleRanks, 1)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rankOf := map[string]int{}
+	for rank, name := range g.byRank {
+		rankOf[name] = rank
+	}
+	return slices.DeleteFunc(all, func(p *peer) bool {
+		rank, known := rankOf[p.member.Name]
+		return known && rank%stride != 0
+	})
+}
+
+// read reads the ranks of some peers at once.
+func (g *group) read(peers []*peer, chosen, lists bool) map[int]*wire.RankState {
+	states := collect(peers, func(p *peer) *wire.RankState {
+		if p.member.Name == g.a.Self.Name {
+			return g.a.read(g.ctx, chosen, lists)
+		}
+		if st := g.ask(p, func(n uint64) wire.Message { return &wire.RankAsk{Nonce: n, Chosen: chosen, Lists: lists} }); st != nil {
 			return st
 		}
-		// Counts read from afar make the group pause, so they are not.
-		own := p.member.Name == g.a.Self.Name
-		return read(g.ctx, p.engine, counts && own, lists)
+		// Counts read from afar would make the group pause, so they are not.
+		return read(g.ctx, p.engine, lists)
 	})
 	all := map[int]*wire.RankState{}
 	g.mu.Lock()
@@ -217,7 +242,7 @@
 // Statuses implements ranks.Group.
 func (g *group) Statuses() map[int]ranks.Status {
 	all := map[int]ranks.Status{}
-	for rank, st := range g.readAll(false, false) {
+	for rank, st := range g.read(g.refresh(), false, false) {
 		all[rank] = st.Status
 	}
 	return all
@@ -261,12 +286,20 @@
 	return farTimeout
 }
 
+// pause is the time between two readings: the same messages a second from the
+// whole group, whatever its size.
+func (g *group) pause() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return groupPause * time.Duration(max(len(g.byRank)/sampleRanks, 1))
+}
+
 // Pause implements ranks.Group.
 func (g *group) Pause() bool {
 	select {
 	case <-g.ctx.Done():
 		return false
-	case <-g.a.Clock.After(groupPause):
+	case <-g.a.Clock.After(g.pause()):
 		return true
 	}
 }
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -41,7 +41,9 @@
 	a      *Agent
 	group  *group
 	tenure *tenure
-	shape  routing.ExpertShape
+	// size is the number of ranks.
+	size  int
+	shape routing.ExpertShape
 
 	demand ranks.Demand
 	epoch  int64
@@ -121,15 +123,22 @@
 
 // tick reads the group once, ends what was left behind, and plans.
 func (l *leader) tick() {
-	states := l.group.readAll(true, l.placed == nil)
+	peers := l.group.refresh()
+	if l.placed != nil {
+		peers = l.group.sample(l.size)
+	}
+	states := l.group.read(peers, true, l.placed == nil)
 	size := 0
 	statuses := map[int]ranks.Status{}
-	counts := map[int]ranks.Counts{}
+	var chosen []ranks.Chosen
 	for rank, st := range states {
 		statuses[rank] = st.Status
-		counts[rank] = st.Counts
+		if st.Fresh {
+			chosen = append(chosen, st.Chosen)
+		}
 		size = max(size, st.Status.Size)
 	}
+	l.size = size
 	if len(states) == 0 {
 		return
 	}
@@ -145,7 +154,7 @@
 		}
 		return
 	}
-	moved, fresh := l.demand.Add(counts, l.a.Clock.Now())
+	moved, fresh := l.demand.Add(chosen, l.a.Clock.Now())
 	l.moved = moved
 	switch {
 	case l.demand.Settling():
@@ -198,20 +207,20 @@
 		}
 		l.epoch, l.placed, l.demand = epoch, nil, ranks.Demand{}
 	}
-	version := statuses[0].Map
+	version := ranks.None
+	for _, st := range statuses {
+		version = max(version, st.Map)
+	}
 	for _, st := range statuses {
 		if st.Epoch != epoch || !st.Open || st.Map != version || st.Armed != ranks.None {
 			return false
 		}
 	}
-	if len(statuses) < size {
-		return false
-	}
 	if l.placed != nil && version == l.version {
 		return true
 	}
 	l.version, l.placed = version, nil
-	return l.learn(states, size)
+	return len(statuses) == size && l.learn(states, size)
 }
 
 // pending says whether a switch waits for its step.
--- a/internal/ranks/demand.go
+++ b/internal/ranks/demand.go
@@ -16,39 +16,42 @@
 const shiftLimit = 0.2
 
 // Demand estimates how often a group's requests choose each expert now, from
-// the ranks' running counts. The zero value has seen nothing.
+// what some of its ranks chose since the last reading. The zero value has seen
+// nothing.
 type Demand struct {
-	last map[int]Counts
 	at   time.Time
 	load []float64
 	// settling says that demand has just shifted: the reading that showed it
 	// mixes what was and what is, and so counts for nothing.
 	settling bool
+	// skip says that the next reading reaches back too far.
+	skip bool
 }
 
-// Add takes the counts of some ranks. It returns the part of the choices that
-// went to other experts than before, and whether anything was chosen since the
-// last reading.
-func (d *Demand) Add(counts map[int]Counts, now time.Time) (moved float64, fresh bool) {
-	if d.last == nil {
-		d.last = map[int]Counts{}
-	}
+// Add takes a reading. It returns the part of the choices that went to other
+// experts than before, and whether the reading counts.
+func (d *Demand) Add(reading []Chosen, now time.Time) (moved float64, fresh bool) {
 	var chosen []float64
-	for rank, c := range counts {
-		chosen = addCounts(chosen, d.last[rank], c)
-		d.last[rank] = c
+	for _, c := range reading {
+		if chosen == nil {
+			chosen = make([]float64, len(c.Parts))
+		}
+		for i, n := range c.Parts[:min(len(c.Parts), len(chosen))] {
+			chosen[i] += float64(n) / chosenScale * c.Most
+		}
 	}
 	fade := math.Exp(-now.Sub(d.at).Seconds() / demandMemory.Seconds())
 	d.at = now
+	if chosen == nil || d.skip {
+		d.skip = false
+		return 0, false
+	}
 	moved = difference(chosen, d.load)
 	if moved > shiftLimit && !d.settling {
 		d.settling = true
 		d.load = nil
 		return moved, true
 	}
-	if chosen == nil {
-		return 0, false
-	}
 	d.settling = false
 	if len(d.load) != len(chosen) {
 		d.load = make([]float64, len(chosen))
@@ -59,33 +62,12 @@
 	return moved, true
 }
 
-// Restart forgets the last readings, but not what demand was: what was chosen
-// since then counts for nothing.
-func (d *Demand) Restart() { d.last = nil }
+// Restart makes the next reading count for nothing.
+func (d *Demand) Restart() { d.skip = true }
 
 // Settling says that demand has shifted and the next reading shows the new one.
 func (d *Demand) Settling() bool { return d.settling }
 
-// addCounts adds what a rank chose between two readings. One that isn't the
-// later of the two, or of an engine that started in between, adds nothing.
-func addCounts(sum []float64, old, c Counts) []float64 {
-	if len(old.Chosen) != len(c.Chosen) || c.Step < old.Step || len(c.Chosen) == 0 {
-		return sum
-	}
-	for i, n := range c.Chosen {
-		if n < old.Chosen[i] {
-			return sum
-		}
-	}
-	if len(sum) != len(c.Chosen) {
-		sum = make([]float64, len(c.Chosen))
-	}
-	for i, n := range c.Chosen {
-		sum[i] += float64(n - old.Chosen[i])
-	}
-	return sum
-}
-
 // difference returns the part of the whole by which two loads differ, 0 when
 // one of them is empty.
 func difference(a, b []float64) float64 {
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -122,6 +122,41 @@
 	Chosen      []int64
 }
 
+// Chosen is how a rank's requests chose experts between two readings, in parts
+// of the most chosen one: Parts[e]/255*Most choices of expert e. It takes a byte
+// an expert, since it travels often and only shares matter.
+type Chosen struct {
+	Epoch int64
+	Most  float64
+	Parts []byte
+}
+
+// chosenScale is the part that stands for the most chosen expert.
+const chosenScale = 255
+
+// Since returns what was chosen between two counts, and false when they can't be
+// compared: the engine has started again, or nothing was chosen.
+func (c Counts) Since(old Counts) (Chosen, bool) {
+	if len(old.Chosen) != len(c.Chosen) || len(c.Chosen) == 0 || c.Step <= old.Step {
+		return Chosen{}, false
+	}
+	most := int64(0)
+	for i, n := range c.Chosen {
+		if n < old.Chosen[i] {
+			return Chosen{}, false
+		}
+		most = max(most, n-old.Chosen[i])
+	}
+	if most == 0 {
+		return Chosen{}, false
+	}
+	out := Chosen{Epoch: c.Epoch, Most: float64(most), Parts: make([]byte, len(c.Chosen))}
+	for i, n := range c.Chosen {
+		out.Parts[i] = byte((chosenScale*(n-old.Chosen[i]) + most/2) / most)
+	}
+	return out, true
+}
+
 // Lists is the map in force at a rank, as the experts that it holds by set.
 type Lists struct {
 	Version int64
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -47,10 +47,11 @@
 // ConfigurationReply carries a configuration as it lies in the store.
 type ConfigurationReply struct{ Encoded []byte }
 
-// RankAsk asks for the status of a rank, and for its counts or its experts.
+// RankAsk asks for the status of a rank, and for what it chose since the last
+// one that asked for it, or for its experts.
 type RankAsk struct {
 	Nonce         uint64
-	Counts, Lists bool
+	Chosen, Lists bool
 }
 
 // RankOrder hands an order to a rank's engine.
@@ -65,8 +66,10 @@
 	Verdict ranks.Verdict
 	Status  ranks.Status
 	// OK says that Status is valid.
-	OK     bool
-	Counts ranks.Counts
+	OK bool
+	// Chosen is what was chosen since the RankAsk before, if Fresh.
+	Chosen ranks.Chosen
+	Fresh  bool
 	Lists  ranks.Lists
 }
 
