--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"reflect"
+	"runtime"
 	"testing"
 )
 
@@ -62,3 +63,27 @@
 		}
 	}
 }
+
+// A peer that goes on claiming more bytes than it sends takes no more memory
+// each time: the decoders are pooled, and one grew by a quarter with every such
+// message until the process ended.
+func TestRepeatedClaimsTakeNoMemory(t *testing.T) {
+	const repeats = 300
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range repeats {
+		for _, body := range [][]byte{
+			{0x92, 1, 0xc6, 0xff, 0xff, 0xff, 0xff},
+			{0x92, 1, 0xdb, 0xff, 0xff, 0xff, 0xff},
+			{0x92, 1, 0xc9, 0xff, 0xff, 0xff, 0xff, 1},
+		} {
+			if _, err := Decode(KindRankLoad, body); err == nil {
+				t.Fatalf("a body decodes that starts with % x", body)
+			}
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if taken := after.TotalAlloc - before.TotalAlloc; taken > 8<<20 {
+		t.Errorf("%d messages took %d MB", 3*repeats, taken>>20)
+	}
+}
--- a/internal/wire/shape.go
+++ b/internal/wire/shape.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
@@ -23,7 +24,8 @@
 func checkShape(body []byte) error {
 	dec := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(dec)
-	dec.Reset(bytes.NewReader(body))
+	r := bytes.NewReader(body)
+	dec.Reset(r)
 	left := []int{1}
 	for total := 0; len(left) > 0; {
 		top := len(left) - 1
@@ -32,7 +34,7 @@
 			continue
 		}
 		left[top]--
-		n, err := enter(dec)
+		n, err := enter(dec, r)
 		if err != nil {
 			return err
 		}
@@ -46,8 +48,10 @@
 }
 
 // enter passes over a plain value, or over the head of an array or a map, and
-// returns the number of values inside.
-func enter(dec *msgpack.Decoder) (int, error) {
+// returns the number of values inside. Bytes are passed over in r itself, which
+// the decoder doesn't buffer: by Skip they would be read, and the pooled decoder
+// would grow a little with each claim of more bytes than there are.
+func enter(dec *msgpack.Decoder, r *bytes.Reader) (int, error) {
 	code, err := dec.PeekCode()
 	if err != nil {
 		return 0, err
@@ -58,6 +62,27 @@
 	case msgpcode.IsFixedMap(code), code == msgpcode.Map16, code == msgpcode.Map32:
 		n, err := dec.DecodeMapLen()
 		return 2 * n, err
+	case msgpcode.IsString(code), msgpcode.IsBin(code):
+		n, err := dec.DecodeBytesLen()
+		if err != nil {
+			return 0, err
+		}
+		return 0, pass(r, n)
+	case msgpcode.IsExt(code):
+		_, n, err := dec.DecodeExtHeader()
+		if err != nil {
+			return 0, err
+		}
+		return 0, pass(r, n)
 	}
 	return 0, dec.Skip()
 }
+
+// pass passes over n bytes, which have to be there.
+func pass(r *bytes.Reader, n int) error {
+	if n > r.Len() {
+		return io.ErrUnexpectedEOF
+	}
+	_, err := r.Seek(int64(max(n, 0)), io.SeekCurrent)
+	return err
+}
