Switch in two rounds of orders, and price copies by the time they take

An agent answers a prepare once its engine has copied, and an arm with the status read after it, so that neither is read again; a shift is 2.3 times what usually moves; a copy pays for its own time within 1.2 s; watches wait in proportion to the bounds; changes gather while a deployment starts.

Ruled out: reading all ranks again before the Go (the property tests hold without it: 20,000 schedules, and 4,000 with three leaders side by side).

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -31,13 +31,13 @@
 	// drainNotice is how long a stopping process still takes connections: the
 	// balancer looks at readiness once a second and acts after two misses.
 	drainNotice = 2500 * time.Millisecond
-	// configurationWait bounds a watch of the configuration. A watch may hear
-	// nothing of a change, and one that ends soon after lets an entry that can't
-	// hear others know within the bound on a change.
-	configurationWait = 2500 * time.Millisecond
-	// replicasWait bounds a watch of the upstreams, whose changes entries also
-	// tell each other.
-	replicasWait = 5 * time.Second
+	// configurationWait bounds a watch of the configuration, in parts of the
+	// bound on a change. A watch may hear nothing of a change, and one that ends
+	// soon after lets an entry that can't hear others know.
+	configurationWait = 1.25
+	// replicasWait bounds a watch of the upstreams, in parts of the bound on
+	// leaving ones. Entries also tell each other of those.
+	replicasWait = 2.5
 	// replicasGather is the pause after changes of upstreams: a small part of
 	// the bound on leaving ones.
 	replicasGather = 100 * time.Millisecond
@@ -89,8 +89,8 @@
 	go g.Run(work)
 	h.reload(work, func(n settings.Node) { g.SetLimits(retryLimits(n)) })
 	go shareAllowances(work, h.clock, g, f.view)
-	h.follow(work, platform.KeyConfiguration, configuration, configurationWait, 0)
-	h.follow(work, platform.PrefixReplicas, replicas, replicasWait, replicasGather)
+	h.follow(work, platform.KeyConfiguration, configuration, part(h.node.ConfigBound, configurationWait), 0)
+	h.follow(work, platform.PrefixReplicas, replicas, part(h.node.DrainBound, replicasWait), replicasGather)
 	callers, err := h.serve(work, h.node.CallerListen, g)
 	if err != nil {
 		return err
@@ -108,6 +108,9 @@
 	return app.Run()
 }
 
+// part returns a part of a bound.
+func part(bound time.Duration, p float64) time.Duration { return time.Duration(float64(bound) * p) }
+
 // allowanceInterval is how often an entry's part of shared allowances follows
 // the number of entries.
 const allowanceInterval = 1 * time.Second
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,6 +21,10 @@
 	// waitSpread takes up to that part off each wait, so that the watches of a
 	// fleet end at different moments.
 	waitSpread = 0.25
+	// startTime is how long the processes of a deployment that starts take to
+	// appear, and startGather the pause after changes in that time.
+	startTime   = 6 * time.Second
+	startGather = 600 * time.Millisecond
 	// catchUpWait is the wait of a watch that only fetches what was missed.
 	catchUpWait = 1 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait after a failed call. The upper
@@ -46,7 +50,8 @@
 	Sink   Sink
 	Wait   time.Duration
 	// Gather is the pause after changes, in which more of them gather for the
-	// next watch; 0 means none.
+	// next watch; 0 means none. While the deployment may still be starting it is
+	// startGather at least.
 	Gather time.Duration
 	Clock  clockwork.Clock
 	Log    *zap.Logger
@@ -56,6 +61,7 @@
 	contact   bool
 	told      bool
 	contactAt time.Time
+	begun     time.Time
 	backoff   time.Duration
 }
 
@@ -64,7 +70,8 @@
 	if f.Wait == 0 {
 		f.Wait = DefaultWait
 	}
-	f.contactAt = f.Clock.Now()
+	f.begun = f.Clock.Now()
+	f.contactAt = f.begun
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -111,7 +118,7 @@
 	if f.Gather > 0 {
 		select {
 		case <-ctx.Done():
-		case <-f.Clock.After(f.Gather):
+		case <-f.Clock.After(f.gather()):
 		}
 	}
 	return nil
@@ -126,6 +133,14 @@
 	return time.Duration(float64(f.Wait) * (1 - waitSpread*rand.Float64()))
 }
 
+// gather returns the pause after changes.
+func (f *Feed) gather() time.Duration {
+	if f.Clock.Since(f.begun) < startTime {
+		return max(f.Gather, startGather)
+	}
+	return f.Gather
+}
+
 // note keeps the state of the contact and the backoff.
 func (f *Feed) note(err error) {
 	now := f.Clock.Now()
--- a/internal/planner/even.go
+++ b/internal/planner/even.go
@@ -102,15 +102,13 @@
 	Left []int
 	// Moves bounds the search.
 	Moves int
+	// CopyGain is the least fall of the peak, in parts of the mean load, that
+	// pays for bringing one more expert to a rank: the copy slows the steps.
+	CopyGain float64
 }
 
-const (
-	// copyGain is the least fall of the peak, in parts of the mean load, that
-	// pays for bringing one more expert to a rank: the copy slows the steps.
-	copyGain = 0.08
-	// evenTolerance ends the search.
-	evenTolerance = 1e-6
-)
+// evenTolerance ends the search.
+const evenTolerance = 1e-6
 
 // Even changes a placement, within the limits, so that its most loaded rank
 // has less to do under the given load per expert. It is a descent from the
@@ -337,7 +335,7 @@
 		n++
 	}
 	top := slices.Max(s.ranked)
-	return float64(n) * copyGain * 8 * math.Pow(top, 7)
+	return float64(n) * s.limits.CopyGain * 8 * math.Pow(top, 7)
 }
 
 func (s *evenState) apply(c evenChange) {
--- a/internal/planner/even_test.go
+++ b/internal/planner/even_test.go
@@ -54,7 +54,7 @@
 // plans, each within the spare places, must come near an even load.
 func TestEvenFollowsAShiftOfDemand(t *testing.T) {
 	g := NewWithT(t)
-	limits := planner.EvenLimits{Places: 8, Spare: 3, Moves: 200}
+	limits := planner.EvenLimits{Places: 8, Spare: 3, Moves: 200, CopyGain: 0.02}
 	for seed := range uint64(30) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		load := skewedLoad(rng, 72)
@@ -77,15 +77,15 @@
 	for e := range load {
 		load[e] = 1
 	}
-	next := planner.Even(p, load, planner.EvenLimits{Places: 8, Spare: 3, Moves: 200})
+	next := planner.Even(p, load, planner.EvenLimits{Places: 8, Spare: 3, Moves: 200, CopyGain: 0.02})
 	g.Expect(p.Added(next)).To(BeZero())
-	g.Expect(planner.Even(p, make([]float64, 72), planner.EvenLimits{Places: 8, Spare: 3, Moves: 200})).To(Equal(p))
+	g.Expect(planner.Even(p, make([]float64, 72), planner.EvenLimits{Places: 8, Spare: 3, Moves: 200, CopyGain: 0.02})).To(Equal(p))
 }
 
 // At the size of the target (64 ranks, 256 experts) the limits hold too.
 func TestEvenAtTheTargetSize(t *testing.T) {
 	g := NewWithT(t)
-	limits := planner.EvenLimits{Places: 5, Spare: 2, Moves: 400}
+	limits := planner.EvenLimits{Places: 5, Spare: 2, Moves: 400, CopyGain: 0.02}
 	rng := rand.New(rand.NewPCG(7, 1))
 	load := skewedLoad(rng, 256)
 	p := inTurn(64, 256)
@@ -99,6 +99,6 @@
 	load := skewedLoad(rng, 72)
 	p := inTurn(12, 72)
 	for b.Loop() {
-		planner.Even(p, load, planner.EvenLimits{Places: 8, Spare: 3, Moves: 200})
+		planner.Even(p, load, planner.EvenLimits{Places: 8, Spare: 3, Moves: 200, CopyGain: 0.02})
 	}
 }
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -173,6 +173,23 @@
 	farTimeout = 150 * time.Millisecond
 )
 
+const (
+	// copyInterval is how often an engine that copies experts is read.
+	copyInterval = 10 * time.Millisecond
+	// copyWait bounds the wait for it: the leader waits for the answer.
+	copyWait = 300 * time.Millisecond
+)
+
+// awaitCopy reads an engine until it has copied a map's experts, or copyWait has
+// passed.
+func awaitCopy(ctx context.Context, e Engine, version int64, reply *wire.RankState) *wire.RankState {
+	for end := time.Now().Add(copyWait); reply.OK && reply.Status.Prepared != version && time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(copyInterval)
+		reply = read(ctx, e, false)
+	}
+	return reply
+}
+
 // carryOut gives an order to an engine, again while no answer comes, and reads
 // the status after it. Each repeat has a higher fence, which makes void what an
 // engine may still do about the one before.
@@ -184,6 +201,9 @@
 		o.Fence++
 	}
 	reply := read(ctx, e, false)
+	if o.Op == ranks.Prepare && verdict == ranks.Taken {
+		reply = awaitCopy(ctx, e, o.Version, reply)
+	}
 	if repeats > 1 && verdict == ranks.Refused && o.Op == ranks.Prepare && reply.OK && reply.Status.Prepared == o.Version {
 		verdict = ranks.Taken // the first answer was lost
 	}
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -257,16 +257,22 @@
 	// worthPlanning is the least load of the most loaded ranks, over the mean,
 	// for which a plan is made.
 	worthPlanning = 1.25
-	// maxCopies bounds the experts that one switch brings to a rank, over all
-	// sets: while they are copied every step is slower, and the next switch waits.
-	maxCopies = 2
+	// copyBudget bounds the time that one switch takes to bring experts to a rank:
+	// steps are slower meanwhile, and the next switch waits.
+	copyBudget = 200 * time.Millisecond
+	// copyHorizon is the time in which a copy has to pay for its own: demand
+	// shifts every few seconds.
+	copyHorizon = 1200 * time.Millisecond
 	// minSeen is the least number of choices that a plan rests on, per expert.
 	minSeen = 20
 )
 
 // plan returns the next map by set, or nil when the map in force should stay.
 func (l *leader) plan() []planner.Placement {
-	limits := planner.EvenLimits{Places: l.shape.Places, Spare: l.shape.Spare, Moves: planMoves}
+	limits := planner.EvenLimits{
+		Places: l.shape.Places, Spare: l.shape.Spare, Moves: planMoves,
+		CopyGain: l.shape.CopyTime.Seconds() / copyHorizon.Seconds(),
+	}
 	loads := make([][]float64, l.shape.Sets)
 	before, after, seen := 0.0, 0.0, 0.0
 	for set := range loads {
@@ -281,7 +287,7 @@
 	if seen < float64(minSeen*l.shape.Sets*l.shape.Experts) || before < worthPlanning {
 		return nil
 	}
-	next := planner.EvenSets(l.placed, loads, limits, maxCopies)
+	next := planner.EvenSets(l.placed, loads, limits, l.maxCopies())
 	for set := range next {
 		after += next[set].Peak(loads[set]) / float64(l.shape.Sets)
 	}
@@ -295,6 +301,15 @@
 	return next
 }
 
+// maxCopies returns how many experts one switch may bring to a rank, over all
+// sets.
+func (l *leader) maxCopies() int {
+	if l.shape.CopyTime <= 0 {
+		return l.shape.Sets * l.shape.Spare
+	}
+	return max(int(copyBudget/l.shape.CopyTime), 1)
+}
+
 // switchTo brings a planned map into force.
 func (l *leader) switchTo(s *ranks.Switcher, next []planner.Placement) {
 	m := make(ranks.Map, len(next))
@@ -311,7 +326,7 @@
 		lead = 1 + int64((ahead+l.stepTime-1)/l.stepTime)
 	}
 	start := l.a.Clock.Now()
-	err := s.Switch(version, m, lead)
+	err := s.Switch(l.epoch, version, m, lead)
 	result := "done"
 	if err != nil {
 		result = string(fault.KindOf(err))
--- a/internal/ranks/demand.go
+++ b/internal/ranks/demand.go
@@ -10,10 +10,18 @@
 // that demand that has shifted matters more than noise.
 const demandMemory = 400 * time.Millisecond
 
-// shiftLimit is the part of the choices that must have moved to other experts,
-// from what was remembered to one reading, for demand to count as shifted. Two
-// readings of a steady demand differ by about a tenth.
-const shiftLimit = 0.2
+const (
+	// shiftLimit is the least part of the choices that must have moved to other
+	// experts, from what was remembered to one reading, for demand to count as
+	// shifted, and shiftFactor how many times what moves from reading to reading
+	// of a steady demand that must be.
+	shiftLimit  = 0.12
+	shiftFactor = 2.3
+	// usualWeight is the weight of a reading in the mean of what usually moves.
+	usualWeight = 0.2
+	// usualFirst is that mean before anything was read.
+	usualFirst = 0.08
+)
 
 // Demand estimates how often a group's requests choose each expert now, from
 // what some of its ranks chose since the last reading. The zero value has seen
@@ -21,6 +29,8 @@
 type Demand struct {
 	at   time.Time
 	load []float64
+	// usual is the part of the choices that usually moves between readings.
+	usual float64
 	// settling says that demand has just shifted: the reading that showed it
 	// mixes what was and what is, and so counts for nothing.
 	settling bool
@@ -47,11 +57,17 @@
 		return 0, false
 	}
 	moved = difference(chosen, d.load)
-	if moved > shiftLimit && !d.settling {
+	if d.usual == 0 {
+		d.usual = usualFirst
+	}
+	if moved > max(shiftLimit, shiftFactor*d.usual) && !d.settling {
 		d.settling = true
 		d.load = nil
 		return moved, true
 	}
+	if moved > 0 {
+		d.usual += usualWeight * (moved - d.usual)
+	}
 	d.settling = false
 	if len(d.load) != len(chosen) {
 		d.load = make([]float64, len(chosen))
--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -39,15 +39,12 @@
 // Switch brings a map into force under a version, from the step that is lead
 // steps ahead. It returns when the step may begin, or with the old map in
 // force and an error.
-func (s *Switcher) Switch(version int64, m Map, lead int64) error {
-	epoch, _, err := s.read()
+func (s *Switcher) Switch(epoch, version int64, m Map, lead int64) error {
+	now, err := s.prepare(epoch, version, m)
 	if err != nil {
 		return err
 	}
-	if err := s.prepare(epoch, version, m); err != nil {
-		return err
-	}
-	holder, step, err := s.hold(epoch, lead)
+	step, err := s.hold(epoch, now+lead, lead)
 	if err != nil {
 		return err
 	}
@@ -64,20 +61,20 @@
 	return err
 }
 
-// read reads the group. All ranks have to be there, in one epoch and open.
-func (s *Switcher) read() (epoch, step int64, err error) {
+// step reads the last step begun. All ranks have to be there, in the epoch and
+// open.
+func (s *Switcher) step(epoch int64) (step int64, err error) {
 	statuses := s.Group.Statuses()
 	if len(statuses) < s.Size {
-		return 0, 0, fault.New(fault.Unavailable, "wait for the rank", "%d of %d ranks can be read", len(statuses), s.Size)
+		return 0, fault.New(fault.Unavailable, "wait for the rank", "%d of %d ranks can be read", len(statuses), s.Size)
 	}
 	for _, st := range statuses {
-		if !st.Open || epoch != 0 && st.Epoch != epoch {
-			return 0, 0, errChanged
+		if !st.Open || st.Epoch != epoch {
+			return 0, errChanged
 		}
-		epoch = st.Epoch
 		step = max(step, st.Step)
 	}
-	return epoch, step, nil
+	return step, nil
 }
 
 // all sends one order to every rank, each with a fence of its own.
@@ -108,37 +105,46 @@
 	return ranks
 }
 
-// prepare has every rank copy the map's experts and waits for it. A map that
-// is prepared and never armed changes nothing.
-func (s *Switcher) prepare(epoch, version int64, m Map) error {
-	open := s.every()
+// prepare has every rank copy the map's experts, waits for it, and returns the
+// last step begun. A map that is prepared and never armed changes nothing.
+func (s *Switcher) prepare(epoch, version int64, m Map) (step int64, err error) {
+	open, copying := s.every(), false
 	for range prepareReadings {
 		if !s.Leads() {
-			return errNotLeader
+			return 0, errNotLeader
 		}
 		answers := s.all(Order{Op: Prepare, Version: version, Epoch: epoch, Map: m}, open)
 		for r := range open {
 			a := answers[r]
 			switch {
-			case a.OK && a.Status.Prepared == version, a.Verdict == Taken:
+			case a.OK && a.Status.Epoch != epoch:
+				return 0, errChanged
+			case a.OK && a.Status.Prepared == version:
+				delete(open, r)
+				step = max(step, a.Status.Step)
+			case a.Verdict == Taken:
 				delete(open, r)
+				copying = true
 			case a.Verdict == Refused || a.Verdict == Fenced:
-				return fault.New(fault.Conflict, "the map is planned again", "rank %d %s version %d", r, a.Verdict, version)
+				return 0, fault.New(fault.Conflict, "the map is planned again", "rank %d %s version %d", r, a.Verdict, version)
 			}
 		}
+		if len(open) == 0 && !copying {
+			return step, nil
+		}
 		if len(open) == 0 {
 			return s.awaitPrepared(epoch, version)
 		}
 		if !s.Group.Pause() {
-			return errStopped
+			return 0, errStopped
 		}
 		s.strike(open, epoch, version)
 	}
-	return fault.New(fault.Timeout, "the map is planned again", "ranks did not take version %d", version)
+	return 0, fault.New(fault.Timeout, "the map is planned again", "ranks did not take version %d", version)
 }
 
-// strike takes out of open the ranks that have or copy the version already:
-// their answer was lost.
+// strike takes out of open the ranks that have the version already: their
+// answer was lost.
 func (s *Switcher) strike(open map[int]bool, epoch, version int64) {
 	for r, st := range s.Group.Statuses() {
 		if open[r] && st.Epoch == epoch && st.Prepared == version {
@@ -147,65 +153,66 @@
 	}
 }
 
-func (s *Switcher) awaitPrepared(epoch, version int64) error {
+func (s *Switcher) awaitPrepared(epoch, version int64) (step int64, err error) {
 	for range prepareReadings {
 		statuses := s.Group.Statuses()
 		ready := 0
 		for _, st := range statuses {
 			if st.Epoch != epoch || !st.Open {
-				return errChanged
+				return 0, errChanged
 			}
 			if st.Prepared == version {
 				ready++
 			}
+			step = max(step, st.Step)
 		}
 		if ready == s.Size {
-			return nil
+			return step, nil
 		}
 		if !s.Leads() {
-			return errNotLeader
+			return 0, errNotLeader
 		}
 		if !s.Group.Pause() {
-			return errStopped
+			return 0, errStopped
 		}
 	}
-	return fault.New(fault.Timeout, "the map is planned again", "ranks did not copy version %d in time", version)
+	return 0, fault.New(fault.Timeout, "the map is planned again", "ranks did not copy version %d in time", version)
 }
 
 // holder is the rank at which the group is held.
 const holder = 0
 
-// hold keeps the group from beginning a step ahead and returns the rank that
-// is held and the step.
-func (s *Switcher) hold(epoch, lead int64) (int, int64, error) {
+// hold keeps the group from beginning a step, or one lead steps ahead if that
+// has begun, and returns the step.
+func (s *Switcher) hold(epoch, step, lead int64) (int64, error) {
 	for range holdTries {
-		now, step, err := s.read()
-		if err != nil || now != epoch {
-			return 0, 0, errChanged
-		}
 		if !s.Leads() {
-			return 0, 0, errNotLeader
+			return 0, errNotLeader
 		}
-		step += lead
 		a := s.all(Order{Op: Hold, Step: step, Epoch: epoch}, map[int]bool{holder: true})[holder]
-		if a.Verdict == Taken {
-			return holder, step, nil
-		}
-		if a.Verdict == Fenced {
-			return 0, 0, errNotLeader
-		}
-		if a.Verdict == Unknown {
+		switch a.Verdict {
+		case Taken:
+			return step, nil
+		case Fenced:
+			return 0, errNotLeader
+		case Unknown:
 			// The order may be carried out later: a newer order makes its fence
 			// old, and what it did until then is undone.
 			if err := s.Recover(); err != nil {
-				return 0, 0, err
+				return 0, err
 			}
 		}
+		now, err := s.step(epoch)
+		if err != nil {
+			return 0, err
+		}
+		step = now + lead
 	}
-	return 0, 0, fault.New(fault.Conflict, "the map is planned again", "no step could be held")
+	return 0, fault.New(fault.Conflict, "the map is planned again", "no step could be held")
 }
 
-// arm arms every rank for the held step and says whether all are known to be.
+// arm arms every rank for the held step and says whether each has been read to
+// be, after its order.
 func (s *Switcher) arm(epoch, version, step int64) bool {
 	open := s.every()
 	for range armReadings {
@@ -213,14 +220,14 @@
 		for r := range open {
 			a := answers[r]
 			switch {
-			case a.Verdict == Taken || a.OK && a.Status.Epoch == epoch && a.Status.Armed == version:
+			case a.OK && a.Status.Epoch == epoch && a.Status.Armed == version:
 				delete(open, r)
 			case a.Verdict == Refused || a.Verdict == Fenced:
 				return false
 			}
 		}
 		if len(open) == 0 {
-			return s.allArmed(epoch, version)
+			return true
 		}
 		if !s.Group.Pause() {
 			return false
@@ -229,18 +236,6 @@
 	return false
 }
 
-// allArmed reads back that every rank is armed.
-func (s *Switcher) allArmed(epoch, version int64) bool {
-	statuses := s.Group.Statuses()
-	for r := range s.Size {
-		st, ok := statuses[r]
-		if !ok || st.Epoch != epoch || st.Armed != version {
-			return false
-		}
-	}
-	return true
-}
-
 // cancel disarms every rank. It returns nil once each has taken an order that
 // is newer than any Arm and is not armed, and errChanged when the group has
 // formed anew, which clears everything.
--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -250,7 +250,7 @@
 		}
 	}
 	for i := range int64(3) {
-		if s.Switch(base<<20+i+1, nil, 3) == nil {
+		if s.Switch(w.epoch, base<<20+i+1, nil, 3) == nil {
 			w.switches++
 		} else {
 			_ = s.Recover()
@@ -316,6 +316,13 @@
 	<-c.turn
 }
 
+// epoch reads the group's epoch in turn.
+func (c *contender) epoch() int64 {
+	c.wait()
+	defer func() { c.done <- struct{}{} }()
+	return c.t.world.epoch
+}
+
 // Order implements ranks.Group.
 func (c *contender) Order(orders map[int]ranks.Order) map[int]ranks.Answer {
 	answers := map[int]ranks.Answer{}
@@ -365,7 +372,7 @@
 				if ranks.Leftover(c.Statuses()) && s.Recover() != nil {
 					continue
 				}
-				if s.Switch(base<<20+k, nil, 3) != nil {
+				if s.Switch(c.epoch(), base<<20+k, nil, 3) != nil {
 					_ = s.Recover()
 				}
 			}
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -89,6 +89,8 @@
 	Sets, Experts, Places, Spare int
 	// TokenShare is the part of the work for tokens that goes to experts.
 	TokenShare float64
+	// CopyTime is how long a rank takes to copy one expert.
+	CopyTime time.Duration
 }
 
 // Account is a client account with its keys.
