--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -55,9 +55,10 @@
 	defer cancel()
 	routes := &routing.Store{}
 	dir := directory.New(h.clock)
+	transport := upstream.NewTransport(upstream.Options{Codec: platform.Headers{}})
 	g := gateway.New(gateway.Options{
 		Routes: routes, Directory: dir, Codec: platform.Headers{},
-		Transport: upstream.NewTransport(upstream.Options{Codec: platform.Headers{}}),
+		Transport: transport,
 		Pools:     gateway.NewPools(h.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		Limits:    retryLimits(h.node),
 		Clock:     h.clock, Log: h.log, Metrics: h.metrics,
@@ -82,7 +83,10 @@
 		case *wire.EntryDigest:
 			x.Receive(work, from, m)
 		case *wire.RankLoad:
-			g.Pools.Reported(m.Address, m.Started, dispatch.Load{Queued: m.Queued, Active: m.Active, Pace: float64(m.Pace), Open: m.Open})
+			load := dispatch.Load{Queued: m.Queued, Active: m.Active, Pace: float64(m.Pace), Open: m.Open}
+			if u := g.Pools.Reported(m.Address, m.Started, load); u != nil {
+				h.log.Info("rank's report changed", zap.String("upstream", u.ID), zap.Bool("group_serves", m.Open), zap.Int64("step", m.Step), zap.Int("queued", m.Queued), zap.Int("active", m.Active))
+			}
 		}
 	})
 	go x.Run(work)
@@ -103,6 +107,16 @@
 	if err != nil {
 		return err
 	}
+	if err := h.gauges(map[string]func() int64{
+		"configuration.version": func() int64 { return (&knowledge{routes: routes}).Version() },
+		"configuration.age_ms":  func() int64 { return age(h.clock, routes) },
+		"upstreams.usable":      func() int64 { return int64(len(dir.Usable())) },
+		"requests_in_flight":    func() int64 { return int64(g.InFlight()) },
+		"entries.known":         func() int64 { return int64(f.view.Entries()) },
+		"connections.opened":    transport.Opened,
+	}); err != nil {
+		return err
+	}
 	app := h.newApp(ctx, func(ctx context.Context) error { return drainGateway(ctx, g, callers) }, callers, ready, ops)
 	h.log.Info("gateway started", zap.String("data_centre", h.node.DataCentre), zap.String("callers", h.node.CallerListen), zap.Duration("grace", h.node.Grace))
 	return app.Run()
@@ -170,6 +184,16 @@
 // Depart implements fleet.Knowledge.
 func (k *knowledge) Depart(d wire.Departure) bool { return k.directory.Depart(directory.Departure(d)) }
 
+// age returns how long the configuration in force has been, in milliseconds, and
+// -1 while there is none.
+func age(clock clockwork.Clock, routes *routing.Store) int64 {
+	t := routes.Current()
+	if t == nil {
+		return -1
+	}
+	return clock.Since(t.Since).Milliseconds()
+}
+
 // retryLimits are the bounds on repeats that the platform's settings state.
 func retryLimits(n settings.Node) outcome.WindowLimits {
 	return outcome.WindowLimits{Window: n.RetryWindow, Ratio: n.RetryRatio, Allowance: n.RetryAllowance}
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -78,11 +78,17 @@
 		path, _, _ = strings.Cut(path, "?")
 		telemetry.Counter(reg, "store_calls."+path+"."+result).Inc(1)
 	}
-	dropped := metrics.NewFunctionalGauge(out.Dropped)
-	if err := reg.Register("log_lines_dropped", dropped); err != nil {
-		return nil, fault.Wrap(fault.Internal, err, "report this", "registering a metric")
+	return h, h.gauges(map[string]func() int64{"log_lines_dropped": out.Dropped})
+}
+
+// gauges registers functions whose values the metrics address shows.
+func (h *host) gauges(all map[string]func() int64) error {
+	for name, f := range all {
+		if err := h.metrics.Register(name, metrics.NewFunctionalGauge(f)); err != nil {
+			return fault.Wrap(fault.Internal, err, "report this", "registering the metric %s", name)
+		}
 	}
-	return h, nil
+	return nil
 }
 
 // reloadInterval is how often the settings file is looked at: it may change
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -186,6 +186,9 @@
 // InFlight returns this entry's own requests at the upstream.
 func (n *Node) InFlight() int { return n.inFlight }
 
+// Open says whether the last report said that the upstream's group serves.
+func (n *Node) Open() bool { return n.open }
+
 // Reported takes a report of the upstream's load.
 func (n *Node) Reported(l Load, now time.Time) {
 	n.others = max(l.Queued+l.Active-n.inFlight, 0)
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -126,13 +126,21 @@
 }
 
 // Reported takes the load of the upstream at an address, if it is the one that
-// started then.
-func (p *Pools) Reported(address string, started int64, load dispatch.Load) {
+// started then. It returns the upstream when its group has begun to serve or
+// stopped to.
+func (p *Pools) Reported(address string, started int64, load dispatch.Load) (changed *Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m := p.byAddress[address]; m != nil && m.Started == started {
-		m.node.Reported(load, p.clock.Now())
+	m := p.byAddress[address]
+	if m == nil || m.Started != started {
+		return nil
+	}
+	before := m.node.Open()
+	m.node.Reported(load, p.clock.Now())
+	if before == load.Open {
+		return nil
 	}
+	return m
 }
 
 // Ended counts the end of an attempt; failed says that the upstream was at
