Give upstreams the request's rank

Cause: engines admit more urgent requests first, and none carried a rank: the client account's, or the route's where the account has none.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -152,7 +152,7 @@
 		Account:     q.account,
 		KeyChecked:  len(q.table.Accounts) > 0,
 		ResumeAfter: q.resumeAfter(),
-		Urgency:     -1,
+		Urgency:     q.urgency(),
 	})
 	return &upstream.Call{
 		ID: q.ID, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
@@ -160,6 +160,19 @@
 	}
 }
 
+// lastUrgency is the least urgent rank that upstreams know.
+const lastUrgency = 9
+
+// urgency is the request's rank at the upstream, 0 first: its client account's,
+// or its route's where the account has none.
+func (q *request) urgency() int {
+	rank := q.route.Priority
+	if a := q.table.Account(q.Key); a != nil && a.HasPriority {
+		rank = a.Priority
+	}
+	return min(max(rank, 0), lastUrgency)
+}
+
 // connectionLimit is this entry's part of the connections to one upstream.
 func (q *request) connectionLimit() int {
 	s := q.table.Service(q.service)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -88,7 +88,7 @@
 			{Name: "open", Host: "h", Prefix: "/open/", Kind: routing.Safe, Timeout: 2 * time.Second, MaxAttempts: 1, Anonymous: true, Split: []routing.Share{{Service: "s", Weight: 1}}},
 		},
 		Services: []routing.Service{{Name: "s"}},
-		Accounts: []routing.Account{{Name: "clinic", Keys: []string{"k1", "k2"}}},
+		Accounts: []routing.Account{{Name: "clinic", Keys: []string{"k1", "k2"}, Priority: 3, HasPriority: true}},
 		Limits:   routing.Limits{BodyBytes: 64},
 	}
 }
@@ -190,6 +190,7 @@
 	g.Expect(a.Host).To(Equal("h"))
 	g.Expect(a.Header.Get("Tenant")).To(Equal("clinic"))
 	g.Expect(a.Header.Get("Expect-Instance")).To(Equal("u0"))
+	g.Expect(a.Header.Get("Request-Priority")).To(Equal("3"), "the account's rank goes before the route's")
 	g.Expect(a.Header.Get("X-End")).To(Equal("2"))
 	g.Expect(a.Header.Get("Prefix-Hash")).To(Equal("a:1,b:2"))
 	g.Expect(a.Header).NotTo(HaveKey("Authorization"))
