Read the platform path as a newcomer: split, drop what nothing reads

A leader that is told to stop ends its switch first. Agents are tested over real connections with engines in memory: demand is followed, also with a third of the orders unanswered, and a hold that was left behind is ended by the next leader.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -43,6 +43,17 @@
 	replicasGather = 100 * time.Millisecond
 )
 
+// entryRole holds the parts of a gateway process.
+type entryRole struct {
+	*host
+	fleet     *fleetPart
+	routes    *routing.Store
+	directory *directory.Directory
+	transport *upstream.Transport
+	gateway   *gateway.Gateway
+	exchange  *fleet.Exchange
+}
+
 // RunGateway serves callers on a VM of the platform until ctx is done or the
 // process is told to stop.
 func RunGateway(ctx context.Context, s settings.Hosted, out io.Writer) error {
@@ -53,53 +64,19 @@
 	defer func() { _ = h.log.Sync() }()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	routes := &routing.Store{}
-	dir := directory.New(h.clock)
-	transport := upstream.NewTransport(upstream.Options{Codec: platform.Headers{}})
-	g := gateway.New(gateway.Options{
-		Routes: routes, Directory: dir, Codec: platform.Headers{},
-		Transport: transport,
-		Pools:     gateway.NewPools(h.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		Limits:    retryLimits(h.node),
-		Clock:     h.clock, Log: h.log, Metrics: h.metrics,
-	})
-	configuration := platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log}
-	replicas := platform.ReplicaSink{Directory: dir, Log: h.log}
-	f, err := h.join(work, fleet.RoleEntry)
+	e, err := newEntryRole(work, h)
 	if err != nil {
 		return err
 	}
-	x := &fleet.Exchange{
-		Self: f.self.Name, View: f.view, Datagrams: f.datagrams, Clock: h.clock, Log: h.log,
-		Knowledge: &knowledge{routes: routes, directory: dir, learn: configuration.Put},
-	}
-	routes.OnChange(func(*routing.Table) { x.Changed() })
-	dir.OnDeparture(x.Changed)
-	if err := fleet.Serve(work, f.self.Address, &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){wire.KindConfigurationAsk: x.Answer}}, h.log); err != nil {
+	if err := e.meet(work); err != nil {
 		return err
 	}
-	go f.datagrams.Run(work, func(from netip.AddrPort, m wire.Message) {
-		switch m := m.(type) {
-		case *wire.EntryDigest:
-			x.Receive(work, from, m)
-		case *wire.RankLoad:
-			load := dispatch.Load{Queued: m.Queued, Active: m.Active, Pace: float64(m.Pace), Open: m.Open}
-			if u := g.Pools.Reported(m.Address, m.Started, load); u != nil {
-				h.log.Info("rank's report changed", zap.String("upstream", u.ID), zap.Bool("group_serves", m.Open), zap.Int64("step", m.Step), zap.Int("queued", m.Queued), zap.Int("active", m.Active))
-			}
-		}
-	})
-	go x.Run(work)
-	go g.Run(work)
-	h.reload(work, func(n settings.Node) { g.SetLimits(retryLimits(n)) })
-	go shareAllowances(work, h.clock, g, f.view)
-	h.follow(work, platform.KeyConfiguration, configuration, part(h.node.ConfigBound, configurationWait), 0)
-	h.follow(work, platform.PrefixReplicas, replicas, part(h.node.DrainBound, replicasWait), replicasGather)
-	callers, err := h.serve(work, h.node.CallerListen, g)
+	e.learn(work)
+	callers, err := h.serve(work, h.node.CallerListen, e.gateway)
 	if err != nil {
 		return err
 	}
-	ready, err := h.serve(work, h.node.ReadyListen, readiness(g))
+	ready, err := h.serve(work, h.node.ReadyListen, readiness(e.gateway))
 	if err != nil {
 		return err
 	}
@@ -107,21 +84,81 @@
 	if err != nil {
 		return err
 	}
-	if err := h.gauges(map[string]func() int64{
-		"configuration.version": func() int64 { return (&knowledge{routes: routes}).Version() },
-		"configuration.age_ms":  func() int64 { return age(h.clock, routes) },
-		"upstreams.usable":      func() int64 { return int64(len(dir.Usable())) },
-		"requests_in_flight":    func() int64 { return int64(g.InFlight()) },
-		"entries.known":         func() int64 { return int64(f.view.Entries()) },
-		"connections.opened":    transport.Opened,
-	}); err != nil {
-		return err
-	}
-	app := h.newApp(ctx, func(ctx context.Context) error { return drainGateway(ctx, g, callers) }, callers, ready, ops)
+	app := h.newApp(ctx, func(ctx context.Context) error { return drainGateway(ctx, e.gateway, callers) }, callers, ready, ops)
 	h.log.Info("gateway started", zap.String("data_centre", h.node.DataCentre), zap.String("callers", h.node.CallerListen), zap.Duration("grace", h.node.Grace))
 	return app.Run()
 }
 
+// newEntryRole builds the parts and registers the process.
+func newEntryRole(work context.Context, h *host) (*entryRole, error) {
+	e := &entryRole{host: h, routes: &routing.Store{}, directory: directory.New(h.clock)}
+	e.transport = upstream.NewTransport(upstream.Options{Codec: platform.Headers{}})
+	e.gateway = gateway.New(gateway.Options{
+		Routes: e.routes, Directory: e.directory, Codec: platform.Headers{}, Transport: e.transport,
+		Pools:  gateway.NewPools(h.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		Limits: retryLimits(h.node),
+		Clock:  h.clock, Log: h.log, Metrics: h.metrics,
+	})
+	var err error
+	if e.fleet, err = h.join(work, fleet.RoleEntry); err != nil {
+		return nil, err
+	}
+	return e, h.gauges(map[string]func() int64{
+		"configuration.version": (&knowledge{routes: e.routes}).Version,
+		"configuration.age_ms":  func() int64 { return age(h.clock, e.routes) },
+		"upstreams.usable":      func() int64 { return int64(len(e.directory.Usable())) },
+		"requests_in_flight":    func() int64 { return int64(e.gateway.InFlight()) },
+		"entries.known":         func() int64 { return int64(e.fleet.view.Entries()) },
+		"connections.opened":    e.transport.Opened,
+	})
+}
+
+// configuration returns the sink that puts configurations in force.
+func (e *entryRole) configuration() platform.ConfigurationSink {
+	return platform.ConfigurationSink{Routes: e.routes, Clock: e.clock, Log: e.log}
+}
+
+// meet exchanges what entries know of, and takes the ranks' loads.
+func (e *entryRole) meet(work context.Context) error {
+	e.exchange = &fleet.Exchange{
+		Self: e.fleet.self.Name, View: e.fleet.view, Datagrams: e.fleet.datagrams, Clock: e.clock, Log: e.log,
+		Knowledge: &knowledge{routes: e.routes, directory: e.directory, learn: e.configuration().Put},
+	}
+	e.routes.OnChange(func(*routing.Table) { e.exchange.Changed() })
+	e.directory.OnDeparture(e.exchange.Changed)
+	answers := &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){wire.KindConfigurationAsk: e.exchange.Answer}}
+	if err := fleet.Serve(work, e.fleet.self.Address, answers, e.log); err != nil {
+		return err
+	}
+	go e.fleet.datagrams.Run(work, func(from netip.AddrPort, m wire.Message) { e.received(work, from, m) })
+	go e.exchange.Run(work)
+	return nil
+}
+
+// received takes a datagram of another process.
+func (e *entryRole) received(work context.Context, from netip.AddrPort, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.EntryDigest:
+		e.exchange.Receive(work, from, m)
+	case *wire.RankLoad:
+		load := dispatch.Load{Queued: m.Queued, Active: m.Active, Pace: float64(m.Pace), Open: m.Open}
+		if u := e.gateway.Pools.Reported(m.Address, m.Started, load); u != nil {
+			e.log.Info("rank's report changed", zap.String("upstream", u.ID), zap.Bool("group_serves", m.Open),
+				zap.Int64("step", m.Step), zap.Int("queued", m.Queued), zap.Int("active", m.Active))
+		}
+	}
+}
+
+// learn follows the store and the settings.
+func (e *entryRole) learn(work context.Context) {
+	go e.gateway.Run(work)
+	go shareAllowances(work, e.clock, e.gateway, e.fleet.view)
+	e.reload(work, func(n settings.Node) { e.gateway.SetLimits(retryLimits(n)) })
+	e.follow(work, platform.KeyConfiguration, e.configuration(), part(e.node.ConfigBound, configurationWait), 0)
+	replicas := platform.ReplicaSink{Directory: e.directory, Log: e.log}
+	e.follow(work, platform.PrefixReplicas, replicas, part(e.node.DrainBound, replicasWait), replicasGather)
+}
+
 // part returns a part of a bound.
 func part(bound time.Duration, p float64) time.Duration { return time.Duration(float64(bound) * p) }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -125,23 +125,6 @@
 	return best
 }
 
-// Serving says whether any upstream can take a request.
-func (p *Pool) Serving(now time.Time) bool {
-	return slices.ContainsFunc(p.nodes, func(n *Node) bool { return n.usable(now) })
-}
-
-// Waiting returns the requests that wait for a slot, and the slots, of the
-// upstreams that can take a request.
-func (p *Pool) Waiting(now time.Time) (waiting, slots int) {
-	for _, n := range p.nodes {
-		if n.usable(now) {
-			slots += n.Slots
-			waiting += max(n.work(now)-n.Slots, 0)
-		}
-	}
-	return waiting, slots
-}
-
 // costAt returns how much one more request would slow the upstream's requests.
 func (p *Pool) costAt(n *Node, now time.Time) float64 {
 	work := float64(n.work(now) + 1)
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -66,7 +66,6 @@
 	for _, n := range nodes {
 		n.Shut(start)
 	}
-	g.Expect(p.Serving(start)).To(BeFalse())
 	g.Expect(p.Pick(start, nil)).To(BeNil())
 	nodes[0].Reported(dispatch.Load{Open: true, Pace: 1}, start.Add(100*time.Millisecond))
 	g.Expect(p.Pick(start.Add(100*time.Millisecond), nil)).To(BeNil(), "the report may be older than the refusal")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,10 +33,6 @@
 	Key string
 	// ResumeAfter is the last event that a stream's caller has, empty for none.
 	ResumeAfter string
-	// PromptTokens and AnswerTokens are the sizes that the caller states.
-	PromptTokens, AnswerTokens int
-	// Prefix names the shared beginning of the prompt, empty for none.
-	Prefix string
 }
 
 // Outbound is what an attempt's headers say to an upstream.
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -118,13 +118,6 @@
 	return p.members[n.ID]
 }
 
-// Serving says whether any upstream of a service can take a request.
-func (p *Pools) Serving(service string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.pool(service).Serving(p.clock.Now())
-}
-
 // Reported takes the load of the upstream at an address, if it is the one that
 // started then. It returns the upstream when its group has begun to serve or
 // stopped to.
--- a/internal/kvstore/kvstore.go
+++ b/internal/kvstore/kvstore.go
@@ -1,6 +1,6 @@
-// Package kvstore defines what kingcupreel asks of the platform: the
-// key-value service, the VM list and the weight store. Adapters live in
-// packages below; stand-ins implement the same protocols.
+// Package kvstore defines what kingcupreel asks of the key-value service and the
+// VM list. The client of the users' platform is in platform/; stand-ins speak the
+// same protocol.
 package kvstore
 
 import (
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -100,10 +100,11 @@
 		return
 	}
 	a.Log.Info("leading the group", zap.String("group", st.Group), zap.Int64("fence", t.fence))
-	ctx, cancel := context.WithCancel(ctx)
+	// A switch that has begun is ended also when the process is told to stop.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	go t.keep(ctx)
-	l := &leader{a: a, group: a.newGroup(ctx, st.Group), tenure: t, shape: shape}
+	go t.keep(work)
+	l := &leader{a: a, group: a.newGroup(work, st.Group), tenure: t, shape: shape}
 	defer l.group.close()
 	l.run(ctx)
 	a.Log.Info("leading ended", zap.String("group", st.Group), zap.Int64("fence", t.fence))
--- /dev/null
+++ b/internal/rankagent/rankagent_test.go
@@ -0,0 +1,287 @@
+package rankagent_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/feed"
+	"github.com/kingcupreel/kingcupreel/internal/fleet"
+	"github.com/kingcupreel/kingcupreel/internal/rankagent"
+	"github.com/kingcupreel/kingcupreel/internal/ranks"
+	"github.com/kingcupreel/kingcupreel/internal/routing"
+	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
+	"github.com/kingcupreel/kingcupreel/platform"
+)
+
+const (
+	testRanks   = 4
+	testExperts = 16
+)
+
+// groupOfEngines is a group in memory: steps begin every few milliseconds unless
+// one is held, and requests choose the first expert most.
+type groupOfEngines struct {
+	mu      sync.Mutex
+	engines []*engine
+	step    int64
+	mixed   bool
+	rng     *rand.Rand
+	// lost is the part of the orders that get no answer.
+	lost float64
+}
+
+// engine is one rank of it. It implements rankagent.Engine.
+type engine struct {
+	g                              *groupOfEngines
+	rank                           int
+	fence                          int64
+	active, prepared, armed, armAt int64
+	held                           int64
+	experts, next                  [][]int
+	chosen                         []int64
+}
+
+func newGroupOfEngines() *groupOfEngines {
+	g := &groupOfEngines{rng: rand.New(rand.NewPCG(1, 1))}
+	for r := range testRanks {
+		e := &engine{g: g, rank: r, prepared: ranks.None, armed: ranks.None, held: ranks.None, chosen: make([]int64, testExperts), experts: make([][]int, 1)}
+		for x := r; x < testExperts; x += testRanks {
+			e.experts[0] = append(e.experts[0], x)
+		}
+		g.engines = append(g.engines, e)
+	}
+	return g
+}
+
+// run begins steps until ctx is done.
+func (g *groupOfEngines) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+		g.begin()
+	}
+}
+
+func (g *groupOfEngines) begin() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range g.engines {
+		if e.held == g.step+1 {
+			return
+		}
+	}
+	g.step++
+	for _, e := range g.engines {
+		if e.armed != ranks.None && e.armAt == g.step {
+			e.active, e.armed, e.experts = e.armed, ranks.None, e.next
+		}
+		for x := range e.chosen {
+			e.chosen[x] += 40
+		}
+		e.chosen[0] += 2000
+		g.mixed = g.mixed || e.active != g.engines[0].active
+	}
+}
+
+func (g *groupOfEngines) state() (step, version, held int64, mixed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.step, g.engines[0].active, g.engines[0].held, g.mixed
+}
+
+func (e *engine) Status(context.Context) (ranks.Status, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	return ranks.Status{
+		Started: 1, Group: "g", Epoch: 1, Rank: e.rank, Size: testRanks, Open: true, Step: e.g.step,
+		Map: e.active, Prepared: e.prepared, Armed: e.armed, Held: e.held,
+	}, nil
+}
+
+func (e *engine) Counts(context.Context) (ranks.Counts, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	return ranks.Counts{Step: e.g.step, Epoch: 1, Chosen: append([]int64(nil), e.chosen...)}, nil
+}
+
+func (e *engine) Lists(context.Context) (ranks.Lists, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	return ranks.Lists{Version: e.active, Experts: e.experts}, nil
+}
+
+func (e *engine) Order(_ context.Context, o ranks.Order, _ time.Duration) (ranks.Verdict, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	if e.g.rng.Float64() < e.g.lost {
+		return ranks.Unknown, errors.New("no answer")
+	}
+	if o.Fence < e.fence {
+		return ranks.Fenced, errors.New("fenced")
+	}
+	e.fence = o.Fence
+	switch o.Op {
+	case ranks.Prepare:
+		e.prepared, e.next = o.Version, nil
+		for _, set := range o.Map {
+			e.next = append(e.next, set[e.rank])
+		}
+	case ranks.Arm:
+		if e.prepared != o.Version || o.Step <= e.g.step {
+			return ranks.Refused, errors.New("not prepared, or begun")
+		}
+		e.armed, e.armAt = o.Version, o.Step
+	case ranks.Disarm:
+		if e.armed == o.Version {
+			e.armed = ranks.None
+		}
+	case ranks.Hold:
+		if o.Step <= e.g.step {
+			return ranks.Refused, errors.New("begun")
+		}
+		e.held = o.Step
+	case ranks.Go:
+		if e.held == o.Step {
+			e.held = ranks.None
+		}
+	}
+	return ranks.Taken, nil
+}
+
+// deployment is a group with an agent beside each rank.
+type deployment struct {
+	g     *groupOfEngines
+	store *platform.Store
+	state *kv.Store
+	stop  []context.CancelFunc
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &deployment{g: newGroupOfEngines(), state: kv.NewStore(clockwork.NewRealClock())}
+	srv := httptest.NewServer(kv.NewServer(d.state).Handler())
+	t.Cleanup(srv.Close)
+	t.Cleanup(cancel) // before the service closes, so that no watch waits
+	d.store = platform.NewStore(srv.URL, time.Second)
+	go d.g.run(ctx)
+	for r := range testRanks {
+		d.agent(ctx, t, r)
+	}
+	return d
+}
+
+// agent starts the agent of a rank.
+func (d *deployment) agent(ctx context.Context, t *testing.T, rank int) {
+	t.Helper()
+	ctx, stop := context.WithCancel(ctx)
+	d.stop = append(d.stop, stop)
+	clock := clockwork.NewRealClock()
+	self := fleet.Member{Name: fmt.Sprint("vm-", rank), Role: fleet.RoleRank, Address: freeAddress(t), Upstream: fmt.Sprint(rank)}
+	view := fleet.NewView(clock, zap.NewNop())
+	datagrams, err := fleet.ListenDatagrams(self.Address, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	routes := &routing.Store{}
+	routes.Apply(routing.Configuration{Version: 1, Services: []routing.Service{{Name: "s", Engine: &routing.Engine{
+		Experts: routing.ExpertShape{Sets: 1, Experts: testExperts, Places: 6, Spare: 2, TokenShare: 0.85, CopyTime: time.Millisecond},
+	}}}}, clock.Now())
+	a := rankagent.New(rankagent.Options{
+		Self: self, Service: "s", Engine: d.g.engines[rank],
+		Connect: func(address string) rankagent.Engine {
+			var n int
+			_, _ = fmt.Sscan(address, &n)
+			return d.g.engines[n]
+		},
+		View: view, Datagrams: datagrams, Routes: routes, KV: d.store, LeaderTerm: time.Second, Fencing: true,
+		Clock: clock, Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
+	})
+	if err := fleet.Serve(ctx, self.Address, a.Handler(ctx), zap.NewNop()); err != nil {
+		t.Fatal(err)
+	}
+	go (&feed.Feed{KV: d.store, Prefix: fleet.Prefix, Sink: view, Clock: clock, Log: zap.NewNop()}).Run(ctx)
+	go (&fleet.Registrar{KV: d.store, Self: self, Clock: clock, Log: zap.NewNop()}).Run(ctx)
+	go a.Lead(ctx)
+}
+
+func (d *deployment) leader() string {
+	item, err := d.state.Get(fleet.LeaderKey("g"))
+	if err != nil {
+		return ""
+	}
+	return string(item.Value)
+}
+
+// One agent leads, sees that one expert is chosen most, and spreads its copies;
+// with a third of the orders without an answer, too.
+func TestLeaderFollowsDemand(t *testing.T) {
+	for _, lost := range []float64{0, 0.3} {
+		g := NewWithT(t)
+		d := deploy(t)
+		d.g.mu.Lock()
+		d.g.lost = lost
+		d.g.mu.Unlock()
+		copies := func() int {
+			d.g.mu.Lock()
+			defer d.g.mu.Unlock()
+			n := 0
+			for _, e := range d.g.engines {
+				for _, x := range e.experts[0] {
+					if x == 0 {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		g.Eventually(copies, "20s").Should(Equal(testRanks))
+		_, _, _, mixed := d.g.state()
+		g.Expect(mixed).To(BeFalse())
+	}
+}
+
+// A hold that nobody stands behind any more is ended by whoever leads next, and
+// when the leader is gone another agent takes its place.
+func TestHoldThatIsLeftBehindIsEnded(t *testing.T) {
+	g := NewWithT(t)
+	d := deploy(t)
+	g.Eventually(d.leader, "10s").ShouldNot(BeEmpty())
+	first := d.leader()
+	var rank int
+	_, err := fmt.Sscanf(first, "vm-%d", &rank)
+	g.Expect(err).NotTo(HaveOccurred())
+	d.stop[rank]()
+	d.g.mu.Lock()
+	d.g.engines[0].held = d.g.step + 3
+	d.g.mu.Unlock()
+	g.Eventually(d.leader, "20s").ShouldNot(Or(BeEmpty(), Equal(first)))
+	before, _, _, _ := d.g.state()
+	g.Eventually(func() int64 {
+		step, _, _, _ := d.g.state()
+		return step
+	}, "10s").Should(BeNumerically(">", before+20))
+	_, _, _, mixed := d.g.state()
+	g.Expect(mixed).To(BeFalse())
+}
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -66,17 +66,8 @@
 	// Slots is the number of requests that run at once.
 	Slots int
 	// Step is the time of a token step, PerSequence what each running request
-	// adds to it and PerContext what each thousand tokens of context add.
-	Step, PerSequence, PerContext time.Duration
-	// ReadRate is the prompt tokens read a second, Chunk the most in one step.
-	ReadRate float64
-	Chunk    int
-	// Stride is the number of steps in a pass, and of tokens in an event.
-	Stride int
-	// UsualPrompt and UsualAnswer are mean token counts.
-	UsualPrompt, UsualAnswer int
-	// ReportLag is the age of the loads that engines report.
-	ReportLag time.Duration
+	// adds to it.
+	Step, PerSequence time.Duration
 	// Experts is the shape of the expert maps; its zero value means none.
 	Experts ExpertShape
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -25,17 +25,12 @@
 	LocalUpstream, LocalService string
 
 	MemoryBytes int64
-	Descriptors int
 
 	// DrainBound is how soon after its announcement a leaving upstream must
 	// get no new work, ConfigBound how soon a configuration must be in force.
 	DrainBound, ConfigBound time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
-	// Heartbeat is how often an upstream renews its entry in the store.
-	Heartbeat time.Duration
-	// StallBound is how long work waits on a dead rank before it is cut off.
-	StallBound time.Duration
 	// ShortestLease is the least term that the store grants.
 	ShortestLease time.Duration
 
