Leave the expert maps alone where engines don't fence

Cause: an order whose answer was lost is made void by a higher fence; engines that check none could carry it out at any moment, and give two ranks different maps. Some deployments have such engines.

Measured: an agent before such engines gives no order (a new test); nothing changes where they fence.

--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -58,8 +58,14 @@
 }
 
 // Lead stands for the leadership of the rank's group, and leads it, until ctx
-// is done.
+// is done. Where engines don't fence, an order whose answer was lost can't be made
+// void, and a late one could give two ranks different maps: the group keeps the
+// map that it has.
 func (a *Agent) Lead(ctx context.Context) {
+	if !a.Fencing {
+		a.Log.Warn("expert maps are left alone: the engines don't refuse orders with an old fence")
+		return
+	}
 	for ctx.Err() == nil {
 		st, err := a.Engine.Status(ctx)
 		shape, known := a.shape()
--- a/internal/rankagent/rankagent_test.go
+++ b/internal/rankagent/rankagent_test.go
@@ -177,7 +177,7 @@
 	return l.Addr().String()
 }
 
-func deploy(t *testing.T) *deployment {
+func deploy(t *testing.T, fencing bool) *deployment {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &deployment{g: newGroupOfEngines(), state: kv.NewStore(clockwork.NewRealClock())}
@@ -187,13 +187,13 @@
 	d.store = platform.NewStore(srv.URL, time.Second)
 	go d.g.run(ctx)
 	for r := range testRanks {
-		d.agent(ctx, t, r)
+		d.agent(ctx, t, r, fencing)
 	}
 	return d
 }
 
 // agent starts the agent of a rank.
-func (d *deployment) agent(ctx context.Context, t *testing.T, rank int) {
+func (d *deployment) agent(ctx context.Context, t *testing.T, rank int, fencing bool) {
 	t.Helper()
 	ctx, stop := context.WithCancel(ctx)
 	d.stop = append(d.stop, stop)
@@ -215,7 +215,7 @@
 			_, _ = fmt.Sscan(address, &n)
 			return d.g.engines[n]
 		},
-		View: view, Datagrams: datagrams, Routes: routes, KV: d.store, LeaderTerm: time.Second, Fencing: true,
+		View: view, Datagrams: datagrams, Routes: routes, KV: d.store, LeaderTerm: time.Second, Fencing: fencing,
 		Clock: clock, Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
 	})
 	if err := fleet.Serve(ctx, self.Address, a.Handler(ctx), zap.NewNop()); err != nil {
@@ -239,7 +239,7 @@
 func TestLeaderFollowsDemand(t *testing.T) {
 	for _, lost := range []float64{0, 0.3} {
 		g := NewWithT(t)
-		d := deploy(t)
+		d := deploy(t, true)
 		d.g.mu.Lock()
 		d.g.lost = lost
 		d.g.mu.Unlock()
@@ -262,11 +262,20 @@
 	}
 }
 
+// Engines that take any order are given none.
+func TestEnginesThatDontFenceKeepTheirMap(t *testing.T) {
+	g := NewWithT(t)
+	d := deploy(t, false)
+	g.Consistently(d.leader, "1500ms").Should(BeEmpty())
+	_, version, _, _ := d.g.state()
+	g.Expect(version).To(BeZero())
+}
+
 // A hold that nobody stands behind any more is ended by whoever leads next, and
 // when the leader is gone another agent takes its place.
 func TestHoldThatIsLeftBehindIsEnded(t *testing.T) {
 	g := NewWithT(t)
-	d := deploy(t)
+	d := deploy(t, true)
 	g.Eventually(d.leader, "10s").ShouldNot(BeEmpty())
 	first := d.leader()
 	var rank int
--- a/internal/rankagent/tenure.go
+++ b/internal/rankagent/tenure.go
@@ -87,9 +87,8 @@
 }
 
 // leads says whether this process may begin something. Without a lease that can
-// be relied on, it may only where engines refuse a deposed leader's orders, and
-// while nothing shows another one: nobody can take the lease while the service
-// is away.
+// be relied on, it may while nothing shows another leader: nobody can take the
+// lease while the service is away, and engines refuse a deposed leader's orders.
 func (t *tenure) leads() bool {
 	t.mu.Lock()
 	held, over := t.held, t.over
@@ -101,7 +100,7 @@
 		return true
 	}
 	other := t.a.View.Leader(t.group)
-	return t.a.Fencing && (other == "" || other == t.a.Self.Name)
+	return other == "" || other == t.a.Self.Name
 }
 
 // next returns the fence of the next order.
