--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -216,5 +216,5 @@
 	g.Expect(errOut.String()).To(ContainSubstring("give the store's address as IP:port"))
 	errOut.Reset()
 	g.Expect(Main(context.Background(), []string{"rank", "--metrics-port", "x"}, &out, &errOut)).To(Equal(ExitSettings))
-	g.Expect(errOut.String()).To(ContainSubstring("metrics-port"))
+	g.Expect(errOut.String()).To(ContainSubstring(`--metrics-port: "x" can't be read`))
 }
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -30,8 +30,6 @@
 	leadTime = 50 * time.Millisecond
 	// maxLeadTime bounds that where orders take long.
 	maxLeadTime = 800 * time.Millisecond
-	// fenceBits are the bits of a fence that count the orders of one leader.
-	fenceBits = 20
 	// planMoves bounds the search of a plan for one set.
 	planMoves = 120
 )
@@ -117,9 +115,9 @@
 	t.release(context.WithoutCancel(ctx))
 }
 
-// run leads until the leadership is lost.
+// run leads until the leadership is lost or its fences run out.
 func (l *leader) run(ctx context.Context) {
-	for ctx.Err() == nil && !l.tenure.isOver() {
+	for ctx.Err() == nil && !l.tenure.isOver() && !l.tenure.spent() {
 		l.pause = leadInterval
 		if l.tenure.leads() {
 			l.tick()
--- a/internal/rankagent/tenure.go
+++ b/internal/rankagent/tenure.go
@@ -28,6 +28,15 @@
 	over bool
 }
 
+const (
+	// fenceBits are the bits of a fence that count the orders of one tenure. With
+	// the lease's number above them it stays exact in a double.
+	fenceBits = 20
+	// fencesKept is the part of a tenure's fences after which it ends, so that
+	// the switch under way finds enough.
+	fencesKept = 1 << (fenceBits - 1)
+)
+
 // renewals is how often a lease is looked at in its term.
 const renewals = 6
 
@@ -103,6 +112,14 @@
 	return other == "" || other == t.a.Self.Name
 }
 
+// spent says whether the fences of this tenure run out: the leader has to take
+// the lease anew, under a higher number, before it begins another switch.
+func (t *tenure) spent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.orders > fencesKept
+}
+
 // next returns the fence of the next order.
 func (t *tenure) next() int64 {
 	t.mu.Lock()
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -14,21 +14,20 @@
 	LogLevel    string
 	MetricsPort int
 
-	bad malformed
+	// parsed keeps the values that can't be read.
+	parsed Common
 }
 
 // Declare adds the flags to a command.
 func (h *Hosted) Declare(cmd *kingpin.CmdClause) {
-	c := Common{}
 	flag(cmd, "log-level", "Log level: debug, info, warn or error.").Default("info").StringVar(&h.LogLevel)
-	c.number(cmd, "metrics-port", "Port of the metrics on the VM's address.", "9464", &h.MetricsPort)
-	h.bad = c.bad
+	h.parsed.number(cmd, "metrics-port", "Port of the metrics on the VM's address.", "9464", &h.MetricsPort)
 }
 
 // Check returns every fault of the settings, or nil.
 func (h *Hosted) Check() error {
 	var faults []error
-	for name, b := range h.bad {
+	for name, b := range h.parsed.bad {
 		faults = append(faults, fault.New(fault.Invalid, b.remedy, "--%s: %q can't be read", name, b.text))
 	}
 	if h.MetricsPort < 1 || h.MetricsPort > 65535 {
