Remove code the change left without callers and join its twins

Without callers: request.first, Gateway.Draining, Reply.Length and Reply.Buffered, Directory.Get, host.out, group.close (its connections end with the context), the argument of Switcher.Note that nothing read, and an After that errNoUpstream overwrote at once.

Twins: the gateway and the rank started their metrics listener with the same lines (host.serveMetrics); two waits in the feed are Feed.sleep.

Behaviour is unchanged. In the tests only the closure handed to Switcher lost the unread argument; every assertion stands.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,10 +4,8 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -21,7 +19,6 @@
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 	"github.com/kingcupreel/kingcupreel/internal/settings"
-	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/internal/upstream"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 	"github.com/kingcupreel/kingcupreel/platform"
@@ -80,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	ops, err := h.serve(work, net.JoinHostPort(h.node.IP, strconv.Itoa(s.MetricsPort)), telemetry.ExpositionHandler(h.metrics))
+	ops, err := h.serveMetrics(work, s.MetricsPort)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -48,7 +48,6 @@
 // host is what every process on the platform has.
 type host struct {
 	node    settings.Node
-	out     *telemetry.Bounded
 	log     *zap.Logger
 	metrics metrics.Registry
 	store   *platform.Store
@@ -68,7 +67,7 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(node.MemoryBytes)))
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
-	h := &host{node: node, out: out, log: log, metrics: reg, clock: clockwork.NewRealClock()}
+	h := &host{node: node, log: log, metrics: reg, clock: clockwork.NewRealClock()}
 	h.store = platform.NewStore(node.StoreAddress, platform.DefaultStoreTimeout)
 	h.store.Observe = func(path string, err error) {
 		result := "ok"
@@ -140,6 +139,11 @@
 	return s, nil
 }
 
+// serveMetrics serves the process's metrics on the VM's address.
+func (h *host) serveMetrics(ctx context.Context, port int) (*khttp.Server, error) {
+	return h.serve(ctx, net.JoinHostPort(h.node.IP, strconv.Itoa(port)), telemetry.ExpositionHandler(h.metrics))
+}
+
 // newApp builds the kratos application; drain runs before the servers stop.
 func (h *host) newApp(ctx context.Context, drain func(context.Context) error, servers ...transport.Server) *kratos.App {
 	return kratos.New(
--- a/internal/daemon/rank.go
+++ b/internal/daemon/rank.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,7 +11,6 @@
 	"github.com/kingcupreel/kingcupreel/internal/rankagent"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 	"github.com/kingcupreel/kingcupreel/internal/settings"
-	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/platform"
 )
 
@@ -60,7 +57,7 @@
 		defer close(led)
 		a.Lead(lead)
 	}()
-	ops, err := h.serve(work, net.JoinHostPort(h.node.IP, strconv.Itoa(s.MetricsPort)), telemetry.ExpositionHandler(h.metrics))
+	ops, err := h.serveMetrics(work, s.MetricsPort)
 	if err != nil {
 		return err
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -295,17 +295,6 @@
 	return list
 }
 
-// Get returns the upstream of an id.
-func (d *Directory) Get(id string) (Upstream, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r := d.records[id]
-	if r == nil {
-		return Upstream{}, false
-	}
-	return r.Upstream, true
-}
-
 // signal wakes the receiver of Changed. The caller holds mu.
 func (d *Directory) signal() {
 	select {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -81,10 +81,7 @@
 			continue
 		}
 		f.note(err)
-		select {
-		case <-ctx.Done():
-		case <-f.Clock.After(f.backoff/2 + rand.N(f.backoff/2)):
-		}
+		f.sleep(ctx, f.backoff/2+rand.N(f.backoff/2))
 	}
 }
 
@@ -116,14 +113,19 @@
 	}
 	f.Sink.Apply(b)
 	if f.Gather > 0 {
-		select {
-		case <-ctx.Done():
-		case <-f.Clock.After(f.gather()):
-		}
+		f.sleep(ctx, f.gather())
 	}
 	return nil
 }
 
+// sleep waits, or until ctx is done.
+func (f *Feed) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.Clock.After(d):
+	}
+}
+
 // wait returns how long the next watch waits. The first one after a failure
 // returns at once, so that the service's return is known from then.
 func (f *Feed) wait() time.Duration {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,7 +57,7 @@
 	for {
 		m := q.g.Pools.Pick(q.service, q.tried)
 		if m == nil {
-			q.conclude(last, errNoUpstream.After(q.comeBack()))
+			q.conclude(last, errNoUpstream.After(comeBack()))
 			return
 		}
 		repeat := q.attempts > 0
@@ -78,7 +78,7 @@
 }
 
 var (
-	errNoUpstream = fault.New(fault.Unavailable, "try again shortly", "no upstream of the service can take the request").After(busyDelay)
+	errNoUpstream = fault.New(fault.Unavailable, "try again shortly", "no upstream of the service can take the request")
 	errBudget     = fault.New(fault.Unavailable, "try again shortly", "the service's budget for repeats is used up").After(busyDelay)
 )
 
@@ -92,7 +92,7 @@
 
 // comeBack returns when a caller may come back to a service without a usable
 // upstream.
-func (q *request) comeBack() time.Duration {
+func comeBack() time.Duration {
 	return time.Duration(float64(shutDelay) * (1 - delaySpread*rand.Float64()))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,9 +141,6 @@
 // Drain makes every answer from now on close its connection.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// Draining says whether Drain was called.
-func (g *Gateway) Draining() bool { return g.draining.Load() }
-
 // Ready says whether the gateway knows enough to serve callers.
 func (g *Gateway) Ready() bool {
 	return !g.draining.Load() && g.Routes.Current() != nil && g.Directory.Synced()
@@ -210,6 +207,6 @@
 	}
 }
 
-// poolInterval is how often absences and ejections are looked at: several
+// poolInterval is how often absences are looked at: several
 // times within the bound on leaving upstreams.
 const poolInterval = 250 * time.Millisecond
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -52,7 +52,6 @@
 	// is the last event that has.
 	head      bool
 	delivered string
-	first     time.Time
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,7 +33,6 @@
 			return q.streamEnd(reply, event, err)
 		}
 		if !q.head {
-			q.first = time.Now()
 			q.writeHead(reply.Status, reply.Header)
 			q.g.stats.firstEvent(q.service, time.Since(q.begun))
 			q.log.Info("first event", zap.String("upstream", m.ID), zap.Duration("after", time.Since(q.begun)))
--- a/internal/planner/even.go
+++ b/internal/planner/even.go
@@ -6,6 +6,10 @@
 	"slices"
 )
 
+// Even shares: ranks that hold an expert share its tokens evenly, and a step
+// waits, set of layers by set, for the most loaded rank. Weights of shares
+// can't be set, so only where the copies lie decides.
+
 // EvenSets plans all sets of layers together: each rank gets at most copies new
 // experts in all, the sets with the most to gain first.
 func EvenSets(current []Placement, load [][]float64, limits EvenLimits, copies int) []Placement {
@@ -33,10 +37,6 @@
 	return next
 }
 
-// Even shares: ranks that hold an expert share its tokens evenly, and a step
-// waits, set of layers by set, for the most loaded rank. Weights of shares
-// can't be set, so only where the copies lie decides.
-
 // Placement lists the experts that each rank holds in one set of layers.
 type Placement [][]int
 
--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -24,7 +24,8 @@
 )
 
 // group reaches the ranks of one group through their agents, or directly where
-// an agent doesn't answer. It implements ranks.Group.
+// an agent doesn't answer. Its connections end with ctx. It implements
+// ranks.Group.
 type group struct {
 	a    *Agent
 	ctx  context.Context
@@ -73,19 +74,6 @@
 	return &group{a: a, ctx: ctx, name: name, peers: map[string]*peer{}, byRank: map[int]string{}}
 }
 
-// close ends the connections.
-func (g *group) close() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, p := range g.peers {
-		p.mu.Lock()
-		if p.conn != nil {
-			p.conn.Close()
-		}
-		p.mu.Unlock()
-	}
-}
-
 // refresh brings the peers in step with the registrations.
 func (g *group) refresh() []*peer {
 	members := g.a.View.Members(fleet.RoleRank)
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -109,7 +109,6 @@
 	defer cancel()
 	go t.keep(work)
 	l := &leader{a: a, group: a.newGroup(work, st.Group), tenure: t, shape: shape}
-	defer l.group.close()
 	l.run(ctx)
 	a.Log.Info("leading ended", zap.String("group", st.Group), zap.Int64("fence", t.fence))
 	t.release(context.WithoutCancel(ctx))
@@ -181,7 +180,7 @@
 func (l *leader) switcher(size int) *ranks.Switcher {
 	return &ranks.Switcher{
 		Group: l.group, Size: size, Fence: l.tenure.next, Leads: l.tenure.leads,
-		Note: func(_ string, rank int, o ranks.Order, a ranks.Answer) {
+		Note: func(rank int, o ranks.Order, a ranks.Answer) {
 			if a.Verdict == ranks.Fenced {
 				l.tenure.deposed()
 			}
--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -16,8 +16,8 @@
 	// Leads says whether this process may still begin something. What it has
 	// begun is ended in any case.
 	Leads func() bool
-	// Note is told what happens, for the log; nil is allowed.
-	Note func(what string, rank int, o Order, a Answer)
+	// Note is told each order and its answer, for the log; nil is allowed.
+	Note func(rank int, o Order, a Answer)
 }
 
 // Limits of a switch, in readings of the group.
@@ -86,17 +86,13 @@
 	}
 	answers := s.Group.Order(orders)
 	for r, a := range answers {
-		s.note("order", r, orders[r], a)
+		if s.Note != nil {
+			s.Note(r, orders[r], a)
+		}
 	}
 	return answers
 }
 
-func (s *Switcher) note(what string, rank int, o Order, a Answer) {
-	if s.Note != nil {
-		s.Note(what, rank, o, a)
-	}
-}
-
 func (s *Switcher) every() map[int]bool {
 	ranks := map[int]bool{}
 	for r := range s.Size {
--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -364,7 +364,7 @@
 			s := &ranks.Switcher{
 				Group: c, Size: len(w.engines), Leads: func() bool { return !deposed },
 				Fence: func() int64 { n += ranks.Repeats; return base<<20 + n },
-				Note: func(_ string, _ int, _ ranks.Order, a ranks.Answer) {
+				Note: func(_ int, _ ranks.Order, a ranks.Answer) {
 					deposed = deposed || a.Verdict == ranks.Fenced
 				},
 			}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -213,9 +213,6 @@
 	closed    bool
 }
 
-// Length returns the length of the body, or -1 when it isn't stated.
-func (r *Reply) Length() int64 { return r.resp.ContentLength }
-
 // Read reads the body. At its end, io.EOF means that it is whole; any other
 // error is an *Error.
 func (r *Reply) Read(p []byte) (int, error) {
@@ -230,9 +227,6 @@
 	return n, err
 }
 
-// Buffered says whether more of the body has arrived already.
-func (r *Reply) Buffered() bool { return r.conn.br.Buffered() > 0 }
-
 // ReadAll reads the whole body.
 func (r *Reply) ReadAll() ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, r.transport.opts.MaxBuffered+1))
