Set a switch only as far ahead as its orders take

Cause: the time a round of orders takes, which says how many steps ahead a switch is set, held the time ranks take to copy experts (0.3 s), and the length of a step was measured between two readings, where one of 117 ms could look like 59 ms. After a shift of demand the group went on for six or seven slow steps (0.8 s) on the old map although every rank was armed.

Ruled out: planning (the peak falls from 3.2 to 1.06 in one plan) and the time of the orders themselves (60 ms for 63 ranks).

--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -36,7 +36,7 @@
 	// byRank names the member that looks after each rank.
 	byRank map[int]string
 	// orderTime is how long a round of orders takes of late, the slowest rank's
-	// included.
+	// included; the time to copy experts is not.
 	orderTime time.Duration
 }
 
@@ -239,7 +239,11 @@
 // Order implements ranks.Group.
 func (g *group) Order(orders map[int]ranks.Order) map[int]ranks.Answer {
 	start := g.a.Clock.Now()
-	defer func() { g.took(g.a.Clock.Since(start)) }()
+	defer func() {
+		if !copies(orders) {
+			g.took(g.a.Clock.Since(start))
+		}
+	}()
 	var peers []*peer
 	rankOf := map[*peer]int{}
 	g.mu.Lock()
@@ -264,6 +268,16 @@
 	return answers
 }
 
+// copies says whether the ranks copy experts before they answer the orders.
+func copies(orders map[int]ranks.Order) bool {
+	for _, o := range orders {
+		if o.Op == ranks.Prepare {
+			return true
+		}
+	}
+	return false
+}
+
 // timeout bounds an order that is given to a peer's engine directly. Where the
 // rank has an agent that didn't answer, the order may have been carried out
 // already: a copy is void or finds its state holding.
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -47,12 +47,10 @@
 	epoch  int64
 	moved  float64
 	// pause is the time to the next reading.
-	pause    time.Duration
-	placed   []planner.Placement // by set; nil when not known
-	version  int64
-	lastStep int64
-	stepAt   time.Time
-	stepTime time.Duration
+	pause   time.Duration
+	placed  []planner.Placement // by set; nil when not known
+	version int64
+	pace    ranks.Pace
 }
 
 // Lead stands for the leadership of the rank's group, and leads it, until ctx
@@ -200,16 +198,12 @@
 		step = max(step, st.Step)
 		epoch = max(epoch, st.Epoch)
 	}
-	now := l.a.Clock.Now()
-	if step > l.lastStep && l.lastStep > 0 {
-		l.stepTime = now.Sub(l.stepAt) / time.Duration(step-l.lastStep)
-	}
-	l.lastStep, l.stepAt = step, now
+	l.pace.Add(step, l.a.Clock.Now())
 	if epoch != l.epoch {
 		if l.epoch != 0 {
 			l.a.Log.Info("group formed anew", zap.Int64("epoch", epoch), zap.Int64("before", l.epoch))
 		}
-		l.epoch, l.placed, l.demand = epoch, nil, ranks.Demand{}
+		l.epoch, l.placed, l.demand, l.pace = epoch, nil, ranks.Demand{}, ranks.Pace{}
 	}
 	version := ranks.None
 	for _, st := range statuses {
@@ -301,7 +295,7 @@
 		return nil
 	}
 	l.a.Log.Info("new map planned", zap.Float64("moved", l.moved), zap.Float64("peak_before", before), zap.Float64("peak_after", after), zap.Float64("seen", seen),
-		zap.Duration("step_time", l.stepTime), zap.Int64("in_force", l.version))
+		zap.Duration("step_time", l.pace.StepTime()), zap.Int64("in_force", l.version))
 	return next
 }
 
@@ -322,13 +316,9 @@
 	}
 	version := l.tenure.next()
 	// All ranks are armed and the hold is ended before the step is due, so that
-	// the group doesn't wait: two rounds of orders. The step under way is the
-	// first of those ahead.
+	// the group doesn't wait: two rounds of orders.
 	ahead := min(max(leadTime, 2*l.group.roundTime()), maxLeadTime)
-	lead := int64(2)
-	if l.stepTime > 0 {
-		lead = 1 + int64((ahead+l.stepTime-1)/l.stepTime)
-	}
+	lead := l.pace.Lead(ahead)
 	start := l.a.Clock.Now()
 	err := s.Switch(l.epoch, version, m, lead)
 	result := "done"
@@ -340,5 +330,5 @@
 	}
 	telemetry.Counter(l.a.Metrics, "map_switches."+result).Inc(1)
 	l.a.Log.Info("map switch ended", zap.Int64("version", version), zap.Int64("epoch", l.epoch), zap.String("result", result), zap.Error(err),
-		zap.Duration("took", l.a.Clock.Since(start)))
+		zap.Int64("lead", lead), zap.Duration("ahead", ahead), zap.Duration("took", l.a.Clock.Since(start)))
 }
--- /dev/null
+++ b/internal/ranks/pace_test.go
@@ -0,0 +1,37 @@
+package ranks_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/ranks"
+)
+
+// Demand shifts and steps take twice as long: a reading right after one step's
+// end and the next right before another's must not be taken for short steps,
+// since the switch would then be set many slow steps ahead.
+func TestPaceOfAGroupWhoseStepsGetLong(t *testing.T) {
+	g := NewWithT(t)
+	var p ranks.Pace
+	start := time.Unix(100, 0)
+	g.Expect(p.StepTime()).To(BeZero())
+	g.Expect(p.Lead(time.Second)).To(Equal(int64(2)))
+	steps := func(at time.Duration) int64 {
+		if at < time.Second {
+			return int64(at / (59 * time.Millisecond))
+		}
+		return int64(time.Second/(59*time.Millisecond)) + int64((at-time.Second)/(117*time.Millisecond))
+	}
+	for at := time.Duration(0); at <= time.Second; at += 200 * time.Millisecond {
+		p.Add(steps(at), start.Add(at))
+	}
+	g.Expect(p.StepTime()).To(BeNumerically("~", 59*time.Millisecond, 10*time.Millisecond))
+	for _, at := range []time.Duration{1200, 1280, 1480, 1680, 1760} {
+		p.Add(steps(at*time.Millisecond), start.Add(at*time.Millisecond))
+	}
+	g.Expect(p.StepTime()).To(BeNumerically(">=", 90*time.Millisecond))
+	g.Expect(p.Lead(70 * time.Millisecond)).To(Equal(int64(2)))
+	g.Expect(p.Lead(300 * time.Millisecond)).To(Equal(int64(4)))
+}
