Plan from a reading that holds nothing from before a change

Cause: a reading that ends soon after demand has shifted shows little of it (moved 0.10, under the limit of 0.12), yet its load is uneven enough for a plan. The map planned from that mix fitted neither demand and kept the next plan back for 0.4 s.

Ruled out: a lower limit, which steady demand passes too (it moves 0.04 to 0.09 from reading to reading).

Change: a plan that an uneven load calls for waits for one more reading, which stands alone (Demand.Doubt).

--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -165,16 +165,32 @@
 	case !fresh:
 		l.pause = settleInterval
 	default:
-		if next := l.plan(); next != nil {
-			l.switchTo(s, next)
-			// Demand may have shifted in the meantime. A reading of that time
-			// would mix both.
-			l.demand.Restart()
-			l.pause = 0
-		}
+		l.balance(s)
 	}
 }
 
+// balance plans and switches the map if the ranks' load is uneven.
+func (l *leader) balance(s *ranks.Switcher) {
+	loads, peak, off := l.offBalance()
+	if !off {
+		return
+	}
+	if l.demand.Doubt() {
+		l.a.Log.Info("load is uneven", zap.Float64("peak", peak), zap.Float64("moved", l.moved), zap.Int64("in_force", l.version))
+		l.pause = settleInterval
+		return
+	}
+	next := l.plan(loads, peak)
+	if next == nil {
+		return
+	}
+	l.switchTo(s, next)
+	// Demand may have shifted in the meantime. A reading of that time would mix
+	// both.
+	l.demand.Restart()
+	l.pause = 0
+}
+
 func (l *leader) switcher(size int) *ranks.Switcher {
 	return &ranks.Switcher{
 		Group: l.group, Size: size, Fence: l.tenure.next, Leads: l.tenure.leads,
@@ -265,27 +281,31 @@
 	minSeen = 20
 )
 
-// plan returns the next map by set, or nil when the map in force should stay.
-func (l *leader) plan() []planner.Placement {
-	limits := planner.EvenLimits{
-		Places: l.shape.Places, Spare: l.shape.Spare, Moves: planMoves,
-		CopyGain: l.shape.CopyTime.Seconds() / copyHorizon.Seconds(),
-	}
-	loads := make([][]float64, l.shape.Sets)
-	before, after, seen := 0.0, 0.0, 0.0
+// offBalance returns the load of each set's experts, and that of the most loaded
+// ranks over the mean; false means that the map in force should stay.
+func (l *leader) offBalance() (loads [][]float64, peak float64, off bool) {
+	loads = make([][]float64, l.shape.Sets)
+	seen := 0.0
 	for set := range loads {
 		if loads[set] = l.demand.Set(set, l.shape.Experts); loads[set] == nil {
-			return nil
+			return nil, 0, false
 		}
 		for _, n := range loads[set] {
 			seen += n
 		}
-		before += l.placed[set].Peak(loads[set]) / float64(l.shape.Sets)
+		peak += l.placed[set].Peak(loads[set]) / float64(l.shape.Sets)
 	}
-	if seen < float64(minSeen*l.shape.Sets*l.shape.Experts) || before < worthPlanning {
-		return nil
+	return loads, peak, seen >= float64(minSeen*l.shape.Sets*l.shape.Experts) && peak >= worthPlanning
+}
+
+// plan returns the next map by set, or nil when the map in force should stay.
+func (l *leader) plan(loads [][]float64, before float64) []planner.Placement {
+	limits := planner.EvenLimits{
+		Places: l.shape.Places, Spare: l.shape.Spare, Moves: planMoves,
+		CopyGain: l.shape.CopyTime.Seconds() / copyHorizon.Seconds(),
 	}
 	next := planner.EvenSets(l.placed, loads, limits, l.maxCopies())
+	after := 0.0
 	for set := range next {
 		after += next[set].Peak(loads[set]) / float64(l.shape.Sets)
 	}
@@ -294,7 +314,7 @@
 	if stepAfter > stepBefore*(1-minGain) {
 		return nil
 	}
-	l.a.Log.Info("new map planned", zap.Float64("moved", l.moved), zap.Float64("peak_before", before), zap.Float64("peak_after", after), zap.Float64("seen", seen),
+	l.a.Log.Info("new map planned", zap.Float64("moved", l.moved), zap.Float64("peak_before", before), zap.Float64("peak_after", after),
 		zap.Duration("step_time", l.pace.StepTime()), zap.Int64("in_force", l.version))
 	return next
 }
--- a/internal/ranks/demand.go
+++ b/internal/ranks/demand.go
@@ -34,6 +34,9 @@
 	// settling says that demand has just shifted: the reading that showed it
 	// mixes what was and what is, and so counts for nothing.
 	settling bool
+	// alone says that the load is that of one reading, taken after a change was
+	// seen.
+	alone bool
 	// skip says that the next reading reaches back too far.
 	skip bool
 }
@@ -68,7 +71,7 @@
 	if moved > 0 {
 		d.usual += usualWeight * (moved - d.usual)
 	}
-	d.settling = false
+	d.settling, d.alone = false, d.settling
 	if len(d.load) != len(chosen) {
 		d.load = make([]float64, len(chosen))
 	}
@@ -81,6 +84,17 @@
 // Restart makes the next reading count for nothing.
 func (d *Demand) Restart() { d.skip = true }
 
+// Doubt says that the load may mix what was chosen before and after a change that
+// the shares alone don't show, and makes the next reading stand alone. It is false
+// for a load that stands alone already.
+func (d *Demand) Doubt() bool {
+	if d.alone {
+		return false
+	}
+	d.settling, d.load = true, nil
+	return true
+}
+
 // Settling says that demand has shifted and the next reading shows the new one.
 func (d *Demand) Settling() bool { return d.settling }
 
--- a/internal/ranks/demand_test.go
+++ b/internal/ranks/demand_test.go
@@ -55,6 +55,27 @@
 	}
 }
 
+// A reading that ends soon after demand has shifted shows little of it. A plan
+// that it calls for waits for a reading that holds nothing from before.
+func TestLoadThatMayMixTwoDemandsIsReadOnceMore(t *testing.T) {
+	g := NewWithT(t)
+	r := newReader(4)
+	for range 5 {
+		_, _ = r.read(200*time.Millisecond, []int64{800, 100, 50, 50})
+	}
+	_, _ = r.read(200*time.Millisecond, []int64{720, 100, 50, 130})
+	g.Expect(r.d.Settling()).To(BeFalse(), "too little has moved")
+	g.Expect(r.d.Doubt()).To(BeTrue())
+	_, fresh := r.read(80*time.Millisecond, []int64{10, 40, 20, 330})
+	g.Expect(fresh).To(BeTrue())
+	g.Expect(r.d.Doubt()).To(BeFalse())
+	for i, want := range []float64{10, 40, 20, 330} {
+		g.Expect(r.d.Set(0, 4)[i]).To(BeNumerically("~", want, 1))
+	}
+	_, _ = r.read(200*time.Millisecond, []int64{20, 80, 40, 660})
+	g.Expect(r.d.Doubt()).To(BeTrue(), "it isn't the first reading any more")
+}
+
 // Steady demand differs a little from reading to reading, and memory fades.
 func TestSteadyDemandIsRemembered(t *testing.T) {
 	g := NewWithT(t)
