Relay the map of a large group through agents, most helpful copies first

Cause: a switch of 63 ranks took 0.4 s since the leader's link (8 Mbit/s) carried the map, 4 to 5 kB, to every rank. Steps are 100 to 150 ms long meanwhile, over the longest pause that callers are promised.

Ruled out: the copying.

Change: from 24 ranks on the leader hands the map to one agent a branch, which relays it (ranks of a branch about as many as branches); ranks whose branch doesn't answer are ordered directly, as before.

--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -110,7 +110,9 @@
 
 // Handler answers the questions and carries out the orders of a leader.
 func (a *Agent) Handler(ctx context.Context) wire.Handler {
+	others := a.newGroup(ctx, "")
 	return &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){
+		wire.KindRankRelay: func(c *wire.Conn, m wire.Message) { a.relay(ctx, c, others, m.(*wire.RankRelay)) },
 		wire.KindRankAsk:   func(c *wire.Conn, m wire.Message) { go a.answer(ctx, c, m.(*wire.RankAsk)) },
 		wire.KindRankOrder: func(c *wire.Conn, m wire.Message) { go a.order(ctx, c, m.(*wire.RankOrder)) },
 	}}
@@ -157,14 +159,20 @@
 }
 
 func (a *Agent) order(ctx context.Context, c *wire.Conn, m *wire.RankOrder) {
-	reply := carryOut(ctx, a.Engine, m.Order, localTimeout)
+	reply := a.carryOut(ctx, m.Order)
 	reply.Nonce = m.Nonce
-	telemetry.Counter(a.Metrics, "rank_orders."+string(m.Order.Op)+"."+reply.Verdict.String()).Inc(1)
-	a.Log.Info("order carried out", zap.String("order", string(m.Order.Op)), zap.Int64("version", m.Order.Version), zap.Int64("step", m.Order.Step),
-		zap.Int64("fence", m.Order.Fence), zap.Int64("epoch", m.Order.Epoch), zap.Stringer("verdict", reply.Verdict), zap.Int64("at_step", reply.Status.Step))
 	_ = c.Send(reply)
 }
 
+// carryOut carries out an order at the own rank.
+func (a *Agent) carryOut(ctx context.Context, o ranks.Order) *wire.RankState {
+	reply := carryOut(ctx, a.Engine, o, localTimeout)
+	telemetry.Counter(a.Metrics, "rank_orders."+string(o.Op)+"."+reply.Verdict.String()).Inc(1)
+	a.Log.Info("order carried out", zap.String("order", string(o.Op)), zap.Int64("version", o.Version), zap.Int64("step", o.Step),
+		zap.Int64("fence", o.Fence), zap.Int64("epoch", o.Epoch), zap.Stringer("verdict", reply.Verdict), zap.Int64("at_step", reply.Status.Step))
+	return reply
+}
+
 const (
 	// localTimeout bounds an order to the engine on the same VM, which answers
 	// within milliseconds or not at all.
--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -102,28 +102,51 @@
 	if c == nil {
 		return nil
 	}
-	nonce := p.nonce.Add(1)
-	reply := make(chan *wire.RankState, 1)
-	p.mu.Lock()
-	p.waiting[nonce] = reply
-	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		delete(p.waiting, nonce)
-		p.mu.Unlock()
-	}()
+	nonce, reply := p.expect()
+	defer p.forget(nonce)
 	if c.Send(build(nonce)) != nil {
 		return nil
 	}
+	st := await(ctx, c, reply)
+	if st == nil && ctx.Err() != nil {
+		c.Close() // it may have gone silent
+	}
+	return st
+}
+
+// peer returns the agent of a name, nil for one that isn't registered.
+func (g *group) peer(name string) *peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peers[name]
+}
+
+// expect returns the nonce of a question and where its answer will come.
+func (p *peer) expect() (nonce uint64, reply chan *wire.RankState) {
+	nonce = p.nonce.Add(1)
+	reply = make(chan *wire.RankState, 1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting[nonce] = reply
+	return nonce, reply
+}
+
+// forget gives up on an answer.
+func (p *peer) forget(nonce uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiting, nonce)
+}
+
+// await waits for an answer; nil means that none came.
+func await(ctx context.Context, c *wire.Conn, reply chan *wire.RankState) *wire.RankState {
 	select {
-	case m := <-reply:
-		return m
+	case st := <-reply:
+		return st
 	case <-c.Closed():
-		return nil
 	case <-ctx.Done():
-		c.Close()
-		return nil
 	}
+	return nil
 }
 
 // connect returns an open connection to an agent, or nil.
@@ -236,6 +259,13 @@
 	return all
 }
 
+// addressee is a rank that an order goes to.
+type addressee struct {
+	rank  int
+	peer  *peer
+	order ranks.Order
+}
+
 // Order implements ranks.Group.
 func (g *group) Order(orders map[int]ranks.Order) map[int]ranks.Answer {
 	start := g.a.Clock.Now()
@@ -244,28 +274,42 @@
 			g.took(g.a.Clock.Since(start))
 		}
 	}()
-	var peers []*peer
-	rankOf := map[*peer]int{}
+	answers := map[int]ranks.Answer{}
+	var mu sync.Mutex
+	answered := func(to addressee, st *wire.RankState) {
+		mu.Lock()
+		defer mu.Unlock()
+		answers[to.rank] = ranks.Answer{Verdict: st.Verdict, Status: st.Status, OK: st.OK}
+	}
+	var wg sync.WaitGroup
+	for _, branch := range branches(g.addressees(orders), g.a.Self.Name) {
+		wg.Go(func() { g.order(branch, answered) })
+	}
+	wg.Wait()
+	return answers
+}
+
+// addressees returns the ranks that orders go to, in the order of their ranks.
+func (g *group) addressees(orders map[int]ranks.Order) []addressee {
 	g.mu.Lock()
-	for rank := range orders {
+	defer g.mu.Unlock()
+	var list []addressee
+	for rank, o := range orders {
 		if p := g.peers[g.byRank[rank]]; p != nil {
-			peers = append(peers, p)
-			rankOf[p] = rank
+			list = append(list, addressee{rank: rank, peer: p, order: o})
 		}
 	}
-	g.mu.Unlock()
-	states := collect(peers, func(p *peer) *wire.RankState {
-		o := orders[rankOf[p]]
-		if st := g.ask(p, func(n uint64) wire.Message { return &wire.RankOrder{Nonce: n, Order: o} }); st != nil {
-			return st
-		}
-		return carryOut(g.ctx, p.engine, o, g.timeout(p))
-	})
-	answers := map[int]ranks.Answer{}
-	for p, st := range states {
-		answers[rankOf[p]] = ranks.Answer{Verdict: st.Verdict, Status: st.Status, OK: st.OK}
+	slices.SortFunc(list, func(a, b addressee) int { return a.rank - b.rank })
+	return list
+}
+
+// orderOne has a rank's agent carry out an order, or gives it to the engine where
+// the agent doesn't answer.
+func (g *group) orderOne(p *peer, o ranks.Order) *wire.RankState {
+	if st := g.ask(p, func(n uint64) wire.Message { return &wire.RankOrder{Nonce: n, Order: o} }); st != nil {
+		return st
 	}
-	return answers
+	return carryOut(g.ctx, p.engine, o, g.timeout(p))
 }
 
 // copies says whether the ranks copy experts before they answer the orders.
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -274,6 +274,11 @@
 	// copyBudget bounds the time that one switch takes to bring experts to a rank:
 	// steps are slower meanwhile, and the next switch waits.
 	copyBudget = 200 * time.Millisecond
+	// urgentPeak is the load of the most loaded ranks, over the mean, from which
+	// the copies that help most go first, within urgentBudget: about one step.
+	// The next switch brings the others, while steps are short again.
+	urgentPeak   = 1.8
+	urgentBudget = 50 * time.Millisecond
 	// copyHorizon is the time in which a copy has to pay for its own: demand
 	// shifts every few seconds.
 	copyHorizon = 1200 * time.Millisecond
@@ -304,7 +309,7 @@
 		Places: l.shape.Places, Spare: l.shape.Spare, Moves: planMoves,
 		CopyGain: l.shape.CopyTime.Seconds() / copyHorizon.Seconds(),
 	}
-	next := planner.EvenSets(l.placed, loads, limits, l.maxCopies())
+	next := planner.EvenSets(l.placed, loads, limits, l.maxCopies(before))
 	after := 0.0
 	for set := range next {
 		after += next[set].Peak(loads[set]) / float64(l.shape.Sets)
@@ -320,12 +325,16 @@
 }
 
 // maxCopies returns how many experts one switch may bring to a rank, over all
-// sets.
-func (l *leader) maxCopies() int {
+// sets, given the load of the most loaded ranks over the mean.
+func (l *leader) maxCopies(peak float64) int {
 	if l.shape.CopyTime <= 0 {
 		return l.shape.Sets * l.shape.Spare
 	}
-	return max(int(copyBudget/l.shape.CopyTime), 1)
+	budget := copyBudget
+	if peak >= urgentPeak {
+		budget = urgentBudget
+	}
+	return max(int(budget/l.shape.CopyTime), 1)
 }
 
 // switchTo brings a planned map into force.
--- a/internal/rankagent/rankagent_test.go
+++ b/internal/rankagent/rankagent_test.go
@@ -22,6 +22,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/ranks"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
+	"github.com/kingcupreel/kingcupreel/internal/telemetry"
 	"github.com/kingcupreel/kingcupreel/platform"
 )
 
@@ -40,6 +41,8 @@
 	rng     *rand.Rand
 	// lost is the part of the orders that get no answer.
 	lost float64
+	// hot is the expert that is chosen most.
+	hot int
 }
 
 // engine is one rank of it. It implements rankagent.Engine.
@@ -53,11 +56,11 @@
 	chosen                         []int64
 }
 
-func newGroupOfEngines() *groupOfEngines {
+func newGroupOfEngines(size int) *groupOfEngines {
 	g := &groupOfEngines{rng: rand.New(rand.NewPCG(1, 1))}
-	for r := range testRanks {
-		e := &engine{g: g, rank: r, prepared: ranks.None, armed: ranks.None, held: ranks.None, chosen: make([]int64, testExperts), experts: make([][]int, 1)}
-		for x := r; x < testExperts; x += testRanks {
+	for r := range size {
+		e := &engine{g: g, rank: r, prepared: ranks.None, armed: ranks.None, held: ranks.None, chosen: make([]int64, testExperts*size/testRanks), experts: make([][]int, 1)}
+		for x := r; x < testExperts*size/testRanks; x += size {
 			e.experts[0] = append(e.experts[0], x)
 		}
 		g.engines = append(g.engines, e)
@@ -89,7 +92,7 @@
 		for x := range e.chosen {
 			e.chosen[x] += 40
 		}
-		e.chosen[0] += 2000
+		e.chosen[g.hot] += 2000
 		g.mixed = g.mixed || e.active != g.engines[0].active
 	}
 }
@@ -104,7 +107,7 @@
 	e.g.mu.Lock()
 	defer e.g.mu.Unlock()
 	return ranks.Status{
-		Started: 1, Group: "g", Epoch: 1, Rank: e.rank, Size: testRanks, Open: true, Step: e.g.step,
+		Started: 1, Group: "g", Epoch: 1, Rank: e.rank, Size: len(e.g.engines), Open: true, Step: e.g.step,
 		Map: e.active, Prepared: e.prepared, Armed: e.armed, Held: e.held,
 	}, nil
 }
@@ -165,6 +168,8 @@
 	store *platform.Store
 	state *kv.Store
 	stop  []context.CancelFunc
+	// metrics are the agents', by rank.
+	metrics []metrics.Registry
 }
 
 func freeAddress(t *testing.T) string {
@@ -178,15 +183,20 @@
 }
 
 func deploy(t *testing.T, fencing bool) *deployment {
+	t.Helper()
+	return deployRanks(t, testRanks, fencing)
+}
+
+func deployRanks(t *testing.T, size int, fencing bool) *deployment {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &deployment{g: newGroupOfEngines(), state: kv.NewStore(clockwork.NewRealClock())}
+	d := &deployment{g: newGroupOfEngines(size), state: kv.NewStore(clockwork.NewRealClock())}
 	srv := httptest.NewServer(kv.NewServer(d.state).Handler())
 	t.Cleanup(srv.Close)
 	t.Cleanup(cancel) // before the service closes, so that no watch waits
 	d.store = platform.NewStore(srv.URL, time.Second)
 	go d.g.run(ctx)
-	for r := range testRanks {
+	for r := range size {
 		d.agent(ctx, t, r, fencing)
 	}
 	return d
@@ -206,8 +216,10 @@
 	}
 	routes := &routing.Store{}
 	routes.Apply(routing.Configuration{Version: 1, Services: []routing.Service{{Name: "s", Engine: &routing.Engine{
-		Experts: routing.ExpertShape{Sets: 1, Experts: testExperts, Places: 6, Spare: 2, TokenShare: 0.85, CopyTime: time.Millisecond},
+		Experts: routing.ExpertShape{Sets: 1, Experts: len(d.g.engines[rank].chosen), Places: 6, Spare: 2, TokenShare: 0.85, CopyTime: time.Millisecond},
 	}}}}, clock.Now())
+	registry := metrics.NewRegistry()
+	d.metrics = append(d.metrics, registry)
 	a := rankagent.New(rankagent.Options{
 		Self: self, Service: "s", Engine: d.g.engines[rank],
 		Connect: func(address string) rankagent.Engine {
@@ -216,7 +228,7 @@
 			return d.g.engines[n]
 		},
 		View: view, Datagrams: datagrams, Routes: routes, KV: d.store, LeaderTerm: time.Second, Fencing: fencing,
-		Clock: clock, Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
+		Clock: clock, Log: zap.NewNop(), Metrics: registry,
 	})
 	if err := fleet.Serve(ctx, self.Address, a.Handler(ctx), zap.NewNop()); err != nil {
 		t.Fatal(err)
@@ -262,6 +274,44 @@
 	}
 }
 
+// A map of a large group goes to a few agents, which hand it on. Where one of
+// those has gone, the leader orders its ranks by itself.
+func TestMapOfALargeGroupIsRelayed(t *testing.T) {
+	g := NewWithT(t)
+	const size = 28
+	d := deployRanks(t, size, true)
+	prepared := func(version int64) func() int {
+		return func() int {
+			d.g.mu.Lock()
+			defer d.g.mu.Unlock()
+			n := 0
+			for _, e := range d.g.engines {
+				if e.active > version {
+					n++
+				}
+			}
+			return n
+		}
+	}
+	g.Eventually(prepared(0), "20s").Should(Equal(size))
+	relayed := int64(0)
+	for _, r := range d.metrics {
+		relayed += telemetry.Counter(r, "maps_relayed").Count()
+	}
+	g.Expect(relayed).To(BeNumerically(">=", 4), "the leader's own link carries a part of the copies")
+	_, version, _, mixed := d.g.state()
+	g.Expect(mixed).To(BeFalse())
+	for r := 1; r < size; r += 5 { // among them an agent that relays
+		d.stop[r]()
+	}
+	d.g.mu.Lock()
+	d.g.hot = 3
+	d.g.mu.Unlock()
+	g.Eventually(prepared(version), "30s").Should(Equal(size))
+	_, _, _, mixed = d.g.state()
+	g.Expect(mixed).To(BeFalse())
+}
+
 // Engines that take any order are given none.
 func TestEnginesThatDontFenceKeepTheirMap(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -12,6 +12,7 @@
 	KindRankAsk
 	KindRankOrder
 	KindRankState
+	KindRankRelay
 )
 
 // RankLoad tells entries the load of the upstream at an address.
@@ -60,7 +61,22 @@
 	Order ranks.Order
 }
 
-// RankState answers a RankAsk or a RankOrder.
+// RankRelay hands one map to an agent that carries out the orders of its own and
+// of other agents' ranks with it. Each is answered with a RankState of its own.
+type RankRelay struct {
+	Map    ranks.Map
+	Orders []RelayedOrder
+}
+
+// RelayedOrder is an order of a RankRelay; its map is left out.
+type RelayedOrder struct {
+	Nonce uint64
+	// Agent is the name of the process that looks after the rank.
+	Agent string
+	Order ranks.Order
+}
+
+// RankState answers a RankAsk, a RankOrder or an order of a RankRelay.
 type RankState struct {
 	Nonce   uint64
 	Verdict ranks.Verdict
@@ -94,6 +110,9 @@
 // Kind implements Message.
 func (*RankState) Kind() Kind { return KindRankState }
 
+// Kind implements Message.
+func (*RankRelay) Kind() Kind { return KindRankRelay }
+
 var fleetFactories = map[Kind]factory{
 	KindRankLoad:           func() Message { return new(RankLoad) },
 	KindEntryDigest:        func() Message { return new(EntryDigest) },
@@ -102,4 +121,5 @@
 	KindRankAsk:            func() Message { return new(RankAsk) },
 	KindRankOrder:          func() Message { return new(RankOrder) },
 	KindRankState:          func() Message { return new(RankState) },
+	KindRankRelay:          func() Message { return new(RankRelay) },
 }
