Hold the group at another rank than the leader's own

Cause: the group was held at rank 0, whose agent mostly leads. When that VM froze during a switch, leader and holder were gone at once: the group waited for the VM to wake, and then for a new leader to end the hold.

Change: Switcher.Holder; the leader takes a rank that another agent looks after.

--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -312,6 +312,19 @@
 	return carryOut(g.ctx, p.engine, o, g.timeout(p))
 }
 
+// rankElsewhere returns a rank that another agent than this one looks after; the
+// own one where there is no other.
+func (g *group) rankElsewhere(size int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for rank := range size {
+		if name, known := g.byRank[rank]; known && name != g.a.Self.Name {
+			return rank
+		}
+	}
+	return 0
+}
+
 // copies says whether the ranks copy experts before they answer the orders.
 func copies(orders map[int]ranks.Order) bool {
 	for _, o := range orders {
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -193,7 +193,7 @@
 
 func (l *leader) switcher(size int) *ranks.Switcher {
 	return &ranks.Switcher{
-		Group: l.group, Size: size, Fence: l.tenure.next, Leads: l.tenure.leads,
+		Group: l.group, Size: size, Holder: l.group.rankElsewhere(size), Fence: l.tenure.next, Leads: l.tenure.leads,
 		Note: func(rank int, o ranks.Order, a ranks.Answer) {
 			if a.Verdict == ranks.Fenced {
 				l.tenure.deposed()
--- a/internal/rankagent/rankagent_test.go
+++ b/internal/rankagent/rankagent_test.go
@@ -43,6 +43,8 @@
 	lost float64
 	// hot is the expert that is chosen most.
 	hot int
+	// holders counts the holds by rank.
+	holders map[int]int
 }
 
 // engine is one rank of it. It implements rankagent.Engine.
@@ -57,7 +59,7 @@
 }
 
 func newGroupOfEngines(size int) *groupOfEngines {
-	g := &groupOfEngines{rng: rand.New(rand.NewPCG(1, 1))}
+	g := &groupOfEngines{rng: rand.New(rand.NewPCG(1, 1)), holders: map[int]int{}}
 	for r := range size {
 		e := &engine{g: g, rank: r, prepared: ranks.None, armed: ranks.None, held: ranks.None, chosen: make([]int64, testExperts*size/testRanks), experts: make([][]int, 1)}
 		for x := r; x < testExperts*size/testRanks; x += size {
@@ -154,6 +156,7 @@
 			return ranks.Refused, errors.New("begun")
 		}
 		e.held = o.Step
+		e.g.holders[e.rank]++
 	case ranks.Go:
 		if e.held == o.Step {
 			e.held = ranks.None
@@ -274,6 +277,29 @@
 	}
 }
 
+// The leader's VM may stop while it switches. Its own rank must not be the one that
+// holds the group, since no other agent could reach it then.
+func TestLeaderHoldsTheGroupAtAnotherRank(t *testing.T) {
+	g := NewWithT(t)
+	d := deploy(t, true)
+	holds := func() int {
+		d.g.mu.Lock()
+		defer d.g.mu.Unlock()
+		n := 0
+		for _, times := range d.g.holders {
+			n += times
+		}
+		return n
+	}
+	g.Eventually(holds, "10s").ShouldNot(BeZero())
+	var own int
+	_, err := fmt.Sscanf(d.leader(), "vm-%d", &own)
+	g.Expect(err).NotTo(HaveOccurred())
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	g.Expect(d.g.holders).NotTo(HaveKey(own))
+}
+
 // A map of a large group goes to a few agents, which hand it on. Where one of
 // those has gone, the leader orders its ranks by itself.
 func TestMapOfALargeGroupIsRelayed(t *testing.T) {
--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -10,6 +10,10 @@
 	Group Group
 	// Size is the number of ranks.
 	Size int
+	// Holder is the rank at which the group is held. It should not be the one on
+	// the leader's own VM: if that VM stops while the group is held, nobody else
+	// could reach the rank to let it go on.
+	Holder int
 	// Fence returns a number higher, by Repeats at least, than any that this
 	// or an earlier leader has used.
 	Fence func() int64
@@ -55,7 +59,7 @@
 			return cancelErr
 		}
 	}
-	if goErr := s.release(epoch, holder, step); goErr != nil {
+	if goErr := s.release(epoch, s.Holder, step); goErr != nil {
 		return goErr
 	}
 	return err
@@ -175,9 +179,6 @@
 	return 0, fault.New(fault.Timeout, "the map is planned again", "ranks did not copy version %d in time", version)
 }
 
-// holder is the rank at which the group is held.
-const holder = 0
-
 // hold keeps the group from beginning a step, or one lead steps ahead if that
 // has begun, and returns the step.
 func (s *Switcher) hold(epoch, step, lead int64) (int64, error) {
@@ -185,7 +186,7 @@
 		if !s.Leads() {
 			return 0, errNotLeader
 		}
-		a := s.all(Order{Op: Hold, Step: step, Epoch: epoch}, map[int]bool{holder: true})[holder]
+		a := s.all(Order{Op: Hold, Step: step, Epoch: epoch}, map[int]bool{s.Holder: true})[s.Holder]
 		switch a.Verdict {
 		case Taken:
 			return step, nil
--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -241,7 +241,7 @@
 	}()
 	n := int64(0)
 	s := &ranks.Switcher{
-		Group: w, Size: len(w.engines), Leads: func() bool { return true },
+		Group: w, Size: len(w.engines), Holder: int(base) % len(w.engines), Leads: func() bool { return true },
 		Fence: func() int64 { n += ranks.Repeats; return base<<20 + n },
 	}
 	for range 5 {
@@ -362,7 +362,7 @@
 			defer func() { ended <- struct{}{} }()
 			base, n, deposed := int64(i+1), int64(0), false
 			s := &ranks.Switcher{
-				Group: c, Size: len(w.engines), Leads: func() bool { return !deposed },
+				Group: c, Size: len(w.engines), Holder: i, Leads: func() bool { return !deposed },
 				Fence: func() int64 { n += ranks.Repeats; return base<<20 + n },
 				Note: func(_ int, _ ranks.Order, a ranks.Answer) {
 					deposed = deposed || a.Verdict == ranks.Fenced
