Read what all ranks choose, once a step

Cause: demand was read at 16 of 63 ranks every 0.2 s. The choices of 16 ranks in one step differ from the group's by 5 to 7 in 100, so that a plan from one reading left a peak of 1.3 to 1.6 where it promised 1.06, and the next plans corrected it.

Change: the leader asks one agent a branch, which adds up its branch's choices; the bytes on the leader's link are those of 8 ranks. It reads as soon as its own engine has begun a step. A load that is in doubt keeps what was seen before if the next reading bears it out.

--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -113,13 +113,13 @@
 	others := a.newGroup(ctx, "")
 	return &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){
 		wire.KindRankRelay: func(c *wire.Conn, m wire.Message) { a.relay(ctx, c, others, m.(*wire.RankRelay)) },
-		wire.KindRankAsk:   func(c *wire.Conn, m wire.Message) { go a.answer(ctx, c, m.(*wire.RankAsk)) },
+		wire.KindRankAsk:   func(c *wire.Conn, m wire.Message) { go a.answer(ctx, c, others, m.(*wire.RankAsk)) },
 		wire.KindRankOrder: func(c *wire.Conn, m wire.Message) { go a.order(ctx, c, m.(*wire.RankOrder)) },
 	}}
 }
 
-func (a *Agent) answer(ctx context.Context, c *wire.Conn, ask *wire.RankAsk) {
-	reply := a.read(ctx, ask.Chosen, ask.Lists)
+func (a *Agent) answer(ctx context.Context, c *wire.Conn, others *group, ask *wire.RankAsk) {
+	reply := a.readBranch(ctx, others, ask.Chosen, ask.Lists, ask.Others)
 	reply.Nonce = ask.Nonce
 	_ = c.Send(reply)
 }
--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -19,8 +19,9 @@
 	// order, and the reading after it.
 	askTimeout = 500 * time.Millisecond
 	// groupPause is the time between two readings of a group in a switch, for
-	// each sampleRanks ranks.
-	groupPause = 30 * time.Millisecond
+	// each pausedRanks ranks.
+	groupPause  = 30 * time.Millisecond
+	pausedRanks = 16
 )
 
 // group reaches the ranks of one group through their agents, or directly where
@@ -188,27 +189,6 @@
 	}
 }
 
-// sampleRanks is about how many ranks are read for what the group chooses now.
-// Their requests are as good a sample of the group's as any others'.
-const sampleRanks = 16
-
-// sample returns the peers of about sampleRanks ranks, always the same ones, and
-// those whose rank isn't known yet.
-func (g *group) sample(size int) []*peer {
-	all := g.refresh()
-	stride := max((size+sampleRanks-1)/sampleRanks, 1)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	rankOf := map[string]int{}
-	for rank, name := range g.byRank {
-		rankOf[name] = rank
-	}
-	return slices.DeleteFunc(all, func(p *peer) bool {
-		rank, known := rankOf[p.member.Name]
-		return known && rank%stride != 0
-	})
-}
-
 // read reads the ranks of some peers at once.
 func (g *group) read(peers []*peer, chosen, lists bool) map[int]*wire.RankState {
 	states := collect(peers, func(p *peer) *wire.RankState {
@@ -221,11 +201,17 @@
 		// Counts read from afar would make the group pause, so they are not.
 		return read(g.ctx, p.engine, lists)
 	})
+	return g.byRankOf(states)
+}
+
+// byRankOf sorts the answers of peers by their ranks, and keeps who looks after
+// each.
+func (g *group) byRankOf(states map[*peer]*wire.RankState) map[int]*wire.RankState {
 	all := map[int]*wire.RankState{}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for p, st := range states {
-		if st.OK && st.Status.Group == g.name {
+		if st != nil && st.OK && st.Status.Group == g.name {
 			all[st.Status.Rank] = st
 			g.byRank[st.Status.Rank] = p.member.Name
 		}
@@ -350,7 +336,7 @@
 func (g *group) pause() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return groupPause * time.Duration(max(len(g.byRank)/sampleRanks, 1))
+	return groupPause * time.Duration(max(len(g.byRank)/pausedRanks, 1))
 }
 
 // Pause implements ranks.Group.
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -15,11 +15,14 @@
 )
 
 const (
-	// leadInterval is how often a leader reads its group.
+	// leadInterval is how long after a reading a leader reads its group again
+	// although no step has begun.
 	leadInterval = 200 * time.Millisecond
-	// settleInterval is how soon a leader reads again after demand has shifted:
-	// a step or two later.
-	settleInterval = 80 * time.Millisecond
+	// stepInterval is how often a leader looks whether the next step has begun, at
+	// its own engine.
+	stepInterval = 15 * time.Millisecond
+	// readInterval is the least time between two readings of a group.
+	readInterval = 50 * time.Millisecond
 	// standInterval is how often a follower looks whether the group has a
 	// leader, which its view tells without a call.
 	standInterval = 500 * time.Millisecond
@@ -39,15 +42,13 @@
 	a      *Agent
 	group  *group
 	tenure *tenure
-	// size is the number of ranks.
-	size  int
-	shape routing.ExpertShape
+	shape  routing.ExpertShape
 
 	demand ranks.Demand
 	epoch  int64
 	moved  float64
-	// pause is the time to the next reading.
-	pause   time.Duration
+	// step is the last one begun as of the last reading.
+	step    int64
 	placed  []planner.Placement // by set; nil when not known
 	version int64
 	pace    ranks.Pace
@@ -115,21 +116,33 @@
 // run leads until the leadership is lost or its fences run out.
 func (l *leader) run(ctx context.Context) {
 	for ctx.Err() == nil && !l.tenure.isOver() && !l.tenure.spent() {
-		l.pause = leadInterval
 		if l.tenure.leads() {
 			l.tick()
 		}
-		l.a.sleep(ctx, l.pause)
+		l.awaitStep(ctx)
+	}
+}
+
+// awaitStep waits until a step has begun since the last reading. What a reading
+// then shows was chosen in whole steps, mostly in one.
+func (l *leader) awaitStep(ctx context.Context) {
+	l.a.sleep(ctx, readInterval)
+	for waited := readInterval; waited < leadInterval && ctx.Err() == nil; waited += stepInterval {
+		if st, err := l.a.Engine.Status(ctx); err == nil && st.Step > l.step {
+			return
+		}
+		l.a.sleep(ctx, stepInterval)
 	}
 }
 
 // tick reads the group once, ends what was left behind, and plans.
 func (l *leader) tick() {
-	peers := l.group.refresh()
+	var states map[int]*wire.RankState
 	if l.placed != nil {
-		peers = l.group.sample(l.size)
+		states = l.group.survey()
+	} else {
+		states = l.group.read(l.group.refresh(), true, true)
 	}
-	states := l.group.read(peers, true, l.placed == nil)
 	size := 0
 	statuses := map[int]ranks.Status{}
 	var chosen []ranks.Chosen
@@ -140,7 +153,6 @@
 		}
 		size = max(size, st.Status.Size)
 	}
-	l.size = size
 	if len(states) == 0 {
 		return
 	}
@@ -151,9 +163,6 @@
 		}
 	}
 	if !l.observe(states, statuses, size) {
-		if l.pending(statuses) {
-			l.pause = settleInterval
-		}
 		return
 	}
 	moved, fresh := l.demand.Add(chosen, l.a.Clock.Now())
@@ -161,10 +170,7 @@
 	switch {
 	case l.demand.Settling():
 		l.a.Log.Info("demand has shifted", zap.Float64("moved", moved), zap.Int64("in_force", l.version))
-		l.pause = settleInterval
-	case !fresh:
-		l.pause = settleInterval
-	default:
+	case fresh:
 		l.balance(s)
 	}
 }
@@ -177,7 +183,6 @@
 	}
 	if l.demand.Doubt() {
 		l.a.Log.Info("load is uneven", zap.Float64("peak", peak), zap.Float64("moved", l.moved), zap.Int64("in_force", l.version))
-		l.pause = settleInterval
 		return
 	}
 	next := l.plan(loads, peak)
@@ -188,7 +193,6 @@
 	// Demand may have shifted in the meantime. A reading of that time would mix
 	// both.
 	l.demand.Restart()
-	l.pause = 0
 }
 
 func (l *leader) switcher(size int) *ranks.Switcher {
@@ -214,6 +218,7 @@
 		step = max(step, st.Step)
 		epoch = max(epoch, st.Epoch)
 	}
+	l.step = step
 	l.pace.Add(step, l.a.Clock.Now())
 	if epoch != l.epoch {
 		if l.epoch != 0 {
@@ -237,16 +242,6 @@
 	return len(statuses) == size && l.learn(states, size)
 }
 
-// pending says whether a switch waits for its step.
-func (l *leader) pending(statuses map[int]ranks.Status) bool {
-	for _, st := range statuses {
-		if st.Armed != ranks.None {
-			return true
-		}
-	}
-	return false
-}
-
 // learn takes the map in force from the ranks' lists.
 func (l *leader) learn(states map[int]*wire.RankState, size int) bool {
 	placed := make([]planner.Placement, l.shape.Sets)
--- a/internal/rankagent/relay.go
+++ b/internal/rankagent/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -14,21 +15,27 @@
 
 // A map of a large group is several kilobytes, and one link that carries it to
 // every rank keeps the switch waiting. Agents relay it: the leader sends it to one
-// agent a branch, which sends it on to the others.
+// agent a branch, which sends it on to the others. What the ranks chose comes back
+// the same way.
 
-// relayFrom is the number of ranks from which maps are relayed: below it the
-// leader's own link carries them in a few milliseconds.
-const relayFrom = 24
+// branchedFrom is the number of ranks from which agents relay for others: below it
+// the leader's own link carries all in a few milliseconds.
+const branchedFrom = 24
 
-// branches divides orders that carry a map into about as many branches as each has
-// ranks, so that all links carry the same; other orders go to each rank by itself,
-// as does the one to the agent named self.
-func branches(list []addressee, self string) [][]addressee {
-	var all [][]addressee
+// branched divides a list into about as many branches as each has members, so that
+// all links carry the same. A short list has a branch for each member.
+func branched[T any](list []T) [][]T {
 	size := 1
-	if len(list) >= relayFrom {
+	if len(list) >= branchedFrom {
 		size = int(math.Ceil(math.Sqrt(float64(len(list)))))
 	}
+	return slices.Collect(slices.Chunk(list, size))
+}
+
+// branches divides orders that carry a map into branches; other orders go to each
+// rank by itself, as does the one to the agent named self.
+func branches(list []addressee, self string) [][]addressee {
+	var all [][]addressee
 	var open []addressee
 	for _, to := range list {
 		if to.order.Map == nil || to.peer.member.Name == self {
@@ -36,15 +43,8 @@
 			continue
 		}
 		open = append(open, to)
-		if len(open) == size {
-			all = append(all, open)
-			open = nil
-		}
-	}
-	if len(open) > 0 {
-		all = append(all, open)
 	}
-	return all
+	return append(all, branched(open)...)
 }
 
 // order has the orders of a branch carried out.
--- a/internal/ranks/demand.go
+++ b/internal/ranks/demand.go
@@ -34,9 +34,9 @@
 	// settling says that demand has just shifted: the reading that showed it
 	// mixes what was and what is, and so counts for nothing.
 	settling bool
-	// alone says that the load is that of one reading, taken after a change was
-	// seen.
-	alone bool
+	// doubted says that the last reading may have mixed two demands, and sure that
+	// the last one can't: it was taken after a change was seen or suspected.
+	doubted, sure bool
 	// skip says that the next reading reaches back too far.
 	skip bool
 }
@@ -44,15 +44,7 @@
 // Add takes a reading. It returns the part of the choices that went to other
 // experts than before, and whether the reading counts.
 func (d *Demand) Add(reading []Chosen, now time.Time) (moved float64, fresh bool) {
-	var chosen []float64
-	for _, c := range reading {
-		if chosen == nil {
-			chosen = make([]float64, len(c.Parts))
-		}
-		for i, n := range c.Parts[:min(len(c.Parts), len(chosen))] {
-			chosen[i] += float64(n) / chosenScale * c.Most
-		}
-	}
+	chosen := addChosen(reading)
 	fade := math.Exp(-now.Sub(d.at).Seconds() / demandMemory.Seconds())
 	d.at = now
 	if chosen == nil || d.skip {
@@ -63,15 +55,18 @@
 	if d.usual == 0 {
 		d.usual = usualFirst
 	}
-	if moved > max(shiftLimit, shiftFactor*d.usual) && !d.settling {
-		d.settling = true
+	shifted := moved > max(shiftLimit, shiftFactor*d.usual)
+	d.settling, d.sure = shifted && !d.settling && !d.doubted, d.settling || d.doubted
+	if d.settling {
 		d.load = nil
 		return moved, true
 	}
-	if moved > 0 {
+	if d.doubted && shifted {
+		d.load = nil
+	} else if moved > 0 {
 		d.usual += usualWeight * (moved - d.usual)
 	}
-	d.settling, d.alone = false, d.settling
+	d.doubted = false
 	if len(d.load) != len(chosen) {
 		d.load = make([]float64, len(chosen))
 	}
@@ -85,13 +80,13 @@
 func (d *Demand) Restart() { d.skip = true }
 
 // Doubt says that the load may mix what was chosen before and after a change that
-// the shares alone don't show, and makes the next reading stand alone. It is false
-// for a load that stands alone already.
+// the shares alone don't show, and makes the next reading decide: it stands alone
+// if demand has shifted. It is false for a load that a second reading has borne out.
 func (d *Demand) Doubt() bool {
-	if d.alone {
+	if d.sure {
 		return false
 	}
-	d.settling, d.load = true, nil
+	d.doubted = true
 	return true
 }
 
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -8,6 +8,8 @@
 // known not to be and can't become so by an order that is still on its way.
 package ranks
 
+import "slices"
+
 // None stands for no step and no version.
 const None int64 = -1
 
@@ -150,11 +152,50 @@
 	if most == 0 {
 		return Chosen{}, false
 	}
-	out := Chosen{Epoch: c.Epoch, Most: float64(most), Parts: make([]byte, len(c.Chosen))}
+	since := make([]float64, len(c.Chosen))
 	for i, n := range c.Chosen {
-		out.Parts[i] = byte((chosenScale*(n-old.Chosen[i]) + most/2) / most)
+		since[i] = float64(n - old.Chosen[i])
+	}
+	return packChosen(c.Epoch, since, float64(most)), true
+}
+
+func packChosen(epoch int64, chosen []float64, most float64) Chosen {
+	out := Chosen{Epoch: epoch, Most: most, Parts: make([]byte, len(chosen))}
+	for i, n := range chosen {
+		out.Parts[i] = byte(chosenScale*n/most + 0.5)
+	}
+	return out
+}
+
+// Sum adds up what ranks of one group chose; false means that there is nothing.
+func Sum(list []Chosen) (Chosen, bool) {
+	sum := addChosen(list)
+	if sum == nil {
+		return Chosen{}, false
+	}
+	most := slices.Max(sum)
+	if most == 0 {
+		return Chosen{}, false
+	}
+	return packChosen(list[0].Epoch, sum, most), true
+}
+
+// addChosen adds up choices, nil for none. Those of another epoch or shape than
+// the first are passed over.
+func addChosen(list []Chosen) []float64 {
+	var sum []float64
+	for _, c := range list {
+		if sum == nil {
+			sum = make([]float64, len(c.Parts))
+		}
+		if len(c.Parts) != len(sum) || c.Epoch != list[0].Epoch {
+			continue
+		}
+		for i, n := range c.Parts {
+			sum[i] += float64(n) / chosenScale * c.Most
+		}
 	}
-	return out, true
+	return sum
 }
 
 // Lists is the map in force at a rank, as the experts that it holds by set.
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -53,6 +53,8 @@
 type RankAsk struct {
 	Nonce         uint64
 	Chosen, Lists bool
+	// Others names agents whose ranks' choices the answer adds to its own.
+	Others []string
 }
 
 // RankOrder hands an order to a rank's engine.
@@ -83,7 +85,8 @@
 	Status  ranks.Status
 	// OK says that Status is valid.
 	OK bool
-	// Chosen is what was chosen since the RankAsk before, if Fresh.
+	// Chosen is what was chosen since the RankAsk before, if Fresh: at the rank
+	// and at those of the others that the RankAsk named and that answered.
 	Chosen ranks.Chosen
 	Fresh  bool
 	Lists  ranks.Lists
