Let requests wait for a group that forms anew

Cause: while a data centre is cut off its group, which spans all of them, serves nobody for 6 to 7 s. When the group served again, ranks that had just registered were tried before it did, and all callers started at once: prompts are read one at a time, so that the last callers had left before their first event.

Ruled out: longer Retry-After, which callers don't follow over a third of their time.

It starts when ranks report that the group serves, within the entry's part of the places and of the prompts that can be read soon. Ranks that haven't reported are passed over while all others say that the group is shut. A stream that broke off waits the same way before it goes on. What can't be served in time is refused truly and told when to come back.

--- /dev/null
+++ b/internal/admission/waitlist_test.go
@@ -0,0 +1,65 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/admission"
+)
+
+// A group forms anew after a data centre was cut off: what came in meanwhile
+// starts as places come free, urgent requests first, and no account with many
+// requests keeps the others waiting.
+func TestWaitlistOfAGroupThatFormsAnew(t *testing.T) {
+	g := NewWithT(t)
+	w := admission.NewWaitlist()
+	var started, refused []string
+	add := func(name, account string, priority int) *admission.Ticket {
+		return w.Add(admission.Request{Account: account, Priority: priority, Decided: func(d admission.Decision) {
+			if d.Start {
+				started = append(started, name)
+				return
+			}
+			refused = append(refused, name)
+		}}, 8)
+	}
+	for i := range 5 {
+		add(fmt.Sprint("large", i), "large", 4)
+	}
+	small := add("small", "small", 4)
+	add("urgent", "other", 7)
+	w.Start(0)
+	g.Expect(started).To(BeEmpty())
+	w.Start(3)
+	g.Expect(started).To(Equal([]string{"urgent", "large0", "small"}))
+	g.Expect(w.Remove(small)).To(BeFalse(), "it has started")
+	leaver := add("leaver", "small", 4)
+	g.Expect(w.Remove(leaver)).To(BeTrue())
+	g.Expect(w.Remove(leaver)).To(BeFalse())
+	w.Start(10)
+	g.Expect(started).To(HaveLen(7))
+	g.Expect(started).NotTo(ContainElement("leaver"))
+	g.Expect(refused).To(BeEmpty())
+}
+
+// The list is bounded: what it can't hold is refused at once, from the account
+// with the longest backlog of the least urgent.
+func TestWaitlistRefusesOverItsBound(t *testing.T) {
+	g := NewWithT(t)
+	w := admission.NewWaitlist()
+	refused := map[string]int{}
+	for i := range 12 {
+		account := "large"
+		if i%4 == 3 {
+			account = "small"
+		}
+		w.Add(admission.Request{Account: account, Priority: 4, Decided: func(d admission.Decision) {
+			g.Expect(d.Start).To(BeFalse())
+			refused[account]++
+		}}, 8)
+	}
+	g.Expect(w.Len()).To(Equal(8))
+	g.Expect(refused).To(Equal(map[string]int{"large": 4}))
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -61,6 +62,8 @@
 type Node struct {
 	Replica
 	inFlight int
+	// unanswered counts those of them of which nothing has come back.
+	unanswered int
 	// others is the reported work that isn't this entry's.
 	others     int
 	pace       float64
@@ -106,13 +109,65 @@
 	return p.pick(now, tried, true)
 }
 
+// Places are the requests that a pool's upstreams can run at once.
+type Places struct {
+	// Upstreams counts those that can serve, and All the places of every one, also
+	// of those that can't for now.
+	Upstreams, All int
+	// Free counts the places that no known request takes at upstreams that serve.
+	Free int
+	// Own is how many of this entry's requests are at the upstreams, and
+	// Unanswered those of them of which nothing has come back.
+	Own, Unanswered int
+}
+
+// Places returns the pool's places.
+func (p *Pool) Places(now time.Time) Places {
+	var out Places
+	shut := p.shut(now)
+	for _, n := range p.nodes {
+		out.All += n.Slots
+		out.Own += n.inFlight
+		out.Unanswered += n.unanswered
+		if n.usable(now, shut) && !n.silent(now) {
+			out.Upstreams++
+			out.Free += max(n.Slots-n.work(now), 0)
+		}
+	}
+	return out
+}
+
+// promptsEach is how many prompts may wait to be read at an upstream when many
+// requests start at once. Engines read one at a time, in pieces between the steps,
+// so that the last of many would wait longer than its caller does.
+const promptsEach = 2
+
+// Share returns how many requests an entry may start at once when places come
+// free for all entries at the same moment: its part of all places, less what it
+// has there, and of the prompts that may wait to be read.
+func (p Places) Share(part float64) int {
+	places := int(math.Ceil(part*float64(p.All))) - p.Own
+	return max(min(places, p.prompts(part), p.Free), 0)
+}
+
+// Rest returns how many more an entry may start of the places that the others
+// have left free for a while.
+func (p Places) Rest(part float64) int {
+	return max(min(int(math.Ceil(part*float64(p.Free))), p.prompts(part)), 0)
+}
+
+func (p Places) prompts(part float64) int {
+	return int(math.Ceil(part*float64(promptsEach*p.Upstreams))) - p.Unanswered
+}
+
 func (p *Pool) pick(now time.Time, tried []string, silent bool) *Node {
 	var best *Node
 	bestCost := 0.0
+	shut := p.shut(now)
 	drawn := 0
 	for _, i := range p.rand.Perm(len(p.nodes)) {
 		n := p.nodes[i]
-		if slices.Contains(tried, n.ID) || !n.usable(now) || n.silent(now) != silent {
+		if slices.Contains(tried, n.ID) || !n.usable(now, shut) || n.silent(now) != silent {
 			continue
 		}
 		if c := p.costAt(n, now); best == nil || c < bestCost {
@@ -144,11 +199,31 @@
 	return n.inFlight + n.others
 }
 
-func (n *Node) usable(now time.Time) bool {
+// shut says whether every upstream that reports of late says that its group
+// doesn't serve. Those that don't report are of that group too, and may just have
+// come back.
+func (p *Pool) shut(now time.Time) bool {
+	reports := false
+	for _, n := range p.nodes {
+		if now.Sub(n.reportedAt) > reportLife {
+			continue
+		}
+		if n.open {
+			return false
+		}
+		reports = true
+	}
+	return reports
+}
+
+func (n *Node) usable(now time.Time, shut bool) bool {
 	if now.Before(n.shutUntil) {
 		return false
 	}
-	return n.open || now.Sub(n.reportedAt) > reportLife
+	if now.Sub(n.reportedAt) > reportLife {
+		return !shut
+	}
+	return n.open
 }
 
 // silent says whether an upstream that reported has stopped to.
@@ -184,12 +259,21 @@
 }
 
 // Sent counts a request sent to the upstream.
-func (n *Node) Sent() { n.inFlight++ }
+func (n *Node) Sent() {
+	n.inFlight++
+	n.unanswered++
+}
+
+// Answered counts the first sign of an answer to a request.
+func (n *Node) Answered() { n.unanswered-- }
 
-// Ended counts the end of a request; failed says that the upstream was at
-// fault.
-func (n *Node) Ended(failed bool, now time.Time) {
+// Ended counts the end of a request; answered says that Answered has counted it,
+// and failed that the upstream was at fault.
+func (n *Node) Ended(answered, failed bool, now time.Time) {
 	n.inFlight--
+	if !answered {
+		n.unanswered--
+	}
 	before := n.failing(now)
 	sample := 0.0
 	if failed {
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -82,7 +82,7 @@
 	p, nodes := group(3)
 	for range 4 {
 		nodes[0].Sent()
-		nodes[0].Ended(true, start)
+		nodes[0].Ended(false, true, start)
 	}
 	for range 20 {
 		p.Pick(start, nil).Sent()
@@ -117,3 +117,63 @@
 	}
 	g.Expect(nodes[0].InFlight()).To(BeNumerically("<", nodes[1].InFlight()))
 }
+
+// A data centre is back and its ranks have registered, while the group still forms
+// anew: nothing is sent to ranks that have not reported, as the others say that the
+// group doesn't serve.
+func TestRankThatIsBackWaitsForItsGroup(t *testing.T) {
+	g := NewWithT(t)
+	p, nodes := group(2)
+	for _, n := range nodes {
+		n.Reported(dispatch.Load{Open: false}, start)
+	}
+	back := p.Add(dispatch.Replica{ID: "back", Slots: 12})
+	g.Expect(p.Pick(start, nil)).To(BeNil())
+	g.Expect(p.Places(start).Free).To(BeZero())
+	nodes[0].Reported(dispatch.Load{Open: true, Pace: 1}, start)
+	g.Expect(p.Pick(start, []string{"rank-0"})).To(Equal(back))
+	later := start.Add(2 * time.Second)
+	g.Expect(p.Pick(later, nil)).NotTo(BeNil(), "no reports at all: the ranks are tried")
+}
+
+// A group serves again and nine entries have requests waiting. Together they start
+// no more than the group has places, though none knows of the others' starts yet,
+// and no more than its ranks can soon read the prompts of.
+func TestEntriesShareThePlacesOfAGroupThatServesAgain(t *testing.T) {
+	g := NewWithT(t)
+	const part = 1.0 / 9
+	p, nodes := group(12)
+	nodes[0].Reported(dispatch.Load{Open: false}, start)
+	nodes[1].Reported(dispatch.Load{Open: true, Pace: 1, Active: 12}, start)
+	g.Expect(p.Places(start)).To(Equal(dispatch.Places{Upstreams: 11, All: 144, Free: 120}))
+	begin := func() (started []*dispatch.Node) {
+		for range p.Places(start).Share(part) {
+			n := p.Pick(start, nil)
+			n.Sent()
+			started = append(started, n)
+		}
+		return started
+	}
+	first := begin()
+	g.Expect(first).To(HaveLen(3), "a ninth of two prompts a rank")
+	g.Expect(begin()).To(BeEmpty())
+	total := len(first)
+	for range 10 {
+		for _, n := range first {
+			n.Answered()
+		}
+		first = begin()
+		total += len(first)
+	}
+	g.Expect(total).To(Equal(16), "a ninth of all places")
+	for range 4 {
+		nodes[5].Answered()
+	}
+	g.Expect(p.Places(start).Rest(part)).To(BeNumerically(">", 0), "what others leave free is used a part at a time")
+	full, all := group(2)
+	for _, n := range all {
+		n.Reported(dispatch.Load{Open: true, Active: 12}, start)
+	}
+	g.Expect(full.Places(start).Share(1)).To(BeZero())
+	g.Expect(full.Places(start).Rest(1)).To(BeZero())
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -55,14 +55,14 @@
 func (q *request) run() {
 	var last result
 	for {
-		m := q.g.Pools.Pick(q.service, q.tried)
+		m := q.pick()
 		if m == nil {
-			q.conclude(last, errNoUpstream.After(comeBack()))
+			q.conclude(last, errNoUpstream.After(comeBack(q.left())))
 			return
 		}
 		repeat := q.attempts > 0
 		if repeat && !q.g.budget(q.service).Spend() {
-			m.Ended(false)
+			m.Ended(false, false)
 			q.conclude(last, errBudget)
 			return
 		}
@@ -86,14 +86,18 @@
 	// shutDelay is when a caller may come back to a group that can't serve: a
 	// rank that has crashed or is cut off is away for seconds.
 	shutDelay = 2500 * time.Millisecond
+	// returnShare bounds that in parts of the time left: callers don't wait for
+	// more than a third of it.
+	returnShare = 0.32
 	// delaySpread spreads callers that come back over that part of the delay.
-	delaySpread = 0.2
+	delaySpread = 0.1
 )
 
-// comeBack returns when a caller may come back to a service without a usable
-// upstream.
-func comeBack() time.Duration {
-	return time.Duration(float64(shutDelay) * (1 - delaySpread*rand.Float64()))
+// comeBack returns when a caller with that much time left may come back to a
+// service without a usable upstream.
+func comeBack(left time.Duration) time.Duration {
+	delay := min(float64(shutDelay), returnShare*float64(left))
+	return time.Duration(delay * (1 - delaySpread*rand.Float64()))
 }
 
 // busyDelay is when a caller may come back to a service that could not take
@@ -117,6 +121,7 @@
 // attempt sends the request to an upstream once.
 func (q *request) attempt(m *Member) result {
 	q.tried = append(q.tried, m.ID)
+	q.answered = false
 	start := time.Now()
 	res := q.send(m)
 	if res.sent {
@@ -126,7 +131,7 @@
 		q.mayHaveRun = true
 	}
 	atFault := (res.fate == unknown || res.fate == broken || res.fate == notRun && !res.refused) && q.ctx.Err() == nil
-	m.Ended(atFault)
+	m.Ended(q.answered, atFault)
 	q.g.stats.attempted(q.service, res.fate, time.Since(start))
 	q.log.Info("attempt ended",
 		zap.String("upstream", m.ID), zap.String("address", m.Address), zap.String("fate", fateNames[res.fate]), zap.Error(res.cause),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.part = 1 / float64(max(n, 1))
+	g.Pools.SetPart(g.part)
 	for _, b := range g.budgets {
 		b.SetPart(g.part)
 	}
@@ -186,10 +187,15 @@
 func (g *Gateway) Run(ctx context.Context) {
 	ticker := g.Clock.NewTicker(poolInterval)
 	defer ticker.Stop()
+	rest := g.Clock.NewTicker(restInterval)
+	defer rest.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-rest.Chan():
+			g.Pools.startRest()
+			continue
 		case <-g.Directory.Changed():
 		case <-ticker.Chan():
 			g.Directory.Tick()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/directory"
+	"github.com/kingcupreel/kingcupreel/internal/dispatch"
 	"github.com/kingcupreel/kingcupreel/internal/gateway"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
@@ -38,6 +39,8 @@
 	routes  *routing.Store
 	gateway *gateway.Gateway
 	url     string
+	// upstreams are the handlers' entries.
+	upstreams []directory.Upstream
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -93,6 +96,25 @@
 	}
 }
 
+// groupConfiguration is configuration, but the upstreams are ranks of a group whose
+// callers wait long for a first event.
+func groupConfiguration() routing.Configuration {
+	c := configuration()
+	c.Version = 2
+	c.Services = []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 4}}}
+	for i := range c.Routes {
+		c.Routes[i].Target, c.Routes[i].Timeout = 20*time.Second, 2*time.Minute
+	}
+	return c
+}
+
+// report tells the gateway the load of all upstreams.
+func (f *fixture) report(load dispatch.Load) {
+	for _, u := range f.upstreams {
+		f.gateway.Pools.Reported(u.Address, u.Started, load)
+	}
+}
+
 // newFixture starts a gateway before one upstream for each handler.
 func newFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
 	t.Helper()
@@ -112,6 +134,7 @@
 		t.Cleanup(srv.Close)
 		list = append(list, directory.Upstream{ID: id, Service: "s", Address: srv.Listener.Addr().String(), Slots: 4})
 	}
+	f.upstreams = list
 	pools.Reconcile(list)
 	f.routes.Apply(configuration(), time.Now())
 	srv := httptest.NewServer(f.gateway)
@@ -396,6 +419,58 @@
 	g.Expect(f.arrived()).To(HaveLen(1))
 }
 
+// A data centre is cut off, so that the group serves nobody until it has formed
+// anew. Requests wait for that, are sent once it serves, and are as many as the
+// entry's part of the places allows.
+func TestRequestsWaitForAGroupThatFormsAnew(t *testing.T) {
+	g := NewWithT(t)
+	serve := make(chan struct{})
+	goOn := sync.OnceFunc(func() { close(serve) })
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		events(w, r, 1, 1, false)
+		<-serve
+	})
+	t.Cleanup(goOn) // runs before the upstream's server waits for its requests
+	f.gateway.SetEntries(2)
+	f.routes.Apply(groupConfiguration(), time.Now())
+	f.report(dispatch.Load{Open: false})
+	const callers = 3
+	statuses := make(chan int, callers)
+	for i := range callers {
+		go func() {
+			r := f.request(http.MethodPost, "/stream/x", "")
+			r.Header.Set("Request-Id", fmt.Sprint("r", i))
+			r.Header.Set("Deadline-Ms", "100000")
+			status, _, _, _ := f.send(r)
+			statuses <- status
+		}()
+	}
+	g.Eventually(func() int { return f.gateway.Pools.Waiting("s") }, "10s").Should(Equal(callers))
+	g.Expect(f.arrived()).To(BeEmpty())
+	f.report(dispatch.Load{Open: true, Pace: 1})
+	g.Eventually(f.arrived, "10s").Should(HaveLen(2), "half of four places")
+	g.Expect(f.gateway.Pools.Waiting("s")).To(Equal(1))
+	goOn()
+	for range callers {
+		g.Eventually(statuses, "10s").Should(Receive(Equal(http.StatusOK)))
+	}
+}
+
+// A group that stays away is no reason to keep a caller until its time is over: it
+// is told in time to come back, and truly that nothing has run.
+func TestWaitForAGroupEnds(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, abort)
+	f.routes.Apply(groupConfiguration(), time.Now())
+	f.report(dispatch.Load{Open: false})
+	r := f.request(http.MethodPost, "/stream/x", "")
+	r.Header.Set("Deadline-Ms", "400")
+	status, header, _, _ := f.send(r)
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(f.arrived()).To(BeEmpty())
+}
+
 // An upstream of a plain service that names itself speaks for itself only, and
 // the others are asked. A rank that names itself has started again, and its
 // group forms anew.
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/kingcupreel/kingcupreel/internal/admission"
 	"github.com/kingcupreel/kingcupreel/internal/directory"
 	"github.com/kingcupreel/kingcupreel/internal/dispatch"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
@@ -22,6 +23,13 @@
 	members map[string]*Member
 	// byAddress holds the member last added at each address.
 	byAddress map[string]*Member
+	// waiting holds, by service, the requests that wait for an upstream.
+	waiting map[string]*admission.Waitlist
+	// starting counts, by service, those that may start and haven't chosen an
+	// upstream yet.
+	starting map[string]int
+	// part is this entry's part of the upstreams' places.
+	part float64
 }
 
 // Member is an upstream of a pool. Its node is guarded by the Pools' lock.
@@ -33,7 +41,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, part: unknownPart}
 }
 
 // Configure takes what the configuration says of the services' engines.
@@ -110,6 +118,11 @@
 func (p *Pools) Pick(service string, tried []string) *Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.take(service, tried)
+}
+
+// take is Pick. The caller holds mu.
+func (p *Pools) take(service string, tried []string) *Member {
 	n := p.pool(service).Pick(p.clock.Now(), tried)
 	if n == nil {
 		return nil
@@ -130,18 +143,28 @@
 	}
 	before := m.node.Open()
 	m.node.Reported(load, p.clock.Now())
+	p.startWaiting(m.Service, false)
 	if before == load.Open {
 		return nil
 	}
 	return m
 }
 
-// Ended counts the end of an attempt; failed says that the upstream was at
-// fault.
-func (m *Member) Ended(failed bool) {
+// Answered counts the first sign of an answer to an attempt.
+func (m *Member) Answered() {
+	m.pools.mu.Lock()
+	defer m.pools.mu.Unlock()
+	m.node.Answered()
+	m.pools.startWaiting(m.Service, false)
+}
+
+// Ended counts the end of an attempt; answered says that Answered has counted it,
+// and failed that the upstream was at fault.
+func (m *Member) Ended(answered, failed bool) {
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
-	m.node.Ended(failed, m.pools.clock.Now())
+	m.node.Ended(answered, failed, m.pools.clock.Now())
+	m.pools.startWaiting(m.Service, false)
 }
 
 // Gone says that another upstream has the address.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,9 +49,12 @@
 	tried      []string
 	mayHaveRun bool
 	// head says that the head of an answer has gone to the caller, and delivered
-	// is the last event that has.
+	// is the last event that has, at eventAt.
 	head      bool
 	delivered string
+	eventAt   time.Time
+	// answered says that the attempt under way has brought an event.
+	answered bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -51,4 +51,9 @@
 	s.time(after, "first_event_ms", service)
 }
 
+func (s *stats) waited(service string, started bool, took time.Duration) {
+	s.count("waits", service, map[bool]string{true: "started", false: "given_up"}[started])
+	s.time(took, "wait_ms", service)
+}
+
 func (s *stats) left(service string) { s.count("requests", service, "caller_left") }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -40,6 +40,11 @@
 		if _, err := q.w.Write(event); err != nil {
 			return result{fate: broken, sent: true, cause: err}
 		}
+		q.eventAt = time.Now()
+		if !q.answered {
+			q.answered = true
+			m.Answered()
+		}
 		if id := eventID(event); id != "" {
 			q.delivered = id
 		}
--- a/internal/ranks/demand.go
+++ b/internal/ranks/demand.go
@@ -35,7 +35,8 @@
 	// mixes what was and what is, and so counts for nothing.
 	settling bool
 	// doubted says that the last reading may have mixed two demands, and sure that
-	// the last one can't: it was taken after a change was seen or suspected.
+	// the last one can't: it was taken after a change was seen or suspected, or is
+	// the first.
 	doubted, sure bool
 	// skip says that the next reading reaches back too far.
 	skip bool
@@ -56,7 +57,7 @@
 		d.usual = usualFirst
 	}
 	shifted := moved > max(shiftLimit, shiftFactor*d.usual)
-	d.settling, d.sure = shifted && !d.settling && !d.doubted, d.settling || d.doubted
+	d.settling, d.sure = shifted && !d.settling && !d.doubted, d.settling || d.doubted || d.load == nil
 	if d.settling {
 		d.load = nil
 		return moved, true
