--- a/internal/daemon/rank.go
+++ b/internal/daemon/rank.go
@@ -18,7 +18,7 @@
 // its place. A group that the dead one holds waits that long.
 const leaderTerm = 1500 * time.Millisecond
 
-// shapeWait bounds a watch of the configuration, of which an agent needs the
+// shapeWait bounds a watch of the configuration, of which a leader needs the
 // engines' description only.
 const shapeWait = 30 * time.Second
 
@@ -37,11 +37,12 @@
 		return err
 	}
 	routes := &routing.Store{}
-	h.follow(work, platform.KeyConfiguration, platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log}, shapeWait, 0)
+	sink := platform.ConfigurationSink{Routes: routes, Clock: h.clock, Log: h.log}
 	a := rankagent.New(rankagent.Options{
 		Self: f.self, Service: h.node.LocalService, Engine: platform.NewEngine(h.node.LocalUpstream),
 		Connect: func(address string) rankagent.Engine { return platform.NewEngine(address) },
 		View:    f.view, Datagrams: f.datagrams, Routes: routes, KV: h.store,
+		Learn:      func(ctx context.Context) { h.follow(ctx, platform.KeyConfiguration, sink, shapeWait, 0) },
 		LeaderTerm: max(leaderTerm, h.node.ShortestLease), Fencing: h.node.FencingEnforced, Clock: h.clock, Log: h.log, Metrics: h.metrics,
 	})
 	if err := fleet.Serve(work, f.self.Address, a.Handler(work), h.log); err != nil {
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -40,8 +40,13 @@
 	Connect   func(address string) Engine
 	View      *fleet.View
 	Datagrams *fleet.Datagrams
-	Routes    *routing.Store
-	KV        kvstore.KV
+	// Routes holds the configuration once Learn has brought it: only a leader needs
+	// the shape of its group's maps.
+	Routes *routing.Store
+	// Learn follows the configuration into Routes until its context is done; nil
+	// means that Routes is kept by others.
+	Learn func(context.Context)
+	KV    kvstore.KV
 	// LeaderTerm is how long a leader's lease lasts without renewal.
 	LeaderTerm time.Duration
 	// Fencing says that engines refuse an order with an old fence.
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -64,10 +64,8 @@
 		return
 	}
 	for ctx.Err() == nil {
-		st, err := a.Engine.Status(ctx)
-		shape, known := a.shape()
-		if err == nil && known && st.Group != "" {
-			a.stand(ctx, st, shape)
+		if st, err := a.Engine.Status(ctx); err == nil && st.Group != "" {
+			a.stand(ctx, st)
 		}
 		a.sleep(ctx, standInterval)
 	}
@@ -87,7 +85,7 @@
 }
 
 // stand takes the lease if the group has no leader, and leads while it may.
-func (a *Agent) stand(ctx context.Context, st ranks.Status, shape routing.ExpertShape) {
+func (a *Agent) stand(ctx context.Context, st ranks.Status) {
 	if !a.View.Synced() || !a.vacant(ctx, st.Group) {
 		return
 	}
@@ -107,7 +105,10 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go t.keep(work)
-	l := &leader{a: a, group: a.newGroup(work, st.Group), tenure: t, shape: shape}
+	if a.Learn != nil {
+		a.Learn(work)
+	}
+	l := &leader{a: a, group: a.newGroup(work, st.Group), tenure: t}
 	l.run(ctx)
 	a.Log.Info("leading ended", zap.String("group", st.Group), zap.Int64("fence", t.fence))
 	t.release(context.WithoutCancel(ctx))
@@ -116,7 +117,8 @@
 // run leads until the leadership is lost or its fences run out.
 func (l *leader) run(ctx context.Context) {
 	for ctx.Err() == nil && !l.tenure.isOver() && !l.tenure.spent() {
-		if l.tenure.leads() {
+		var known bool
+		if l.shape, known = l.a.shape(); known && l.tenure.leads() {
 			l.tick()
 		}
 		l.awaitStep(ctx)
