Copy experts within one step

Cause: a step that begins while any rank copies takes 15 in 100 longer.

Change: an urgent map's order names a step, and each agent gives it to its engine as that step begins, after all have it. Copies of 50 ms end before the next step.

--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -203,10 +203,30 @@
 	return reply
 }
 
+const (
+	// stepInterval is how often an engine is looked at whether a step has begun.
+	stepInterval = 8 * time.Millisecond
+	// stepWait bounds the wait for a step: an idle group begins none, and the
+	// leader waits for the answer.
+	stepWait = 200 * time.Millisecond
+)
+
+// awaitStep waits until an engine has begun a step, or stepWait has passed.
+func awaitStep(ctx context.Context, e Engine, step int64) {
+	for end := time.Now().Add(stepWait); step > 0 && time.Now().Before(end) && ctx.Err() == nil; time.Sleep(stepInterval) {
+		if st, err := e.Status(ctx); err != nil || st.Step >= step {
+			return
+		}
+	}
+}
+
 // carryOut gives an order to an engine, again while no answer comes, and reads
 // the status after it. Each repeat has a higher fence, which makes void what an
 // engine may still do about the one before.
 func carryOut(ctx context.Context, e Engine, o ranks.Order, timeout time.Duration) *wire.RankState {
+	if o.Op == ranks.Prepare {
+		awaitStep(ctx, e, o.Step)
+	}
 	verdict := ranks.Unknown
 	repeats := 0
 	for ; repeats < ranks.Repeats && verdict == ranks.Unknown && ctx.Err() == nil; repeats++ {
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -15,12 +15,6 @@
 )
 
 const (
-	// leadInterval is how long after a reading a leader reads its group again
-	// although no step has begun.
-	leadInterval = 200 * time.Millisecond
-	// stepInterval is how often a leader looks whether the next step has begun, at
-	// its own engine.
-	stepInterval = 15 * time.Millisecond
 	// readInterval is the least time between two readings of a group.
 	readInterval = 50 * time.Millisecond
 	// standInterval is how often a follower looks whether the group has a
@@ -31,6 +25,8 @@
 	standStagger = 150 * time.Millisecond
 	// leadTime is how far ahead of the present a switch is set at least.
 	leadTime = 50 * time.Millisecond
+	// spreadTime is how long a map takes to reach all agents of a large group.
+	spreadTime = 100 * time.Millisecond
 	// maxLeadTime bounds that where orders take long.
 	maxLeadTime = 800 * time.Millisecond
 	// planMoves bounds the search of a plan for one set.
@@ -121,20 +117,15 @@
 		if l.shape, known = l.a.shape(); known && l.tenure.leads() {
 			l.tick()
 		}
-		l.awaitStep(ctx)
+		l.awaitNext(ctx)
 	}
 }
 
-// awaitStep waits until a step has begun since the last reading. What a reading
+// awaitNext waits until a step has begun since the last reading. What a reading
 // then shows was chosen in whole steps, mostly in one.
-func (l *leader) awaitStep(ctx context.Context) {
+func (l *leader) awaitNext(ctx context.Context) {
 	l.a.sleep(ctx, readInterval)
-	for waited := readInterval; waited < leadInterval && ctx.Err() == nil; waited += stepInterval {
-		if st, err := l.a.Engine.Status(ctx); err == nil && st.Step > l.step {
-			return
-		}
-		l.a.sleep(ctx, stepInterval)
-	}
+	awaitStep(ctx, l.a.Engine, l.step+1)
 }
 
 // tick reads the group once, ends what was left behind, and plans.
@@ -191,7 +182,7 @@
 	if next == nil {
 		return
 	}
-	l.switchTo(s, next)
+	l.switchTo(s, next, peak >= urgentPeak)
 	// Demand may have shifted in the meantime. A reading of that time would mix
 	// both.
 	l.demand.Restart()
@@ -306,7 +297,11 @@
 		Places: l.shape.Places, Spare: l.shape.Spare, Moves: planMoves,
 		CopyGain: l.shape.CopyTime.Seconds() / copyHorizon.Seconds(),
 	}
-	next := planner.EvenSets(l.placed, loads, limits, l.maxCopies(before))
+	budget := copyBudget
+	if before >= urgentPeak {
+		budget = urgentBudget
+	}
+	next := planner.EvenSets(l.placed, loads, limits, max(int(budget/max(l.shape.CopyTime, 1)), 1))
 	after := 0.0
 	for set := range next {
 		after += next[set].Peak(loads[set]) / float64(l.shape.Sets)
@@ -321,21 +316,8 @@
 	return next
 }
 
-// maxCopies returns how many experts one switch may bring to a rank, over all
-// sets, given the load of the most loaded ranks over the mean.
-func (l *leader) maxCopies(peak float64) int {
-	if l.shape.CopyTime <= 0 {
-		return l.shape.Sets * l.shape.Spare
-	}
-	budget := copyBudget
-	if peak >= urgentPeak {
-		budget = urgentBudget
-	}
-	return max(int(budget/l.shape.CopyTime), 1)
-}
-
 // switchTo brings a planned map into force.
-func (l *leader) switchTo(s *ranks.Switcher, next []planner.Placement) {
+func (l *leader) switchTo(s *ranks.Switcher, next []planner.Placement, urgent bool) {
 	m := make(ranks.Map, len(next))
 	for set, p := range next {
 		m[set] = p
@@ -346,6 +328,9 @@
 	ahead := min(max(leadTime, 2*l.group.roundTime()), maxLeadTime)
 	lead := l.pace.Lead(ahead)
 	start := l.a.Clock.Now()
+	if urgent {
+		s.CopyFrom = l.step + l.pace.StepsUntil(start.Add(spreadTime))
+	}
 	err := s.Switch(l.epoch, version, m, lead)
 	result := "done"
 	if err != nil {
--- a/internal/ranks/pace.go
+++ b/internal/ranks/pace.go
@@ -47,6 +47,17 @@
 	return max(minLead, 1+int64((ahead+step-1)/step))
 }
 
+// StepsUntil returns how many steps after the last one read have begun by a time.
+// A reading taken as its step begins makes it exact.
+func (p *Pace) StepsUntil(t time.Time) int64 {
+	step := p.StepTime()
+	if step <= 0 {
+		return 0
+	}
+	since := max(t.Sub(p.readings[len(p.readings)-1].at), 0)
+	return int64((since + step - 1) / step)
+}
+
 // minLead is the least number of steps ahead for which a hold is set: the next
 // one may begin before the order arrives.
 const minLead = 2
--- a/internal/ranks/pace_test.go
+++ b/internal/ranks/pace_test.go
@@ -34,4 +34,9 @@
 	g.Expect(p.StepTime()).To(BeNumerically(">=", 90*time.Millisecond))
 	g.Expect(p.Lead(70 * time.Millisecond)).To(Equal(int64(2)))
 	g.Expect(p.Lead(300 * time.Millisecond)).To(Equal(int64(4)))
+	last := start.Add(1760 * time.Millisecond)
+	g.Expect(p.StepsUntil(last)).To(BeZero())
+	g.Expect(p.StepsUntil(last.Add(-time.Second))).To(BeZero())
+	g.Expect(p.StepsUntil(last.Add(p.StepTime()))).To(Equal(int64(1)))
+	g.Expect(p.StepsUntil(last.Add(p.StepTime() + 1))).To(Equal(int64(2)))
 }
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -68,7 +68,8 @@
 	Op Op
 	// Version is the map's, for Prepare, Arm and Disarm.
 	Version int64
-	// Step is the step meant, for Arm, Hold and Go.
+	// Step is the step meant, for Arm, Hold and Go; for Prepare it is the one that
+	// has to begin before the order is given to the engine.
 	Step  int64
 	Epoch int64
 	// Fence orders the orders: an engine that checks it refuses one below the
--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -14,6 +14,10 @@
 	// the leader's own VM: if that VM stops while the group is held, nobody else
 	// could reach the rank to let it go on.
 	Holder int
+	// CopyFrom is the step from which ranks copy the experts of a map; 0 means at
+	// once. Copies that begin with a step and end before the next one don't make
+	// steps longer.
+	CopyFrom int64
 	// Fence returns a number higher, by Repeats at least, than any that this
 	// or an earlier leader has used.
 	Fence func() int64
@@ -113,7 +117,7 @@
 		if !s.Leads() {
 			return 0, errNotLeader
 		}
-		answers := s.all(Order{Op: Prepare, Version: version, Epoch: epoch, Map: m}, open)
+		answers := s.all(Order{Op: Prepare, Version: version, Step: s.CopyFrom, Epoch: epoch, Map: m}, open)
 		for r := range open {
 			a := answers[r]
 			switch {
