See a stalled group at once, and end a hold in a few rounds

For four seconds the engines said that the group serves: requests piled up there until their callers left. When the VM woke, the leader disarmed 63 ranks one after the other (0.9 s), and took the round of four seconds for the usual length of a round, so that the next switches were set up to nine slow steps ahead.

Change: agents tell entries that a group with work begins no step (ranks.Progress), and requests wait; a rank whose callers have left isn't taken for one that goes on. Switcher.disarm orders all ranks at once. ranks.Rounds takes the longest round but one. Waiting requests use the places that other entries leave free from a second after the group serves again.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -152,9 +152,7 @@
 
 // Rest returns how many more an entry may start of the places that the others
 // have left free for a while.
-func (p Places) Rest(part float64) int {
-	return max(min(int(math.Ceil(part*float64(p.Free))), p.prompts(part)), 0)
-}
+func (p Places) Rest(part float64) int { return int(math.Ceil(part * float64(p.Free))) }
 
 func (p Places) prompts(part float64) int {
 	return int(math.Ceil(part*float64(promptsEach*p.Upstreams))) - p.Unanswered
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -28,6 +29,8 @@
 	// starting counts, by service, those that may start and haven't chosen an
 	// upstream yet.
 	starting map[string]int
+	// shutAt is when, by service, requests last waited without a usable upstream.
+	shutAt map[string]time.Time
 	// part is this entry's part of the upstreams' places.
 	part float64
 }
@@ -41,7 +44,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, part: unknownPart}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, shutAt: map[string]time.Time{}, part: unknownPart}
 }
 
 // Configure takes what the configuration says of the services' engines.
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -30,6 +30,9 @@
 	// restInterval is how often the places are looked at that other entries leave
 	// free: reports show what they took within that time.
 	restInterval = 200 * time.Millisecond
+	// rushTime is how long after a group has begun to serve again the prompts that
+	// wait bound what starts: by then the first ones have been read.
+	rushTime = 1 * time.Second
 	// waitRounds bounds the waiting requests, in shares of the service's places.
 	waitRounds = 3
 	// minWaiting is the least of that bound, for a service of few places.
@@ -151,12 +154,16 @@
 	if w == nil || w.Len() == 0 {
 		return
 	}
-	places := p.pool(service).Places(p.clock.Now())
+	now := p.clock.Now()
+	places := p.pool(service).Places(now)
+	if places.Upstreams == 0 {
+		p.shutAt[service] = now
+	}
 	places.Own += p.starting[service]
 	places.Unanswered += p.starting[service]
 	places.Free = max(places.Free-p.starting[service], 0)
 	n := places.Share(p.part)
-	if rest {
+	if rest && now.Sub(p.shutAt[service]) > rushTime {
 		n = max(n, places.Rest(p.part))
 	}
 	p.starting[service] += w.Start(n)
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -83,7 +83,8 @@
 	defer ticker.Stop()
 	var last wire.RankLoad
 	var sentAt time.Time
-	answers := true
+	answers, goesOn := true, true
+	var progress ranks.Progress
 	for {
 		select {
 		case <-ctx.Done():
@@ -98,7 +99,11 @@
 		if err != nil {
 			continue
 		}
-		load := wire.RankLoad{Address: a.Self.Upstream, Started: st.Started, Queued: st.Queued, Active: st.Active, Pace: float32(st.Pace), Open: st.Open}
+		if now := progress.Add(st, a.Clock.Now()); now != goesOn {
+			goesOn = now
+			a.Log.Info("group's progress changed", zap.Bool("goes_on", now), zap.Int64("step", st.Step), zap.Int("active", st.Active), zap.Int64("held", st.Held))
+		}
+		load := wire.RankLoad{Address: a.Self.Upstream, Started: st.Started, Queued: st.Queued, Active: st.Active, Pace: float32(st.Pace), Open: st.Open && goesOn}
 		if load == last && a.Clock.Since(sentAt) < loadRepeat {
 			continue
 		}
--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -36,26 +36,22 @@
 	peers map[string]*peer
 	// byRank names the member that looks after each rank.
 	byRank map[int]string
-	// orderTime is how long a round of orders takes of late, the slowest rank's
-	// included; the time to copy experts is not.
-	orderTime time.Duration
+	// rounds are those of orders, without the ones in which experts are copied.
+	rounds ranks.Rounds
 }
 
-// orderFade is the part of orderTime that a quicker round leaves.
-const orderFade = 0.85
-
 // took notes how long a round of orders has taken.
 func (g *group) took(d time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.orderTime = max(d, time.Duration(orderFade*float64(g.orderTime)))
+	g.rounds.Add(d)
 }
 
 // roundTime returns how long a round of orders takes of late.
 func (g *group) roundTime() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.orderTime
+	return g.rounds.Usual()
 }
 
 // peer is the connection to another agent.
--- a/internal/ranks/pace.go
+++ b/internal/ranks/pace.go
@@ -1,6 +1,9 @@
 package ranks
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // paceWindow is the least time over which the length of a step is measured: a few
 // steps, so that the step under way at either end matters little.
@@ -61,3 +64,28 @@
 // minLead is the least number of steps ahead for which a hold is set: the next
 // one may begin before the order arrives.
 const minLead = 2
+
+// Rounds keeps how long rounds of orders have taken of late. The zero value has
+// seen none.
+type Rounds struct{ last []time.Duration }
+
+// roundsKept is the number of rounds remembered: those of about two switches.
+const roundsKept = 6
+
+// Add takes the time of a round.
+func (r *Rounds) Add(d time.Duration) {
+	r.last = append(r.last, d)
+	if len(r.last) > roundsKept {
+		r.last = r.last[1:]
+	}
+}
+
+// Usual returns how long a round may take: the longest of late but one, since a
+// VM that stood still during a round says nothing about the next one.
+func (r *Rounds) Usual() time.Duration {
+	if len(r.last) < 2 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(r.last))
+	return sorted[len(sorted)-2]
+}
--- a/internal/ranks/pace_test.go
+++ b/internal/ranks/pace_test.go
@@ -40,3 +40,19 @@
 	g.Expect(p.StepsUntil(last.Add(p.StepTime()))).To(Equal(int64(1)))
 	g.Expect(p.StepsUntil(last.Add(p.StepTime() + 1))).To(Equal(int64(2)))
 }
+
+// A VM froze for four seconds in the middle of a round of orders. The next switch
+// must not be set that far ahead.
+func TestRoundThatAFreezeMadeLongIsNotUsual(t *testing.T) {
+	g := NewWithT(t)
+	var r ranks.Rounds
+	g.Expect(r.Usual()).To(BeZero())
+	for _, ms := range []time.Duration{30, 50, 40, 4100, 45} {
+		r.Add(ms * time.Millisecond)
+	}
+	g.Expect(r.Usual()).To(Equal(50 * time.Millisecond))
+	for range 6 {
+		r.Add(80 * time.Millisecond)
+	}
+	g.Expect(r.Usual()).To(Equal(80 * time.Millisecond))
+}
--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -92,6 +92,11 @@
 		o.Fence = s.Fence()
 		orders[r] = o
 	}
+	return s.give(orders)
+}
+
+// give sends orders and notes the answers.
+func (s *Switcher) give(orders map[int]Order) map[int]Answer {
 	answers := s.Group.Order(orders)
 	for r, a := range answers {
 		if s.Note != nil {
@@ -307,10 +312,8 @@
 	if err != nil || step == None {
 		return err
 	}
-	for r := range s.Size {
-		if err := s.disarm(r, epoch); err != nil {
-			return err
-		}
+	if err := s.disarm(epoch); err != nil {
+		return err
 	}
 	return s.release(epoch, rank, step)
 }
@@ -335,24 +338,31 @@
 	}
 }
 
-// disarm makes a rank refuse all older orders and not be armed.
-func (s *Switcher) disarm(rank int, epoch int64) error {
-	var version int64
+// disarm makes every rank refuse all older orders and not be armed.
+func (s *Switcher) disarm(epoch int64) error {
+	// No map has the version of a fence: such an order only makes older ones void.
+	open := map[int]int64{}
+	for r := range s.Size {
+		open[r] = s.Fence()
+	}
 	for {
-		o := Order{Op: Disarm, Version: version, Epoch: epoch}
-		if version == 0 {
-			o.Version = s.Fence()
+		orders := map[int]Order{}
+		for r, version := range open {
+			orders[r] = Order{Op: Disarm, Version: version, Epoch: epoch, Fence: s.Fence()}
 		}
-		a := s.all(o, map[int]bool{rank: true})[rank]
-		switch {
-		case a.Verdict == Fenced:
-			return errNotLeader
-		case a.OK && a.Status.Epoch != epoch:
-			return errChanged
-		case a.OK && a.Status.Armed != None:
-			version = a.Status.Armed
-			continue
-		case a.Verdict != Unknown && a.OK:
+		for r, a := range s.give(orders) {
+			switch {
+			case a.Verdict == Fenced:
+				return errNotLeader
+			case a.OK && a.Status.Epoch != epoch:
+				return errChanged
+			case a.OK && a.Status.Armed != None:
+				open[r] = a.Status.Armed
+			case a.Verdict != Unknown && a.OK:
+				delete(open, r)
+			}
+		}
+		if len(open) == 0 {
 			return nil
 		}
 		if !s.Group.Pause() {
--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -423,3 +423,33 @@
 	}
 	t.Logf("%d schedules of three leaders side by side from seed 0", schedules)
 }
+
+// rounds counts the rounds of orders to a group.
+type rounds struct {
+	ranks.Group
+	n int
+}
+
+func (r *rounds) Order(orders map[int]ranks.Order) map[int]ranks.Answer {
+	r.n++
+	return r.Group.Order(orders)
+}
+
+// A large group waits while what a leader left behind is ended: the rounds of orders
+// must not grow with its size.
+func TestHoldOfALargeGroupIsEndedInAFewRounds(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1, 64)
+	w.faults = 0
+	n := int64(0)
+	r := &rounds{Group: w}
+	s := &ranks.Switcher{
+		Group: r, Size: 64, Leads: func() bool { return true },
+		Fence: func() int64 { n += ranks.Repeats; return 1<<20 + n },
+	}
+	w.Order(map[int]ranks.Order{5: {Op: ranks.Hold, Step: w.step + 50, Epoch: w.epoch, Fence: 1}})
+	g.Expect(w.Statuses()[5].Held).NotTo(Equal(ranks.None))
+	g.Expect(s.Recover()).To(Succeed())
+	g.Expect(w.Statuses()[5].Held).To(Equal(ranks.None))
+	g.Expect(r.n).To(BeNumerically("<=", 4))
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -22,7 +22,7 @@
 	Started        int64
 	Queued, Active int
 	Pace           float32
-	// Open says that the rank's group serves.
+	// Open says that the rank's group serves and goes on with its work.
 	Open bool
 	// Step is the last step begun.
 	Step int64
