Give the order to hold a group through a third agent

What followed a missing answer also disarmed every rank, the unreachable one included, though none can be armed before a hold is taken.

Ruled out: the leader gives the order itself. If it stops, its successor can't know whether the leader's own unreachable rank is armed, and has to wait for it.

Change: an agent that is neither the leader's nor the held rank's gives the order (another one each time). Without an answer the leader makes the order void at the held rank and lets the group go on (Switcher.undoHold).

The new test fails without the change.

--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -124,7 +124,7 @@
 	return &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){
 		wire.KindRankRelay: func(c *wire.Conn, m wire.Message) { a.relay(ctx, c, others, m.(*wire.RankRelay)) },
 		wire.KindRankAsk:   func(c *wire.Conn, m wire.Message) { go a.answer(ctx, c, others, m.(*wire.RankAsk)) },
-		wire.KindRankOrder: func(c *wire.Conn, m wire.Message) { go a.order(ctx, c, m.(*wire.RankOrder)) },
+		wire.KindRankOrder: func(c *wire.Conn, m wire.Message) { go a.order(ctx, c, others, m.(*wire.RankOrder)) },
 	}}
 }
 
@@ -168,12 +168,31 @@
 	return reply
 }
 
-func (a *Agent) order(ctx context.Context, c *wire.Conn, m *wire.RankOrder) {
-	reply := a.carryOut(ctx, m.Order)
+func (a *Agent) order(ctx context.Context, c *wire.Conn, others *group, m *wire.RankOrder) {
+	var reply *wire.RankState
+	if m.For == "" {
+		reply = a.carryOut(ctx, m.Order)
+	} else {
+		reply = a.carryOutFor(ctx, others, m.For, m.Order)
+	}
 	reply.Nonce = m.Nonce
 	_ = c.Send(reply)
 }
 
+// carryOutFor gives an order to the engine of another agent's rank.
+func (a *Agent) carryOutFor(ctx context.Context, others *group, agent string, o ranks.Order) *wire.RankState {
+	others.refresh()
+	p := others.peer(agent)
+	if p == nil {
+		a.Log.Info("order not given: the agent isn't registered", zap.String("agent", agent), zap.String("order", string(o.Op)))
+		return &wire.RankState{}
+	}
+	reply := carryOut(ctx, p.engine, o, otherTimeout)
+	a.Log.Info("order given for another agent", zap.String("agent", agent), zap.String("order", string(o.Op)), zap.Int64("step", o.Step),
+		zap.Int64("fence", o.Fence), zap.Stringer("verdict", reply.Verdict), zap.Int64("at_step", reply.Status.Step))
+	return reply
+}
+
 // carryOut carries out an order at the own rank.
 func (a *Agent) carryOut(ctx context.Context, o ranks.Order) *wire.RankState {
 	reply := carryOut(ctx, a.Engine, o, localTimeout)
@@ -187,8 +206,12 @@
 	// localTimeout bounds an order to the engine on the same VM, which answers
 	// within milliseconds or not at all.
 	localTimeout = 12 * time.Millisecond
-	// farTimeout bounds an order to an engine on another VM.
+	// farTimeout bounds an order to an engine on another VM whose agent doesn't
+	// answer.
 	farTimeout = 150 * time.Millisecond
+	// otherTimeout bounds an order to an engine on another VM that should answer:
+	// a few round trips.
+	otherTimeout = 30 * time.Millisecond
 )
 
 const (
--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -36,6 +36,8 @@
 	peers map[string]*peer
 	// byRank names the member that looks after each rank.
 	byRank map[int]string
+	// thirds counts the agents that were looked at to give a Hold.
+	thirds int
 	// rounds are those of orders, without the ones in which experts are copied.
 	rounds ranks.Rounds
 }
@@ -288,12 +290,53 @@
 // orderOne has a rank's agent carry out an order, or gives it to the engine where
 // the agent doesn't answer.
 func (g *group) orderOne(p *peer, o ranks.Order) *wire.RankState {
+	if o.Op == ranks.Hold {
+		if third := g.third(p); third != nil {
+			return g.orderThrough(third, p, o)
+		}
+	}
 	if st := g.ask(p, func(n uint64) wire.Message { return &wire.RankOrder{Nonce: n, Order: o} }); st != nil {
 		return st
 	}
 	return carryOut(g.ctx, p.engine, o, g.timeout(p))
 }
 
+// orderThrough has a third agent give a Hold to a rank's engine. A VM that stops as
+// it gives the order then takes neither the leader nor the held rank with it, and
+// the leader can let the group go on. Without an answer the verdict is Unknown.
+func (g *group) orderThrough(third, p *peer, o ranks.Order) *wire.RankState {
+	ctx, cancel := context.WithTimeout(g.ctx, holdTimeout)
+	defer cancel()
+	st := gather(ctx, []*peer{third}, func(*peer) *wire.RankState {
+		return g.ask(third, func(n uint64) wire.Message { return &wire.RankOrder{Nonce: n, Order: o, For: p.member.Name} })
+	})[third]
+	if st == nil {
+		g.a.Log.Info("hold not answered", zap.String("through", third.member.Name), zap.String("rank_of", p.member.Name),
+			zap.Int64("step", o.Step), zap.Int64("fence", o.Fence))
+		return &wire.RankState{}
+	}
+	return st
+}
+
+// holdTimeout bounds a Hold through a third agent: some repeats of an order whose
+// answer is lost.
+const holdTimeout = 200 * time.Millisecond
+
+// third returns an agent that is neither this one nor p, nil for none. It changes
+// from hold to hold, so that one that doesn't answer is not asked again at once.
+func (g *group) third(p *peer) *peer {
+	known := g.known()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for range known {
+		g.thirds++
+		if t := known[g.thirds%len(known)]; t != p && t.member.Name != g.a.Self.Name {
+			return t
+		}
+	}
+	return nil
+}
+
 // rankElsewhere returns a rank that another agent than this one looks after; the
 // own one where there is no other.
 func (g *group) rankElsewhere(size int) int {
--- a/internal/rankagent/rankagent_test.go
+++ b/internal/rankagent/rankagent_test.go
@@ -45,6 +45,10 @@
 	hot int
 	// holders counts the holds by rank.
 	holders map[int]int
+	// freezeGiver makes the VM stop that gives the next Hold, and frozen is its
+	// rank, -1 for none.
+	freezeGiver bool
+	frozen      int
 }
 
 // engine is one rank of it. It implements rankagent.Engine.
@@ -59,7 +63,7 @@
 }
 
 func newGroupOfEngines(size int) *groupOfEngines {
-	g := &groupOfEngines{rng: rand.New(rand.NewPCG(1, 1)), holders: map[int]int{}}
+	g := &groupOfEngines{rng: rand.New(rand.NewPCG(1, 1)), holders: map[int]int{}, frozen: -1}
 	for r := range size {
 		e := &engine{g: g, rank: r, prepared: ranks.None, armed: ranks.None, held: ranks.None, chosen: make([]int64, testExperts*size/testRanks), experts: make([][]int, 1)}
 		for x := r; x < testExperts*size/testRanks; x += size {
@@ -165,6 +169,51 @@
 	return ranks.Taken, nil
 }
 
+// seenFrom is an engine as the agent of a rank reaches it.
+type seenFrom struct {
+	*engine
+	agent int
+}
+
+// reach fails where one of the two VMs has stopped; on the stopped one itself
+// nothing goes on.
+func (s *seenFrom) reach(ctx context.Context) error {
+	s.g.mu.Lock()
+	frozen := s.g.frozen
+	s.g.mu.Unlock()
+	if frozen == s.agent {
+		<-ctx.Done()
+	}
+	if frozen == s.agent || frozen == s.rank {
+		return errors.New("unreachable")
+	}
+	return nil
+}
+
+func (s *seenFrom) Status(ctx context.Context) (ranks.Status, error) {
+	if err := s.reach(ctx); err != nil {
+		return ranks.Status{}, err
+	}
+	return s.engine.Status(ctx)
+}
+
+func (s *seenFrom) Order(ctx context.Context, o ranks.Order, timeout time.Duration) (ranks.Verdict, error) {
+	if err := s.reach(ctx); err != nil {
+		return ranks.Unknown, err
+	}
+	verdict, err := s.engine.Order(ctx, o, timeout)
+	s.g.mu.Lock()
+	freeze := s.g.freezeGiver && o.Op == ranks.Hold && verdict == ranks.Taken
+	if freeze {
+		s.g.frozen, s.g.freezeGiver = s.agent, false
+	}
+	s.g.mu.Unlock()
+	if freeze {
+		return ranks.Unknown, s.reach(ctx)
+	}
+	return verdict, err
+}
+
 // deployment is a group with an agent beside each rank.
 type deployment struct {
 	g     *groupOfEngines
@@ -224,11 +273,11 @@
 	registry := metrics.NewRegistry()
 	d.metrics = append(d.metrics, registry)
 	a := rankagent.New(rankagent.Options{
-		Self: self, Service: "s", Engine: d.g.engines[rank],
+		Self: self, Service: "s", Engine: &seenFrom{d.g.engines[rank], rank},
 		Connect: func(address string) rankagent.Engine {
 			var n int
 			_, _ = fmt.Sscan(address, &n)
-			return d.g.engines[n]
+			return &seenFrom{d.g.engines[n], rank}
 		},
 		View: view, Datagrams: datagrams, Routes: routes, KV: d.store, LeaderTerm: time.Second, Fencing: fencing,
 		Clock: clock, Log: zap.NewNop(), Metrics: registry,
@@ -300,6 +349,30 @@
 	g.Expect(d.g.holders).NotTo(HaveKey(own))
 }
 
+// The VM that gives the order to hold the group stops as it does. The group goes on
+// at once, and not when that VM wakes.
+func TestGroupGoesOnWhenTheGiverOfItsHoldStops(t *testing.T) {
+	g := NewWithT(t)
+	d := deploy(t, true)
+	d.g.mu.Lock()
+	d.g.freezeGiver = true
+	d.g.mu.Unlock()
+	frozen := func() int {
+		d.g.mu.Lock()
+		defer d.g.mu.Unlock()
+		return d.g.frozen
+	}
+	g.Eventually(frozen, "20s").ShouldNot(Equal(-1))
+	before, _, _, _ := d.g.state()
+	g.Eventually(func() int64 {
+		step, _, _, _ := d.g.state()
+		return step
+	}, "10s").Should(BeNumerically(">", before+20))
+	g.Expect(frozen()).NotTo(Equal(-1))
+	_, _, _, mixed := d.g.state()
+	g.Expect(mixed).To(BeFalse())
+}
+
 // A map of a large group goes to a few agents, which hand it on. Where one of
 // those has gone, the leader orders its ranks by itself.
 func TestMapOfALargeGroupIsRelayed(t *testing.T) {
--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -202,9 +202,8 @@
 		case Fenced:
 			return 0, errNotLeader
 		case Unknown:
-			// The order may be carried out later: a newer order makes its fence
-			// old, and what it did until then is undone.
-			if err := s.Recover(); err != nil {
+			// The order may have been carried out, or may be later.
+			if err := s.undoHold(epoch); err != nil {
 				return 0, err
 			}
 		}
@@ -217,6 +216,17 @@
 	return 0, fault.New(fault.Conflict, "the map is planned again", "no step could be held")
 }
 
+// undoHold makes void a Hold whose answer is missing, and lets the group go on if it
+// was carried out. No rank is armed then: a switch arms only after its Hold was
+// taken, and one that failed has disarmed every rank.
+func (s *Switcher) undoHold(epoch int64) error {
+	step, err := s.void(s.Holder, epoch)
+	if err != nil || step == None {
+		return err
+	}
+	return s.release(epoch, s.Holder, step)
+}
+
 // arm arms every rank for the held step and says whether each has been read to
 // be, after its order.
 func (s *Switcher) arm(epoch, version, step int64) bool {
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -61,6 +61,8 @@
 type RankOrder struct {
 	Nonce uint64
 	Order ranks.Order
+	// For is the agent whose rank is meant, empty for the receiver's own.
+	For string
 }
 
 // RankRelay hands one map to an agent that carries out the orders of its own and
