--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -182,7 +182,7 @@
 	if next == nil {
 		return
 	}
-	l.switchTo(s, next, peak >= urgentPeak)
+	l.switchTo(s, next, l.urgent(peak))
 	// Demand may have shifted in the meantime. A reading of that time would mix
 	// both.
 	l.demand.Restart()
@@ -267,6 +267,9 @@
 	// The next switch brings the others, while steps are short again.
 	urgentPeak   = 1.8
 	urgentBudget = 50 * time.Millisecond
+	// urgentCopies is the least number of experts for which that pays: with fewer
+	// a rank, the load stays uneven and one larger switch is quicker.
+	urgentCopies = 2
 	// copyHorizon is the time in which a copy has to pay for its own: demand
 	// shifts every few seconds.
 	copyHorizon = 1200 * time.Millisecond
@@ -298,7 +301,7 @@
 		CopyGain: l.shape.CopyTime.Seconds() / copyHorizon.Seconds(),
 	}
 	budget := copyBudget
-	if before >= urgentPeak {
+	if l.urgent(before) {
 		budget = urgentBudget
 	}
 	next := planner.EvenSets(l.placed, loads, limits, max(int(budget/max(l.shape.CopyTime, 1)), 1))
@@ -316,6 +319,11 @@
 	return next
 }
 
+// urgent says whether the copies that help most go first.
+func (l *leader) urgent(peak float64) bool {
+	return peak >= urgentPeak && urgentCopies*l.shape.CopyTime <= urgentBudget
+}
+
 // switchTo brings a planned map into force.
 func (l *leader) switchTo(s *ranks.Switcher, next []planner.Placement, urgent bool) {
 	m := make(ranks.Map, len(next))
