Wait for a group only when it may be back in time

Those that did wait started before new requests and filled all places, so that steps stayed long for 4 s.

Change: new requests go first; those that have waited fill 0.6 of the places; a request waits only if the group, away for the partition bound of the platform's settings (5 s where it states none), may be back within the wait. Others are told at once when to come back.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -93,8 +93,8 @@
 	e.gateway = gateway.New(gateway.Options{
 		Routes: e.routes, Directory: e.directory, Codec: platform.Headers{}, Transport: e.transport,
 		Pools:  gateway.NewPools(h.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		Limits: retryLimits(h.node),
-		Clock:  h.clock, Log: h.log, Metrics: h.metrics,
+		Limits: retryLimits(h.node), Outage: h.node.PartitionBound,
+		Clock: h.clock, Log: h.log, Metrics: h.metrics,
 	})
 	var err error
 	if e.fleet, err = h.join(work, fleet.RoleEntry); err != nil {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -114,13 +114,19 @@
 	// Upstreams counts those that can serve, and All the places of every one, also
 	// of those that can't for now.
 	Upstreams, All int
-	// Free counts the places that no known request takes at upstreams that serve.
+	// Free counts the places, up to waitingPart of each upstream's, that no known
+	// request takes at upstreams that serve.
 	Free int
 	// Own is how many of this entry's requests are at the upstreams, and
 	// Unanswered those of them of which nothing has come back.
 	Own, Unanswered int
 }
 
+// waitingPart is the part of an upstream's places that requests which have waited
+// may fill: the more requests run, the longer all steps take, and new requests can
+// still be in time.
+const waitingPart = 0.6
+
 // Places returns the pool's places.
 func (p *Pool) Places(now time.Time) Places {
 	var out Places
@@ -131,7 +137,7 @@
 		out.Unanswered += n.unanswered
 		if n.usable(now, shut) && !n.silent(now) {
 			out.Upstreams++
-			out.Free += max(n.Slots-n.work(now), 0)
+			out.Free += max(int(waitingPart*float64(n.Slots))-n.work(now), 0)
 		}
 	}
 	return out
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,9 +67,12 @@
 	Codec     Codec
 	Pools     *Pools
 	Limits    outcome.WindowLimits
-	Clock     clockwork.Clock
-	Log       *zap.Logger
-	Metrics   metrics.Registry
+	// Outage is how long a group that can't serve is taken to be away at least; 0
+	// means defaultOutage, negative that it may be back at any moment.
+	Outage  time.Duration
+	Clock   clockwork.Clock
+	Log     *zap.Logger
+	Metrics metrics.Registry
 }
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -97,6 +100,9 @@
 		began:   o.Clock.Now(),
 		bodies:  newBodyBudget(maxBodies),
 	}
+	if g.Outage == 0 {
+		g.Outage = defaultOutage
+	}
 	o.Routes.OnChange(g.reroute)
 	return g
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -432,6 +432,7 @@
 	})
 	t.Cleanup(goOn) // runs before the upstream's server waits for its requests
 	f.gateway.SetEntries(2)
+	f.gateway.Outage = -1
 	f.routes.Apply(groupConfiguration(), time.Now())
 	f.report(dispatch.Load{Open: false})
 	const callers = 3
@@ -456,11 +457,29 @@
 	}
 }
 
+// A group that has just stopped to serve isn't back soon: the caller is told at
+// once when to come back, and doesn't wait in vain.
+func TestCallerOfAGroupThatHasJustGoneIsToldAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, abort)
+	f.gateway.Outage = time.Hour
+	f.routes.Apply(groupConfiguration(), time.Now())
+	f.report(dispatch.Load{Open: false})
+	r := f.request(http.MethodPost, "/stream/x", "")
+	r.Header.Set("Deadline-Ms", "100000")
+	status, header, _, _ := f.send(r)
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(f.gateway.Metrics.Get("waits.s.given_up")).To(BeNil())
+	g.Expect(f.arrived()).To(BeEmpty())
+}
+
 // A group that stays away is no reason to keep a caller until its time is over: it
 // is told in time to come back, and truly that nothing has run.
 func TestWaitForAGroupEnds(t *testing.T) {
 	g := NewWithT(t)
 	f := newFixture(t, abort)
+	f.gateway.Outage = -1
 	f.routes.Apply(groupConfiguration(), time.Now())
 	f.report(dispatch.Load{Open: false})
 	r := f.request(http.MethodPost, "/stream/x", "")
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -29,6 +29,8 @@
 	// starting counts, by service, those that may start and haven't chosen an
 	// upstream yet.
 	starting map[string]int
+	// shutSince is since when, by service, no upstream is usable.
+	shutSince map[string]time.Time
 	// shutAt is when, by service, requests last waited without a usable upstream.
 	shutAt map[string]time.Time
 	// part is this entry's part of the upstreams' places.
@@ -44,7 +46,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, shutAt: map[string]time.Time{}, part: unknownPart}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, shutAt: map[string]time.Time{}, shutSince: map[string]time.Time{}, part: unknownPart}
 }
 
 // Configure takes what the configuration says of the services' engines.
@@ -146,6 +148,7 @@
 	}
 	before := m.node.Open()
 	m.node.Reported(load, p.clock.Now())
+	p.noteShut(m.Service)
 	p.startWaiting(m.Service, false)
 	if before == load.Open {
 		return nil
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -10,9 +10,10 @@
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 )
 
-// A group whose rank is away serves nobody, and forms anew within seconds. Its
-// requests wait for that as long as their callers wait for a first event, and then
-// start as the places allow.
+// A group whose rank is away serves nobody, and forms anew within seconds. While it
+// can't be expected back in time, callers are told at once when to come back. Later
+// requests, and streams that have begun, wait as long as their callers wait for an
+// event, and then start as the places allow.
 
 const (
 	// callerPatience is how long callers of streams wait for an event at least,
@@ -50,12 +51,16 @@
 	if !q.steps() {
 		return q.g.Pools.Pick(q.service, q.tried)
 	}
-	if q.g.Pools.Waiting(q.service) == 0 {
-		if m := q.g.Pools.Pick(q.service, q.tried); m != nil {
-			return m
-		}
+	// A new request can still have its first event in time, those that wait can't.
+	m, away := q.g.Pools.pickOrAge(q.service, q.tried)
+	if m != nil {
+		return m
+	}
+	limit := q.waitLimit()
+	if !q.head && away+limit < q.g.Outage {
+		return nil
 	}
-	if !q.await() {
+	if !q.await(limit) {
 		return nil
 	}
 	return q.g.Pools.pickStarted(q.service, q.tried)
@@ -73,8 +78,7 @@
 
 // await waits until the request may start; false means that its time to wait is
 // over, or that too many wait.
-func (q *request) await() bool {
-	limit := q.waitLimit()
+func (q *request) await(limit time.Duration) bool {
 	if limit <= 0 {
 		return false
 	}
@@ -100,6 +104,36 @@
 	return d.Start
 }
 
+// defaultOutage is how long a group is taken to be away at least once it can't
+// serve, where the platform states no bound on partitions.
+const defaultOutage = 5 * time.Second
+
+// pickOrAge is Pick; without an upstream it returns for how long there has been
+// none.
+func (p *Pools) pickOrAge(service string, tried []string) (m *Member, away time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m = p.take(service, tried); m != nil {
+		return m, 0
+	}
+	return nil, p.clock.Since(p.noteShut(service))
+}
+
+// noteShut returns since when a service has no usable upstream, now if it has one.
+// The caller holds mu.
+func (p *Pools) noteShut(service string) time.Time {
+	now := p.clock.Now()
+	if p.pool(service).Places(now).Upstreams > 0 {
+		delete(p.shutSince, service)
+		return now
+	}
+	if since, known := p.shutSince[service]; known {
+		return since
+	}
+	p.shutSince[service] = now
+	return now
+}
+
 // SetPart sets this entry's part of the upstreams' places.
 func (p *Pools) SetPart(part float64) {
 	p.mu.Lock()
