--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -52,10 +52,14 @@
 	metrics metrics.Registry
 	store   *platform.Store
 	clock   clockwork.Clock
+	// hup gets SIGHUP from the start on, which would end the process otherwise.
+	hup chan os.Signal
 }
 
 // newHost reads the platform's settings and sets up what all roles share.
 func newHost(s settings.Hosted, w io.Writer) (*host, error) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	node, err := platform.ReadSettings()
 	if err != nil {
 		return nil, err
@@ -67,7 +71,7 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(node.MemoryBytes)))
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
-	h := &host{node: node, log: log, metrics: reg, clock: clockwork.NewRealClock()}
+	h := &host{node: node, log: log, metrics: reg, clock: clockwork.NewRealClock(), hup: hup}
 	h.store = platform.NewStore(node.StoreAddress, platform.DefaultStoreTimeout)
 	h.store.Observe = func(path string, err error) {
 		result := "ok"
@@ -97,17 +101,15 @@
 // reload reads the settings again at SIGHUP and when the file has changed, and
 // passes them to apply. Faulty settings leave the old ones in force.
 func (h *host) reload(ctx context.Context, apply func(settings.Node)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hup)
+		defer signal.Stop(h.hup)
 		last := h.node
 		for {
 			signalled := false
 			select {
 			case <-ctx.Done():
 				return
-			case <-hup:
+			case <-h.hup:
 				signalled = true
 			case <-h.clock.After(reloadInterval):
 			}
