Soak: start processes again as the platform does

A process that gets a signal before its program runs ends by it; the platform starts it again, so the soak does too, and takes the end of one that was up for a fault.

--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -51,6 +51,13 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// ended is closed when cmd has ended, and result how.
+	ended  chan struct{}
+	result error
+	// stopping says that the test ends the process.
+	stopping bool
+	// up says that it has taken connections.
+	up bool
 }
 
 // listen serves a link to an address at a loopback address.
@@ -84,12 +91,12 @@
 		p.settings = filepath.Join(s.dir, p.name+".toml")
 		s.writeSettings(p, address)
 		s.processes = append(s.processes, p)
-		p.start(t)
+		p.start(s)
 	}
 	t.Cleanup(func() {
 		for _, p := range s.processes {
 			p.signal(syscall.SIGCONT)
-			p.end(syscall.SIGKILL)
+			_ = p.end(syscall.SIGKILL) // it ends by the signal
 		}
 	})
 	return s
@@ -150,11 +157,15 @@
 	})
 }
 
+// restartDelay is how soon a process that has ended is started again, as the
+// platform does.
+const restartDelay = 100 * time.Millisecond
+
 // start starts the process; its log goes to a file beside its settings.
-func (p *process) start(t *testing.T) {
+func (p *process) start(s *site) {
 	log, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		t.Error(err)
+		s.t.Error(err)
 		return
 	}
 	defer log.Close()
@@ -164,10 +175,29 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err := cmd.Start(); err != nil {
-		t.Error(err)
+		s.t.Error(err)
+		return
+	}
+	p.cmd, p.ended, p.stopping, p.up = cmd, make(chan struct{}), false, false
+	go p.watch(s, cmd, p.ended)
+}
+
+// watch starts the process again when it ends and the test didn't end it.
+func (p *process) watch(s *site, cmd *exec.Cmd, ended chan struct{}) {
+	err := cmd.Wait()
+	p.mu.Lock()
+	p.result = err
+	stopping, up := p.stopping, p.up
+	p.mu.Unlock()
+	close(ended)
+	if stopping {
 		return
 	}
-	p.cmd = cmd
+	if up {
+		s.ledger.broken("%s ended by itself: %v", p.name, err)
+	}
+	time.Sleep(restartDelay)
+	p.start(s)
 }
 
 // signal sends a signal to the process, by its id.
@@ -184,18 +214,25 @@
 		return false
 	}
 	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.up = true
 	return true
 }
 
 // end sends a signal, waits for the process and returns how it ended.
 func (p *process) end(sig syscall.Signal) error {
-	p.signal(sig)
 	p.mu.Lock()
-	cmd := p.cmd
+	cmd, ended := p.cmd, p.ended
+	p.stopping = true
 	p.mu.Unlock()
+	p.signal(sig)
 	kill := time.AfterFunc(grace, func() { _ = cmd.Process.Kill() })
 	defer kill.Stop()
-	return cmd.Wait()
+	<-ended
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.result
 }
 
 // ready says whether the process takes callers.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -47,6 +47,11 @@
 func soak(t *testing.T, seed uint64) {
 	g := NewWithT(t)
 	s := newSite(t, seed)
+	t.Cleanup(func() {
+		if t.Failed() {
+			s.keepLogs()
+		}
+	})
 	for _, p := range s.processes {
 		g.Eventually(p.ready, recovery).Should(BeTrue(), p.name)
 	}
@@ -85,9 +90,6 @@
 	s.ledger.mu.Lock()
 	defer s.ledger.mu.Unlock()
 	t.Logf("%d requests ran, %d requests told not to have run", len(s.ledger.runs), len(unsafe.sent))
-	if len(s.ledger.faults) > 0 {
-		s.keepLogs()
-	}
 	g.Expect(s.ledger.faults).To(BeEmpty())
 	g.Expect(len(s.ledger.runs)).To(BeNumerically(">", 20), "the callers were served")
 }
@@ -131,14 +133,16 @@
 		p.signal(syscall.SIGCONT)
 	case 1:
 		_ = p.end(syscall.SIGKILL)
-		p.start(s.t)
+		p.start(s)
 	case 2:
 		// One that is still starting has nothing to end in order.
-		if up := p.started(); p.end(syscall.SIGTERM) != nil && up {
-			s.ledger.broken("%s did not end in order at SIGTERM", p.name)
+		up := p.started()
+		if err := p.end(syscall.SIGTERM); err != nil && up {
+			s.ledger.broken("%s did not end in order at SIGTERM: %v", p.name, err)
 		}
-		p.start(s.t)
+		p.start(s)
 	case 3:
+		p.started()
 		p.signal(syscall.SIGHUP)
 	case 4:
 		mode(u.link, link.Drop)
