--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -56,8 +56,8 @@
 	result error
 	// stopping says that the test ends the process.
 	stopping bool
-	// up says that it has taken connections.
-	up bool
+	// up says that it has taken connections, and over that the test is.
+	up, over bool
 }
 
 // listen serves a link to an address at a loopback address.
@@ -95,6 +95,9 @@
 	}
 	t.Cleanup(func() {
 		for _, p := range s.processes {
+			p.mu.Lock()
+			p.over = true
+			p.mu.Unlock()
 			p.signal(syscall.SIGCONT)
 			_ = p.end(syscall.SIGKILL) // it ends by the signal
 		}
@@ -163,6 +166,11 @@
 
 // start starts the process; its log goes to a file beside its settings.
 func (p *process) start(s *site) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over || p.running() {
+		return
+	}
 	log, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		s.t.Error(err)
@@ -172,8 +180,7 @@
 	cmd := exec.Command(os.Args[0], "gateway")
 	cmd.Env = append(os.Environ(), roleVariable+"=1", platform.SettingsVariable+"="+p.settings)
 	cmd.Stdout, cmd.Stderr = log, log
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the test
 	if err := cmd.Start(); err != nil {
 		s.t.Error(err)
 		return
@@ -182,6 +189,19 @@
 	go p.watch(s, cmd, p.ended)
 }
 
+// running says whether the process runs. The caller holds mu.
+func (p *process) running() bool {
+	if p.ended == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // watch starts the process again when it ends and the test didn't end it.
 func (p *process) watch(s *site, cmd *exec.Cmd, ended chan struct{}) {
 	err := cmd.Wait()
