--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -13,7 +13,7 @@
 
 // Replica identifies an upstream of a pool.
 type Replica struct {
-	ID, DataCentre string
+	ID string
 	// Slots is the number of requests that it runs at once.
 	Slots int
 }
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -105,7 +105,7 @@
 
 func (p *Pools) add(u directory.Upstream) {
 	m := &Member{Upstream: u, pools: p}
-	m.node = p.pool(u.Service).Add(dispatch.Replica{ID: u.ID, DataCentre: u.DataCentre, Slots: u.Slots})
+	m.node = p.pool(u.Service).Add(dispatch.Replica{ID: u.ID, Slots: u.Slots})
 	p.members[u.ID] = m
 	p.byAddress[u.Address] = m
 }
--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -189,7 +189,7 @@
 
 // read reads the ranks of some peers at once.
 func (g *group) read(peers []*peer, chosen, lists bool) map[int]*wire.RankState {
-	states := collect(peers, func(p *peer) *wire.RankState {
+	states := gather(context.Background(), peers, func(p *peer) *wire.RankState {
 		if p.member.Name == g.a.Self.Name {
 			return g.a.read(g.ctx, chosen, lists)
 		}
@@ -217,23 +217,6 @@
 	return all
 }
 
-// collect calls f for each peer at once.
-func collect(peers []*peer, f func(*peer) *wire.RankState) map[*peer]*wire.RankState {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	all := map[*peer]*wire.RankState{}
-	for _, p := range peers {
-		wg.Go(func() {
-			st := f(p)
-			mu.Lock()
-			defer mu.Unlock()
-			all[p] = st
-		})
-	}
-	wg.Wait()
-	return all
-}
-
 // Statuses implements ranks.Group.
 func (g *group) Statuses() map[int]ranks.Status {
 	all := map[int]ranks.Status{}
--- a/internal/rankagent/survey.go
+++ b/internal/rankagent/survey.go
@@ -60,7 +60,7 @@
 }
 
 // gather calls f for each peer at once and returns the answers that come before
-// ctx is done.
+// ctx is done; all of them where it never is.
 func gather(ctx context.Context, peers []*peer, f func(*peer) *wire.RankState) map[*peer]*wire.RankState {
 	var mu sync.Mutex
 	all := map[*peer]*wire.RankState{}
--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -259,6 +259,23 @@
 	return false
 }
 
+// goesOn expects that a last leader lets the group go on, with one map. The late
+// orders still on their way are void; it ends a hold that one of them may have set
+// before it was.
+func goesOn(g *WithT, w *world, seed uint64) {
+	w.faults = 0
+	for len(w.late) > 0 {
+		w.advance()
+	}
+	w.lead(9)
+	before := w.step
+	for range 20 {
+		w.begin()
+	}
+	g.Expect(w.step).To(Equal(before+20), "seed %d: the group is held", seed)
+	g.Expect(w.mixed).To(BeFalse(), "seed %d", seed)
+}
+
 // TestSwitchNeverMixesMaps runs random schedules: orders that are lost, whose
 // answers are lost, or that are carried out later, after newer ones; leaders
 // that die at any call; ranks that restart; new epochs. No step may begin with
@@ -278,19 +295,7 @@
 		}
 		g.Expect(w.mixed).To(BeFalse(), "seed %d", seed)
 		switches += w.switches
-		// The late orders still on their way are void; the last leader ends a
-		// hold that one of them may have set before it was.
-		w.faults = 0
-		for len(w.late) > 0 {
-			w.advance()
-		}
-		w.lead(9)
-		before := w.step
-		for range 20 {
-			w.begin()
-		}
-		g.Expect(w.step).To(Equal(before+20), "seed %d: the group is held", seed)
-		g.Expect(w.mixed).To(BeFalse(), "seed %d", seed)
+		goesOn(g, w, seed)
 	}
 	t.Logf("%d schedules from seed 0, %d switches made", schedules, switches)
 	g.Expect(switches).To(BeNumerically(">", schedules))
@@ -409,17 +414,7 @@
 		w := newWorld(seed, 4)
 		contend(w, 3)
 		g.Expect(w.mixed).To(BeFalse(), "seed %d", seed)
-		w.faults = 0
-		for len(w.late) > 0 {
-			w.advance()
-		}
-		w.lead(9)
-		before := w.step
-		for range 20 {
-			w.begin()
-		}
-		g.Expect(w.step).To(Equal(before+20), "seed %d: the group is held", seed)
-		g.Expect(w.mixed).To(BeFalse(), "seed %d", seed)
+		goesOn(g, w, seed)
 	}
 	t.Logf("%d schedules of three leaders side by side from seed 0", schedules)
 }
