rankagent: only registered agents lead, and orders reach agents that register later

Cause of TestHoldThatIsLeftBehindIsEnded under load: agent and registrar start side by side, so that an agent could acquire the leader lease before it was registered. When it was stopped at that moment, its successor found no agent for its rank and could not release the hold there. An agent now campaigns only once its own view shows it.

A second way to the same end: orders to a rank whose agent wasn't known at the leader's last reading were dropped on each retry, so a hold was kept for good although the agent had registered meanwhile. Order reads the group again if an agent is missing.

Ruled out: late orders and fences (the held rank never got an order in the failing runs).

--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -241,6 +241,11 @@
 
 // Order implements ranks.Group.
 func (g *group) Order(orders map[int]ranks.Order) map[int]ranks.Answer {
+	list := g.addressOrders(orders)
+	if len(list) < len(orders) {
+		g.ReadStatuses() // learns the ranks of agents that have registered since the last reading
+		list = g.addressOrders(orders)
+	}
 	start := g.a.Clock.Now()
 	defer func() {
 		if !containsPrepare(orders) {
@@ -255,7 +260,7 @@
 		answers[to.rank] = ranks.Answer{Verdict: st.Verdict, Status: st.Status, OK: st.OK}
 	}
 	var wg sync.WaitGroup
-	for _, branch := range branchOrders(g.addressOrders(orders), g.a.Self.Name) {
+	for _, branch := range branchOrders(list, g.a.Self.Name) {
 		wg.Go(func() { g.order(branch, onAnswer) })
 	}
 	wg.Wait()
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -85,10 +85,18 @@
 	return service.Engine.Experts, true
 }
 
+// isRegistered reports whether the other agents can find this one. An agent that isn't
+// registered must not lead: if it stopped, its successor could not reach its rank to
+// release a hold there.
+func (a *Agent) isRegistered() bool {
+	_, registered := a.View.Get(a.Self.Name)
+	return a.View.Synced() && registered
+}
+
 // campaign acquires the lease if the group has no leader, and leads the group until the
 // leadership ends.
 func (a *Agent) campaign(ctx context.Context, st ranks.Status) {
-	if !a.View.Synced() || !a.hasNoLeader(ctx, st.Group) {
+	if !a.isRegistered() || !a.hasNoLeader(ctx, st.Group) {
 		return
 	}
 	a.sleep(ctx, time.Duration(st.Rank)*campaignStagger)
--- a/internal/rankagent/rankagent_test.go
+++ b/internal/rankagent/rankagent_test.go
@@ -225,14 +225,26 @@
 	metrics []metrics.Registry
 }
 
-func freeAddress(t *testing.T) string {
+// listenDatagrams returns an address whose TCP port is free and a datagram socket on it.
+// It tries again if another process has taken the port in between.
+func listenDatagrams(t *testing.T) (string, *fleet.Datagrams) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var err error
+	for range 10 {
+		var l net.Listener
+		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			break
+		}
+		address := l.Addr().String()
+		var d *fleet.Datagrams
+		d, err = fleet.ListenDatagrams(address, zap.NewNop())
+		l.Close()
+		if err == nil {
+			return address, d
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal(err)
+	return "", nil
 }
 
 func deploy(t *testing.T, fencing bool) *deployment {
@@ -241,6 +253,17 @@
 }
 
 func deployRanks(t *testing.T, size int, fencing bool) *deployment {
+	t.Helper()
+	ctx, d := deployGroup(t, size)
+	for r := range size {
+		d.startAgent(ctx, t, r, fencing)
+	}
+	return d
+}
+
+// deployGroup starts a group without agents, and a key-value service, until the returned
+// context ends with the test.
+func deployGroup(t *testing.T, size int) (context.Context, *deployment) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &deployment{g: newSimulatedGroup(size), state: kv.NewStore(clockwork.NewRealClock())}
@@ -249,24 +272,25 @@
 	t.Cleanup(cancel) // before the service closes, so that no watch blocks it
 	d.store = platform.NewStore(srv.URL, time.Second)
 	go d.g.run(ctx)
-	for r := range size {
-		d.startAgent(ctx, t, r, fencing)
-	}
-	return d
+	return ctx, d
 }
 
-// startAgent starts the agent of a rank.
+// startAgent starts the agent of a rank and registers it.
 func (d *deployment) startAgent(ctx context.Context, t *testing.T, rank int, fencing bool) {
+	t.Helper()
+	d.startUnregisteredAgent(ctx, t, rank, fencing)()
+}
+
+// startUnregisteredAgent starts the agent of a rank and returns the function that
+// registers it.
+func (d *deployment) startUnregisteredAgent(ctx context.Context, t *testing.T, rank int, fencing bool) (register func()) {
 	t.Helper()
 	ctx, stop := context.WithCancel(ctx)
 	d.stop = append(d.stop, stop)
 	clock := clockwork.NewRealClock()
-	self := fleet.Member{Name: fmt.Sprint("vm-", rank), Role: fleet.RoleRank, Address: freeAddress(t), Upstream: fmt.Sprint(rank)}
+	address, datagrams := listenDatagrams(t)
+	self := fleet.Member{Name: fmt.Sprint("vm-", rank), Role: fleet.RoleRank, Address: address, Upstream: fmt.Sprint(rank)}
 	view := fleet.NewView(clock, zap.NewNop())
-	datagrams, err := fleet.ListenDatagrams(self.Address, zap.NewNop())
-	if err != nil {
-		t.Fatal(err)
-	}
 	routes := &routing.Store{}
 	routes.Apply(routing.Configuration{Version: 1, Services: []routing.Service{{Name: "s", Engine: &routing.Engine{
 		Experts: routing.ExpertShape{Sets: 1, Experts: len(d.g.engines[rank].selections), SlotsPerRank: 6, MaxNewExperts: 2, ExpertTimeShare: 0.85, CopyTime: time.Millisecond},
@@ -287,8 +311,9 @@
 		t.Fatal(err)
 	}
 	go (&feed.Feed{KV: d.store, Prefix: fleet.Prefix, Sink: view, Clock: clock, Log: zap.NewNop()}).Run(ctx)
-	go (&fleet.Registrar{KV: d.store, Self: self, Clock: clock, Log: zap.NewNop()}).Run(ctx)
 	go a.RunElection(ctx)
+	registrar := &fleet.Registrar{KV: d.store, Self: self, Clock: clock, Log: zap.NewNop()}
+	return func() { go registrar.Run(ctx) }
 }
 
 func (d *deployment) leaderName() string {
@@ -421,6 +446,38 @@
 	g.Expect(version).To(BeZero())
 }
 
+// A successor finds the ranks by the registrations of their agents. If a leader that isn't
+// registered stopped, a hold at its rank would never be released.
+func TestAgentLeadsOnlyOnceItIsRegistered(t *testing.T) {
+	g := NewWithT(t)
+	ctx, d := deployGroup(t, testRanks)
+	register := d.startUnregisteredAgent(ctx, t, 0, true)
+	g.Consistently(d.leaderName, "1500ms").Should(BeEmpty())
+	register()
+	g.Eventually(d.leaderName, "10s").Should(Equal("vm-0"))
+}
+
+// A leader that releases a hold while one rank's agent isn't registered yet must send that
+// rank its orders once the agent is registered.
+func TestHoldIsReleasedOnceAllAgentsAreRegistered(t *testing.T) {
+	g := NewWithT(t)
+	ctx, d := deployGroup(t, testRanks)
+	d.g.mu.Lock()
+	d.g.engines[0].held = 1
+	d.g.mu.Unlock()
+	for r := range testRanks - 1 {
+		d.startAgent(ctx, t, r, true)
+	}
+	register := d.startUnregisteredAgent(ctx, t, testRanks-1, true)
+	g.Eventually(d.leaderName, "10s").ShouldNot(BeEmpty())
+	time.Sleep(time.Second) // the leader has begun to release the hold
+	register()
+	g.Eventually(func() int64 {
+		step, _, _, _ := d.g.state()
+		return step
+	}, "10s").Should(BeNumerically(">", 20))
+}
+
 // When the leader stops, another agent becomes leader and releases a hold that was left
 // behind.
 func TestHoldThatIsLeftBehindIsEnded(t *testing.T) {
