agent: record the end of an attempt before telling the entry

Cause of the failed causal check in operators-timeline: finishRun sent the outcome and recorded attempt-ended after it, so that the entry's answered could come first. The event is recorded first now; the check stays as it is.

--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -162,9 +162,11 @@
 // the entry releases it, for releaseTimeout at most.
 func (a *Agent) finishRun(r *run, o outcome.Outcome, err error) {
 	id := r.dispatch.ID
-	r.finish(o, err)
 	a.count("attempts." + string(o))
+	// The event precedes the message, so that the entry's answer comes after it on the
+	// time line.
 	a.opts.Events.Add(timeline.Event{Kind: timeline.AttemptEnded, Request: id.Request, Attempt: id.Attempt, Detail: string(o)})
+	r.finish(o, err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.runs[id] != r {
