Tell the groups of a service apart at the entries

Cause: an entry treated all upstreams of a service as one rank group. A refusal for a group's sake suspended every upstream of the service, so that with several groups a broken one cost the others their places. Load reports now name the rank's group (an older agent's reports name none, which counts as one group), and suspensions and the rule for upstreams without a report go by group. Test: a service with two groups, one broken.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -141,9 +141,9 @@
 	case *wire.EntryDigest:
 		g.exchange.HandleDigest(work, from, m)
 	case *wire.RankLoad:
-		load := dispatch.Load{Queued: m.Queued, Active: m.Active, Slowness: float64(m.Slowness), GroupServing: m.GroupServing}
+		load := dispatch.Load{Queued: m.Queued, Active: m.Active, Slowness: float64(m.Slowness), GroupServing: m.GroupServing, Group: m.Group}
 		if u := g.gateway.Pools.UpdateLoad(m.Address, m.Started, load); u != nil {
-			g.log.Info("rank's group started or stopped serving", zap.String("upstream", u.ID), zap.Bool("group_serves", m.GroupServing),
+			g.log.Info("rank's group started or stopped serving", zap.String("upstream", u.ID), zap.String("group", m.Group), zap.Bool("group_serves", m.GroupServing),
 				zap.Int64("step", m.Step), zap.Int("queued", m.Queued), zap.Int("active", m.Active))
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -29,6 +29,9 @@
 	Slowness float64
 	// GroupServing reports whether the upstream's group accepts requests.
 	GroupServing bool
+	// Group is the name of the upstream's group. Upstreams without groups have the
+	// name "".
+	Group string
 }
 
 // StepCost describes how requests at an engine slow each other: a step takes
@@ -76,7 +79,9 @@
 	otherRequests int
 	slowness      float64
 	groupServing  bool
-	reportedAt    time.Time
+	// group is the last reported group. It is valid once reportedAt is set.
+	group      string
+	reportedAt time.Time
 	// suspendedUntil is the time until which the upstream is skipped.
 	// suspendedAt is when it was suspended; only reports sent later than that end
 	// the suspension early.
@@ -144,12 +149,12 @@
 // Capacity returns the pool's capacity at the given time.
 func (p *Pool) Capacity(now time.Time) Capacity {
 	var out Capacity
-	groupSuspended := p.groupSuspended(now)
+	groups := p.groupStates(now)
 	for _, n := range p.nodes {
 		out.TotalSlots += n.Slots
 		out.InFlight += n.inFlight
 		out.Unanswered += n.unanswered
-		if n.usable(now, groupSuspended) && !n.silent(now) {
+		if n.usable(now, groups) && !n.silent(now) {
 			out.UsableUpstreams++
 			out.FreeSlots += max(int(waitingFillFraction*float64(n.Slots))-n.load(now), 0)
 		}
@@ -185,11 +190,11 @@
 func (p *Pool) pick(now time.Time, exclude []string, silent bool) *Node {
 	var best *Node
 	bestCost := 0.0
-	groupSuspended := p.groupSuspended(now)
+	groups := p.groupStates(now)
 	compared := 0
 	for _, i := range p.rand.Perm(len(p.nodes)) {
 		n := p.nodes[i]
-		if slices.Contains(exclude, n.ID) || !n.usable(now, groupSuspended) || n.silent(now) != silent {
+		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || n.silent(now) != silent {
 			continue
 		}
 		if c := p.costAt(n, now); best == nil || c < bestCost {
@@ -223,29 +228,46 @@
 	return n.inFlight + n.otherRequests
 }
 
-// groupSuspended reports whether every upstream with a valid report says that
-// its group is not serving. Upstreams without a report belong to the same group and
-// may have just restarted.
-func (p *Pool) groupSuspended(now time.Time) bool {
-	reports := false
+// groupState is what the valid reports say about one group.
+type groupState struct {
+	name string
+	// serving is set if a report says that the group accepts requests.
+	serving bool
+}
+
+// groupStates returns the states of the groups with valid reports.
+func (p *Pool) groupStates(now time.Time) []groupState {
+	var states []groupState
 	for _, n := range p.nodes {
 		if now.Sub(n.reportedAt) > reportTTL {
 			continue
 		}
-		if n.groupServing {
-			return false
+		i := slices.IndexFunc(states, func(s groupState) bool { return s.name == n.group })
+		if i < 0 {
+			states, i = append(states, groupState{name: n.group}), len(states)
 		}
-		reports = true
+		states[i].serving = states[i].serving || n.groupServing
 	}
-	return reports
+	return states
 }
 
-func (n *Node) usable(now time.Time, groupSuspended bool) bool {
+// suspended reports whether the upstream's group is known not to serve. An upstream that
+// has never reported may have just restarted in any of the groups.
+func (n *Node) suspended(groups []groupState) bool {
+	for _, g := range groups {
+		if !g.serving && (g.name == n.group || n.reportedAt.IsZero()) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) usable(now time.Time, groups []groupState) bool {
 	if now.Before(n.suspendedUntil) {
 		return false
 	}
 	if now.Sub(n.reportedAt) > reportTTL {
-		return !groupSuspended
+		return !n.suspended(groups)
 	}
 	return n.groupServing
 }
@@ -280,7 +302,7 @@
 func (n *Node) UpdateLoad(l Load, now time.Time) {
 	n.otherRequests = max(l.Queued+l.Active-n.inFlight, 0)
 	n.slowness = l.Slowness
-	n.groupServing = l.GroupServing
+	n.groupServing, n.group = l.GroupServing, l.Group
 	n.reportedAt = now
 	if l.GroupServing && now.Sub(n.suspendedAt) > maxReportDelay {
 		n.suspendedUntil = time.Time{}
@@ -312,10 +334,14 @@
 	n.failureMeanAt = now
 }
 
-// Suspend skips the upstream for suspendDuration because its group can't
-// serve.
-func (n *Node) Suspend(now time.Time) {
-	n.suspendedAt, n.suspendedUntil = now, now.Add(suspendDuration)
+// SuspendGroup skips the group of an upstream for suspendDuration because it can't serve.
+// Upstreams that have not reported yet may belong to it.
+func (p *Pool) SuspendGroup(of *Node, now time.Time) {
+	for _, n := range p.nodes {
+		if n.group == of.group || n.reportedAt.IsZero() || of.reportedAt.IsZero() {
+			n.suspendedAt, n.suspendedUntil = now, now.Add(suspendDuration)
+		}
+	}
 }
 
 // MarkGone skips the upstream for goneDuration because another one has its
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -64,9 +64,7 @@
 func TestSuspendedGroupReopensWithItsReport(t *testing.T) {
 	g := NewWithT(t)
 	p, nodes := group(2)
-	for _, n := range nodes {
-		n.Suspend(start)
-	}
+	p.SuspendGroup(nodes[0], start)
 	g.Expect(p.Pick(start, nil)).To(BeNil())
 	nodes[0].UpdateLoad(dispatch.Load{GroupServing: true, Slowness: 1}, start.Add(100*time.Millisecond))
 	g.Expect(p.Pick(start.Add(100*time.Millisecond), nil)).To(BeNil(), "the report may be older than the refusal")
@@ -76,6 +74,32 @@
 	g.Expect(p.Pick(start.Add(550*time.Millisecond), nil)).To(Equal(nodes[0]))
 }
 
+// A service has two groups and one of them can't serve. The other one's ranks, whether
+// they report or not, keep their requests; a rank that has not reported yet may belong
+// to either.
+func TestGroupThatCantServeDoesntStopAnother(t *testing.T) {
+	g := NewWithT(t)
+	p := dispatch.NewPool(rand.New(rand.NewPCG(1, 1)))
+	var nodes []*dispatch.Node
+	for r := range 4 {
+		n := p.Add(dispatch.Replica{ID: fmt.Sprint("rank-", r), Slots: 12})
+		n.UpdateLoad(dispatch.Load{GroupServing: true, Slowness: 1, Group: []string{"a", "b"}[r%2]}, start)
+		nodes = append(nodes, n)
+	}
+	p.SuspendGroup(nodes[0], start)
+	for range 20 {
+		g.Expect(p.Pick(start, nil)).To(Or(Equal(nodes[1]), Equal(nodes[3])))
+	}
+	g.Expect(p.Capacity(start).UsableUpstreams).To(Equal(2))
+	later := start.Add(1300 * time.Millisecond) // the reports of ranks 2 and 3 have expired
+	nodes[0].UpdateLoad(dispatch.Load{GroupServing: false, Group: "a"}, later)
+	nodes[1].UpdateLoad(dispatch.Load{GroupServing: true, Slowness: 1, Group: "b"}, later)
+	p.Add(dispatch.Replica{ID: "new", Slots: 12})
+	g.Expect(p.Pick(later, nil)).To(Equal(nodes[1]))
+	g.Expect(p.Pick(later, []string{"rank-1"})).To(Equal(nodes[3]))
+	g.Expect(p.Pick(later, []string{"rank-1", "rank-3"})).To(BeNil())
+}
+
 // An upstream that fails many of its requests while others don't gets few
 // requests until the failures have decayed.
 func TestFailingUpstreamGetsFewRequests(t *testing.T) {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -185,15 +185,10 @@
 	m.node.MarkGone(m.pools.clock.Now())
 }
 
-// SuspendGroup skips all upstreams of the member's service for a while: they
-// step together, and one of them has failed.
+// SuspendGroup skips the upstreams of the member's group for a while: they step together,
+// and one of them has failed.
 func (m *Member) SuspendGroup() {
-	p := m.pools
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, o := range p.members {
-		if o.Service == m.Service {
-			o.node.Suspend(p.clock.Now())
-		}
-	}
+	m.pools.mu.Lock()
+	defer m.pools.mu.Unlock()
+	m.pools.pool(m.Service).SuspendGroup(m.node, m.pools.clock.Now())
 }
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -107,9 +107,9 @@
 		}
 		if now := progress.Add(st, a.Clock.Now()); now != progressing {
 			progressing = now
-			a.Log.Info("group's progress changed", zap.Bool("goes_on", now), zap.Int64("step", st.Step), zap.Int("active", st.Active), zap.Int64("held", st.Held))
+			a.Log.Info("group's progress changed", zap.String("group", st.Group), zap.Bool("goes_on", now), zap.Int64("step", st.Step), zap.Int("active", st.Active), zap.Int64("held", st.Held))
 		}
-		load := wire.RankLoad{Address: a.Self.Upstream, Started: st.Started, Queued: st.Queued, Active: st.Active, Slowness: float32(st.Slowness), GroupServing: st.GroupServing && progressing}
+		load := wire.RankLoad{Address: a.Self.Upstream, Started: st.Started, Queued: st.Queued, Active: st.Active, Slowness: float32(st.Slowness), GroupServing: st.GroupServing && progressing, Group: st.Group}
 		if load == lastLoad && a.Clock.Since(sentAt) < loadResendInterval {
 			continue
 		}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -28,6 +28,9 @@
 	GroupServing bool
 	// Step is the last step that the group has begun.
 	Step int64
+	// Group is the name of the rank's group. Upstreams of a service may belong to
+	// several groups.
+	Group string
 }
 
 // EntryDigest tells another entry which configuration and departures the sender
