Honour upstreams that say they leave or ask to be left alone

Before, both were ignored: an entry went on sending to a replica that had said it was leaving until the store said so, and to one that had asked for a pause at once.

An answer with Server-Leaving, or a rank's report with it, is now a departure like one the store shows: the entry stops at once, its digest tells the others, and the incarnation stays departed as long as it is registered. A 503's Retry-After takes the upstream out of the pick until its end, whatever load reports say and also if its registration changes; when every upstream of a service rests, callers are refused at once with the earliest end plus up to a second, so that they don't all come back together.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -96,7 +96,8 @@
 		Routes: g.routes, Directory: g.directory, Codec: platform.Headers{}, Transport: g.transport,
 		Pools:       gateway.NewPools(p.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		RetryLimits: retryLimits(p.node), MinOutage: p.node.MaxPartition,
-		Clock: p.clock, Log: p.log, Metrics: p.metrics,
+		OnDeparture: func() { g.exchange.TriggerDigest() },
+		Clock:       p.clock, Log: p.log, Metrics: p.metrics,
 	})
 	var err error
 	if g.fleet, err = p.join(work, fleet.RoleEntry); err != nil {
@@ -141,6 +142,7 @@
 	case *wire.EntryDigest:
 		g.exchange.HandleDigest(work, from, m)
 	case *wire.RankLoad:
+		g.recordDeparture(m)
 		load := dispatch.Load{Queued: m.Queued, Active: m.Active, Slowness: float64(m.Slowness), GroupServing: m.GroupServing, Group: m.Group}
 		if u := g.gateway.Pools.UpdateLoad(m.Address, m.Started, load); u != nil {
 			g.log.Info("rank's group started or stopped serving", zap.String("upstream", u.ID), zap.String("group", m.Group), zap.Bool("group_serves", m.GroupServing),
@@ -149,6 +151,18 @@
 	}
 }
 
+// recordDeparture records that an upstream is leaving if its load report says so.
+func (g *gatewayProcess) recordDeparture(m *wire.RankLoad) {
+	if !m.Leaving {
+		return
+	}
+	u := g.gateway.Pools.Get(m.Address, m.Started)
+	if u != nil && g.directory.Depart(u.Incarnation()) {
+		g.log.Info("upstream is leaving", zap.String("upstream", u.ID), zap.Int64("started", u.Started), zap.String("source", "load report"))
+		g.exchange.TriggerDigest()
+	}
+}
+
 // startUpdates starts the gateway's periodic work and keeps it up to date with
 // the store and the settings file.
 func (g *gatewayProcess) startUpdates(work context.Context) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -54,6 +54,9 @@
 	Started int64
 }
 
+// Incarnation identifies this incarnation of the upstream.
+func (u Upstream) Incarnation() Departure { return Departure{ID: u.ID, Started: u.Started} }
+
 // record is an upstream with the state of its registration in the store.
 type record struct {
 	Upstream
@@ -83,7 +86,7 @@
 }
 
 // departureTTL is how long a departure is remembered. It exceeds the time that
-// an upstream keeps running after it has announced its departure.
+// an upstream usually keeps running after it has announced its departure.
 const departureTTL = 2 * time.Minute
 
 // New returns an empty directory.
@@ -240,8 +243,9 @@
 	return true
 }
 
-// Departures returns the incarnations that are known to be leaving, oldest
-// report first. It removes those older than departureTTL.
+// Departures returns the incarnations that are known to be leaving, oldest report
+// first, without those reported more than departureTTL ago. These are forgotten unless
+// they are still registered.
 func (d *Directory) Departures() []Departure {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -249,7 +253,9 @@
 	var list []Departure
 	for dep, at := range d.departed {
 		if now.Sub(at) > departureTTL {
-			delete(d.departed, dep)
+			if r := d.records[dep.ID]; r == nil || r.Started != dep.Started {
+				delete(d.departed, dep)
+			}
 			continue
 		}
 		list = append(list, dep)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -87,8 +87,10 @@
 	// the suspension early.
 	suspendedUntil time.Time
 	suspendedAt    time.Time
-	failureMean    float64
-	failureMeanAt  time.Time
+	// restsUntil is the time until which the upstream wants no requests.
+	restsUntil    time.Time
+	failureMean   float64
+	failureMeanAt time.Time
 }
 
 // Pool is an entry's view of the upstreams of one service.
@@ -263,7 +265,7 @@
 }
 
 func (n *Node) usable(now time.Time, groups []groupState) bool {
-	if now.Before(n.suspendedUntil) {
+	if now.Before(n.suspendedUntil) || now.Before(n.restsUntil) {
 		return false
 	}
 	if now.Sub(n.reportedAt) > reportTTL {
@@ -344,6 +346,30 @@
 	}
 }
 
+// Rest skips the upstream until a time, because it asked for that. Load reports don't end
+// this early.
+func (n *Node) Rest(until time.Time) {
+	if until.After(n.restsUntil) {
+		n.restsUntil = until
+	}
+}
+
+// Resting returns the earliest time at which an upstream that rests can be used again.
+// all is set if every upstream rests, earliest is zero if none does.
+func (p *Pool) Resting(now time.Time) (earliest time.Time, all bool) {
+	all = len(p.nodes) > 0
+	for _, n := range p.nodes {
+		if !now.Before(n.restsUntil) {
+			all = false
+			continue
+		}
+		if earliest.IsZero() || n.restsUntil.Before(earliest) {
+			earliest = n.restsUntil
+		}
+	}
+	return earliest, all
+}
+
 // MarkGone skips the upstream for goneDuration because another one has its
 // address. Load reports don't end this early.
 func (n *Node) MarkGone(now time.Time) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,7 +61,7 @@
 	for {
 		m := q.pick()
 		if m == nil {
-			q.conclude(last, errNoUpstream.After(retryAfter(q.remaining())))
+			q.conclude(last, errNoUpstream.After(q.retryAfter()))
 			return
 		}
 		retry := q.attempts > 0
@@ -97,13 +97,19 @@
 	// retryAfterJitter is the largest fraction by which the delay is shortened
 	// at random, so that callers don't all retry at once.
 	retryAfterJitter = 0.1
+	// restReturnWindow is the time over which callers are spread who may come back when
+	// an upstream's rest ends.
+	restReturnWindow = 1 * time.Second
 )
 
-// retryAfter returns the delay that a caller with the given remaining time is
-// told when its service has no usable upstream.
-func retryAfter(remaining time.Duration) time.Duration {
-	delay := min(float64(groupRetryAfter), maxRetryAfterFraction*float64(remaining))
-	return time.Duration(delay * (1 - retryAfterJitter*rand.Float64()))
+// retryAfter returns the delay that the caller is told when its service has no usable
+// upstream.
+func (q *request) retryAfter() time.Duration {
+	limit := maxRetryAfterFraction * float64(q.remaining()) * (1 - retryAfterJitter*rand.Float64())
+	if rest, _ := q.g.Pools.restingFor(q.service); rest > 0 {
+		return time.Duration(min(float64(rest)+rand.Float64()*float64(restReturnWindow), limit))
+	}
+	return time.Duration(min(float64(groupRetryAfter)*(1-retryAfterJitter*rand.Float64()), limit))
 }
 
 // overloadRetryAfter is the delay before a caller may retry a request that its
@@ -202,6 +208,7 @@
 		return sendFailure(err)
 	}
 	defer reply.Close()
+	q.applyAnnouncements(m, reply)
 	switch {
 	case reply.NotRun || reply.Misdirected:
 		_, _ = reply.ReadAll() // lets the connection be reused
@@ -215,6 +222,32 @@
 	return q.forwardResponse(reply)
 }
 
+// applyAnnouncements applies what an answer says about its upstream's availability. An
+// answer from another upstream at the address says nothing about this one.
+func (q *request) applyAnnouncements(m *Member, reply *upstream.Reply) {
+	if reply.Misdirected {
+		return
+	}
+	if reply.Leaving && q.g.Directory.Depart(m.Incarnation()) {
+		q.log.Info("upstream is leaving", zap.String("upstream", m.ID), zap.Int64("started", m.Started), zap.String("source", "answer"))
+		if q.g.OnDeparture != nil {
+			q.g.OnDeparture()
+		}
+	}
+	if reply.InvalidRetryAfter != "" {
+		q.log.Warn("upstream's retry delay can't be read; ignoring it", zap.String("upstream", m.ID), zap.String("delay", truncate(reply.InvalidRetryAfter)))
+	}
+	if reply.RetryAfter > 0 {
+		q.log.Info("upstream wants no requests for a while", zap.String("upstream", m.ID), zap.Duration("delay", reply.RetryAfter))
+		m.Rest(reply.RetryAfter)
+	}
+}
+
+// maxLoggedText bounds a text of a peer in a log line, in bytes.
+const maxLoggedText = 64
+
+func truncate(text string) string { return text[:min(len(text), maxLoggedText)] }
+
 // applyRefusal applies what a refusal says about the upstream and its group to
 // the pools.
 func (q *request) applyRefusal(m *Member, reply *upstream.Reply) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,9 +80,12 @@
 	// means defaultMinOutage. A negative value means that the group may reopen
 	// at any moment.
 	MinOutage time.Duration
-	Clock     clockwork.Clock
-	Log       *zap.Logger
-	Metrics   metrics.Registry
+	// OnDeparture, if not nil, is called after an answer has shown that an upstream is
+	// leaving and the directory has recorded it.
+	OnDeparture func()
+	Clock       clockwork.Clock
+	Log         *zap.Logger
+	Metrics     metrics.Registry
 }
 
 // Gateway serves callers. It is safe for concurrent use.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -536,3 +539,86 @@
 	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 	g.Expect(resp.Close).To(BeTrue())
 }
+
+// An upstream says in an answer that it is leaving. It gets no further request from this
+// entry, which tells the others once.
+func TestUpstreamThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	g := NewWithT(t)
+	leaving := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Server-Leaving", "1")
+		stamped(w, r, http.StatusOK, "done")
+	}
+	f := newFixture(t, leaving, func(w http.ResponseWriter, r *http.Request) { stamped(w, r, http.StatusOK, "done") })
+	var announced atomic.Int64
+	f.gateway.OnDeparture = func() { announced.Add(1) }
+	list, revisions := map[string]directory.Upstream{}, map[string]int64{}
+	for i, u := range f.upstreams {
+		list[u.ID], revisions[u.ID] = u, int64(i+1)
+	}
+	f.gateway.Directory.Replace(list, revisions, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.gateway.Run(ctx)
+	received := func(id string) (n int) {
+		for _, a := range f.arrived() {
+			if a.upstream == id {
+				n++
+			}
+		}
+		return n
+	}
+	g.Eventually(func() int {
+		f.send(f.request(http.MethodGet, "/safe/x", ""))
+		return received("u0")
+	}).Should(Equal(1))
+	g.Eventually(func() *gateway.Member { return f.gateway.Pools.Get(f.upstreams[0].Address, 0) }).Should(BeNil())
+	for range 20 {
+		status, _, _, _ := f.send(f.request(http.MethodGet, "/safe/x", ""))
+		g.Expect(status).To(Equal(http.StatusOK))
+	}
+	g.Expect(received("u0")).To(Equal(1))
+	g.Expect(announced.Load()).To(Equal(int64(1)))
+}
+
+// refuseFor writes a refusal that asks for no requests for a while.
+func refuseFor(delay string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Retry-After", delay)
+		refuse(w, r)
+	}
+}
+
+// Upstreams that ask to be left alone get nothing until the time ends, also after a
+// change of their registration. When all have asked, callers are refused at once and
+// told different times after the earliest end.
+func TestUpstreamsThatAskToBeLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, refuseFor("0.40"), refuseFor("20"))
+	status, _, _, _ := f.send(f.request(http.MethodGet, "/safe/x", ""))
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(f.arrived()).To(HaveLen(2))
+	changed := append([]directory.Upstream(nil), f.upstreams...)
+	for i := range changed {
+		changed[i].Slots++
+	}
+	f.gateway.Pools.Reconcile(changed[:1])
+	f.gateway.Pools.Reconcile(changed)
+	delays := map[string]bool{}
+	for range 10 {
+		r := f.request(http.MethodGet, "/safe/x", "")
+		r.Header.Set("Deadline-Ms", "60000")
+		start := time.Now()
+		status, header, _, _ := f.send(r)
+		g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
+		delay, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(delay).To(BeNumerically("<=", 1.4))
+		delays[header.Get("Retry-After")] = true
+	}
+	g.Expect(f.arrived()).To(HaveLen(2))
+	g.Expect(len(delays)).To(BeNumerically(">", 3))
+	time.Sleep(400 * time.Millisecond)
+	f.send(f.request(http.MethodGet, "/safe/x", ""))
+	g.Expect(f.arrived()).To(HaveLen(3), "the first one's time has ended")
+}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -35,6 +36,9 @@
 	// lastSuspendedAt is the last time when requests waited for a service
 	// without a usable upstream, by service.
 	lastSuspendedAt map[string]time.Time
+	// rests holds the times until which incarnations want no requests. An upstream
+	// keeps its time if its registration changes or is missing for a while.
+	rests map[directory.Departure]time.Time
 	// entryShare is this entry's share of the upstreams' capacity, 0 to 1.
 	entryShare float64
 }
@@ -48,7 +52,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, lastSuspendedAt: map[string]time.Time{}, suspendedSince: map[string]time.Time{}, entryShare: defaultEntryShare}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, lastSuspendedAt: map[string]time.Time{}, suspendedSince: map[string]time.Time{}, rests: map[directory.Departure]time.Time{}, entryShare: defaultEntryShare}
 }
 
 // Configure sets the step costs of the services' engines.
@@ -97,6 +101,8 @@
 			p.remove(m)
 		}
 	}
+	now := p.clock.Now()
+	maps.DeleteFunc(p.rests, func(_ directory.Departure, until time.Time) bool { return !now.Before(until) })
 	return changed
 }
 
@@ -110,6 +116,7 @@
 func (p *Pools) add(u directory.Upstream) {
 	m := &Member{Upstream: u, pools: p}
 	m.node = p.pool(u.Service).Add(dispatch.Replica{ID: u.ID, Slots: u.Slots})
+	m.node.Rest(p.rests[u.Incarnation()])
 	p.members[u.ID] = m
 	p.byAddress[u.Address] = m
 }
@@ -141,6 +148,17 @@
 	return p.members[n.ID]
 }
 
+// Get returns the upstream at an address if the incarnation there started at the given
+// time, else nil.
+func (p *Pools) Get(address string, started int64) *Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.byAddress[address]; m != nil && m.Started == started {
+		return m
+	}
+	return nil
+}
+
 // UpdateLoad stores the reported load of the upstream at an address, if the
 // incarnation there started at the given time. It returns the upstream if its
 // group has started or stopped serving with this report, else nil.
@@ -178,6 +196,30 @@
 	m.pools.startWaiting(m.Service, false)
 }
 
+// Rest sends the upstream no requests for a while, because it asked for that.
+func (m *Member) Rest(d time.Duration) {
+	m.pools.mu.Lock()
+	defer m.pools.mu.Unlock()
+	until := m.pools.clock.Now().Add(d)
+	m.node.Rest(until)
+	if incarnation := m.Incarnation(); until.After(m.pools.rests[incarnation]) {
+		m.pools.rests[incarnation] = until
+	}
+}
+
+// restingFor returns how long it takes until an upstream of the service that rests can be
+// used again, 0 if none rests. all is set if every upstream of the service rests.
+func (p *Pools) restingFor(service string) (d time.Duration, all bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	earliest, all := p.pool(service).Resting(now)
+	if earliest.IsZero() {
+		return 0, all
+	}
+	return earliest.Sub(now), all
+}
+
 // MarkGone skips the upstream for a while because another one has its address.
 func (m *Member) MarkGone() {
 	m.pools.mu.Lock()
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -67,6 +67,9 @@
 	if !q.headSent && outage+limit < q.g.MinOutage {
 		return nil
 	}
+	if rest, all := q.g.Pools.restingFor(q.service); all && rest > limit {
+		return nil
+	}
 	if !q.await(limit) {
 		return nil
 	}
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -40,6 +40,8 @@
 	Queued, Active int
 	// Slowness is the engine's slowness relative to normal; above 1 means slower.
 	Slowness float64
+	// Leaving is set if the engine says that it is leaving.
+	Leaving bool
 }
 
 // Op is the operation that an order requests.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -47,6 +47,12 @@
 	// Encoded reports whether the body has a content encoding, which means that an
 	// intermediary changed it.
 	Encoded bool
+	// Leaving reports whether the upstream is leaving and accepts no new work.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no further requests; 0 if it names no
+	// time. InvalidRetryAfter is the text of a time that could not be read.
+	RetryAfter        time.Duration
+	InvalidRetryAfter string
 }
 
 // Codec reads the response headers of the upstreams' protocol.
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -31,6 +31,8 @@
 	// Group is the name of the rank's group. Upstreams of a service may belong to
 	// several groups.
 	Group string
+	// Leaving is set if the upstream says that it is leaving.
+	Leaving bool
 }
 
 // EntryDigest tells another entry which configuration and departures the sender
