--- a/internal/claim/lease.go
+++ b/internal/claim/lease.go
@@ -19,7 +19,7 @@
 // the removal of old claims needs no writes.
 type sharedLease struct {
 	mu         sync.Mutex
-	id         int64
+	lease      kvstore.Lease
 	reuseUntil time.Time
 	// grantDone is closed when the grant in progress finishes. It is nil when
 	// no grant is in progress.
@@ -31,7 +31,7 @@
 // to it by the retention.
 func (l *sharedLease) current(ctx context.Context, kv kvstore.KV, now time.Time) (int64, error) {
 	for {
-		id, grantDone, mustGrant := l.lookup(now)
+		id, grantDone, mustGrant := l.lookup(kv, now)
 		switch {
 		case id != 0:
 			return id, nil
@@ -46,14 +46,14 @@
 	}
 }
 
-// lookup returns the current lease ID. If there is none, it returns the channel
+// lookup returns the ID of the current lease. If there is none, it returns the channel
 // of the grant in progress, or true for the one caller that must request the
 // grant.
-func (l *sharedLease) lookup(now time.Time) (int64, chan struct{}, bool) {
+func (l *sharedLease) lookup(kv kvstore.KV, now time.Time) (int64, chan struct{}, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.id != 0 && now.Before(l.reuseUntil) {
-		return l.id, nil, false
+	if l.lease.ID != 0 && now.Before(l.reuseUntil) && !l.lease.EndedWithEra(kv) {
+		return l.lease.ID, nil, false
 	}
 	if l.grantDone != nil {
 		return 0, l.grantDone, false
@@ -63,22 +63,22 @@
 }
 
 func (l *sharedLease) grant(ctx context.Context, kv kvstore.KV, now time.Time) (int64, error) {
-	id, err := kv.Grant(ctx, Retention+leaseReuseTime+MaxSkew)
+	lease, err := kvstore.Grant(ctx, kv, Retention+leaseReuseTime+MaxSkew)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil {
-		l.id, l.reuseUntil = id, now.Add(leaseReuseTime)
+		l.lease, l.reuseUntil = lease, now.Add(leaseReuseTime)
 	}
 	close(l.grantDone)
 	l.grantDone = nil
-	return id, err
+	return lease.ID, err
 }
 
 // invalidate discards a lease that the key-value service no longer has.
 func (l *sharedLease) invalidate(id int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.id == id {
-		l.id = 0
+	if l.lease.ID == id {
+		l.lease = kvstore.Lease{}
 	}
 }
--- a/internal/claim/schedule_test.go
+++ b/internal/claim/schedule_test.go
@@ -89,6 +89,8 @@
 	killed bool
 }
 
+func (*request) Eras() *kvstore.Eras { return nil }
+
 func (r *request) awaitTurn() bool {
 	r.killed = r.killed || !r.yieldTurn(r.n)
 	return !r.killed
--- a/internal/claim/store_test.go
+++ b/internal/claim/store_test.go
@@ -24,6 +24,8 @@
 	loseReplies int
 }
 
+func (*faultyKV) Eras() *kvstore.Eras { return nil }
+
 func (f *faultyKV) Grant(_ context.Context, ttl time.Duration) (int64, error) {
 	f.writes++
 	return f.store.Grant(ttl), nil
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -91,6 +91,9 @@
 // gauges.
 func newGatewayProcess(work context.Context, p *platformProcess) (*gatewayProcess, error) {
 	g := &gatewayProcess{platformProcess: p, routes: &routing.Store{}, directory: directory.New(p.clock)}
+	if p.node.Heartbeat > 0 {
+		g.directory.SetHeartbeat(p.node.Heartbeat)
+	}
 	g.transport = upstream.NewTransport(upstream.Options{Codec: platform.Headers{}})
 	g.gateway = gateway.New(gateway.Options{
 		Routes: g.routes, Directory: g.directory, Codec: platform.Headers{}, Transport: g.transport,
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,11 +6,14 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 )
 
 // Upstream is one incarnation of an upstream, as its registration in the store
@@ -45,6 +48,13 @@
 	minMassLoss = 3
 	// lossWindow is the time within which losses count as simultaneous.
 	lossWindow = 300 * time.Millisecond
+	// DefaultHeartbeat is the interval at which upstreams renew their registrations,
+	// unless SetHeartbeat sets another one.
+	DefaultHeartbeat = 1 * time.Second
+	// restoreHeartbeats is the number of heartbeats after the store came back from an
+	// older copy until its registrations can be relied on: running upstreams have
+	// registered again and the store has removed those that missed three heartbeats.
+	restoreHeartbeats = 4
 )
 
 // Departure identifies an incarnation that accepts no new work.
@@ -60,10 +70,12 @@
 // record is an upstream with the state of its registration in the store.
 type record struct {
 	Upstream
-	revision int64
+	position kvstore.Position
 	// absentSince is the time when the registration was found missing, zero
 	// while it exists. Until graceUntil the upstream is used without one.
 	absentSince, graceUntil time.Time
+	// unconfirmedUntil is the time until which a registration may be outdated.
+	unconfirmedUntil time.Time
 }
 
 // Directory holds the upstreams. It is safe for concurrent use. Its lock is a
@@ -80,6 +92,13 @@
 	storeRegainedAt  time.Time
 	synced           bool
 	changed          chan struct{}
+	// removed holds the incarnations whose registrations were removed, and when. If a
+	// restored store shows one again, its registration may be outdated.
+	removed map[Departure]time.Time
+	// era is the era of the last listing, heartbeat the interval at which upstreams
+	// renew their registrations.
+	era       int64
+	heartbeat time.Duration
 	// onDeparture is called without the lock after the store has shown a new
 	// departure.
 	onDeparture func()
@@ -91,7 +110,7 @@
 
 // New returns an empty directory.
 func New(clock clockwork.Clock) *Directory {
-	return &Directory{clock: clock, records: map[string]*record{}, departed: map[Departure]time.Time{}, changed: make(chan struct{}, 1)}
+	return &Directory{clock: clock, records: map[string]*record{}, departed: map[Departure]time.Time{}, removed: map[Departure]time.Time{}, heartbeat: DefaultHeartbeat, changed: make(chan struct{}, 1)}
 }
 
 // Changed returns a channel that receives after changes. One receive may cover
@@ -105,12 +124,17 @@
 	return d.synced
 }
 
-// Put stores an upstream's registration as of a revision of the store. It
-// ignores a revision that is not newer than the stored one.
-func (d *Directory) Put(u Upstream, revision int64) {
+// SetHeartbeat sets the interval at which upstreams renew their registrations. It must
+// be called before the directory is used.
+func (d *Directory) SetHeartbeat(interval time.Duration) { d.heartbeat = interval }
+
+// Put stores an upstream's registration as of a position of the store. It ignores a
+// position that is not after the stored one.
+func (d *Directory) Put(u Upstream, at kvstore.Position) {
 	d.mu.Lock()
 	before := len(d.departed)
-	d.put(u, revision)
+	delete(d.removed, u.Incarnation())
+	d.put(u, at)
 	departed, notify := len(d.departed) > before, d.onDeparture
 	d.mu.Unlock()
 	if departed && notify != nil {
@@ -123,12 +147,12 @@
 func (d *Directory) OnDeparture(f func()) { d.onDeparture = f }
 
 // put is Put without notification. The caller holds mu.
-func (d *Directory) put(u Upstream, revision int64) {
+func (d *Directory) put(u Upstream, at kvstore.Position) {
 	old := d.records[u.ID]
-	if old != nil && old.revision >= revision {
+	if old != nil && !at.After(old.position) {
 		return
 	}
-	dep := Departure{u.ID, u.Started}
+	dep := u.Incarnation()
 	if _, known := d.departed[dep]; u.Leaving && !known {
 		d.departed[dep] = d.clock.Now()
 	}
@@ -136,10 +160,10 @@
 		u.Leaving = true
 	}
 	if old != nil && old.Upstream == u && old.absentSince.IsZero() {
-		old.revision = revision
+		old.position = at
 		return
 	}
-	d.records[u.ID] = &record{Upstream: u, revision: revision}
+	d.records[u.ID] = &record{Upstream: u, position: at}
 	d.removeSuperseded(u)
 	d.signal()
 }
@@ -154,23 +178,23 @@
 	}
 }
 
-// Delete records the removal of an upstream's registration at a revision of
-// the store.
-func (d *Directory) Delete(id string, revision int64) {
+// Delete records the removal of an upstream's registration at a position of the store.
+func (d *Directory) Delete(id string, at kvstore.Position) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.delete(id, revision)
+	d.delete(id, at)
 }
 
 // delete is Delete for a caller that holds mu.
-func (d *Directory) delete(id string, revision int64) {
+func (d *Directory) delete(id string, at kvstore.Position) {
 	r := d.records[id]
-	if r == nil || r.revision >= revision || !r.absentSince.IsZero() {
+	if r == nil || !at.After(r.position) || !r.absentSince.IsZero() {
 		return
 	}
 	now := d.clock.Now()
-	r.revision = revision
+	r.position = at
 	r.absentSince = now
+	d.removed[r.Incarnation()] = now
 	switch {
 	case now.Sub(d.storeRegainedAt) < catchUpWindow:
 		r.graceUntil = d.storeRegainedAt.Add(RecoveryGrace)
@@ -209,16 +233,29 @@
 	return lost >= minMassLoss && float64(lost) >= massLossFraction*float64(all)
 }
 
-// Replace stores a complete listing of the store at a revision.
-func (d *Directory) Replace(list map[string]Upstream, revisions map[string]int64, revision int64) {
+// Replace stores a complete listing of the store with the position of each registration.
+// Upstreams that are not listed are removed at the position of the listing.
+func (d *Directory) Replace(list map[string]Upstream, positions map[string]kvstore.Position, at kvstore.Position) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	restored := d.synced && at.Era != d.era
+	d.era = at.Era
 	for id, u := range list {
-		d.put(u, revisions[id])
+		if restored {
+			d.putRestored(u, positions[id])
+		} else {
+			d.put(u, positions[id])
+		}
 	}
-	for id := range d.records {
-		if _, listed := list[id]; !listed {
-			d.delete(id, revision)
+	for id, r := range d.records {
+		if _, listed := list[id]; listed {
+			continue
+		}
+		known := r.absentSince.IsZero()
+		d.delete(id, at)
+		if restored && known {
+			// The copy may be older than the registration.
+			r.graceUntil = d.clock.Now().Add(d.restoreGrace())
 		}
 	}
 	if !d.synced {
@@ -227,6 +264,25 @@
 	}
 }
 
+// restoreGrace is how long the registrations of a store that came back from an older copy
+// can't be relied on.
+func (d *Directory) restoreGrace() time.Duration { return restoreHeartbeats * d.heartbeat }
+
+// putRestored is put for a registration in the first listing of a new era. It ignores one
+// of an earlier incarnation than the known one. If the registration was removed in an
+// earlier era, the upstream is only used once it is known that it renews its
+// registration. The caller holds mu.
+func (d *Directory) putRestored(u Upstream, at kvstore.Position) {
+	if old := d.records[u.ID]; old != nil && old.Started > u.Started {
+		return
+	}
+	d.put(u, at)
+	_, removed := d.removed[u.Incarnation()]
+	if r := d.records[u.ID]; removed && r != nil && r.Incarnation() == u.Incarnation() {
+		r.unconfirmedUntil = d.clock.Now().Add(d.restoreGrace())
+	}
+}
+
 // Depart records another process's report that an incarnation is leaving. It
 // returns false if that was already known.
 func (d *Directory) Depart(dep Departure) bool {
@@ -278,8 +334,8 @@
 	d.storeUnreachable = !ok
 }
 
-// RemoveExpired removes the upstreams that have no registration and whose
-// grace period, if any, has ended.
+// RemoveExpired removes the upstreams that have no registration and whose grace period,
+// if any, has ended, and uses those whose registrations have been confirmed.
 func (d *Directory) RemoveExpired() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -289,7 +345,12 @@
 			delete(d.records, id)
 			d.signal()
 		}
+		if !r.unconfirmedUntil.IsZero() && !now.Before(r.unconfirmedUntil) {
+			r.unconfirmedUntil = time.Time{}
+			d.signal()
+		}
 	}
+	maps.DeleteFunc(d.removed, func(_ Departure, at time.Time) bool { return now.Sub(at) > departureTTL })
 }
 
 // inUse reports whether the upstream has a registration or is within its
@@ -305,7 +366,7 @@
 	now := d.clock.Now()
 	var list []Upstream
 	for _, r := range d.records {
-		if !r.Leaving && r.inUse(now) {
+		if !r.Leaving && r.inUse(now) && !now.Before(r.unconfirmedUntil) {
 			list = append(list, r.Upstream)
 		}
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kingcupreel/kingcupreel/internal/directory"
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 )
 
 // upstream returns an upstream of the service "model".
@@ -16,17 +17,20 @@
 	return directory.Upstream{ID: id, Service: "model", Address: "10.0.0.1:" + id, DataCentre: "a", Slots: 12, Started: started}
 }
 
+// at returns a position of the first era.
+func at(revision int64) kvstore.Position { return kvstore.Position{Era: 1, Revision: revision} }
+
 // fixture returns a directory with n upstreams, "1" to "n", and its clock.
 func fixture(n int) (*directory.Directory, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	d := directory.New(clock)
-	list, revisions := map[string]directory.Upstream{}, map[string]int64{}
+	list, positions := map[string]directory.Upstream{}, map[string]kvstore.Position{}
 	for i := range n {
 		id := fmt.Sprint(i + 1)
-		list[id], revisions[id] = upstream(id, 100), int64(i+1)
+		list[id], positions[id] = upstream(id, 100), at(int64(i+1))
 	}
 	d.SetReachable(true)
-	d.Replace(list, revisions, int64(n))
+	d.Replace(list, positions, at(int64(n)))
 	clock.Advance(time.Minute)
 	return d, clock
 }
@@ -46,12 +50,12 @@
 	d.OnDeparture(func() { notified++ })
 	u := upstream("1", 100)
 	u.Leaving = true
-	d.Put(u, 10)
+	d.Put(u, at(10))
 	g.Expect(usable(d)).To(Equal([]string{"2"}))
 	g.Expect(notified).To(Equal(1))
 	g.Expect(d.Departures()).To(Equal([]directory.Departure{{ID: "1", Started: 100}}))
 	// A later incarnation with the same ID serves again.
-	d.Put(upstream("1", 200), 11)
+	d.Put(upstream("1", 200), at(11))
 	g.Expect(usable(d)).To(Equal([]string{"1", "2"}))
 }
 
@@ -62,7 +66,7 @@
 	d, _ := fixture(2)
 	g.Expect(d.Depart(directory.Departure{ID: "2", Started: 100})).To(BeTrue())
 	g.Expect(d.Depart(directory.Departure{ID: "2", Started: 100})).To(BeFalse())
-	d.Put(upstream("2", 100), 12)
+	d.Put(upstream("2", 100), at(12))
 	g.Expect(usable(d)).To(Equal([]string{"1"}))
 }
 
@@ -71,7 +75,7 @@
 func TestRemovedRegistrationTakesEffectAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	d, _ := fixture(12)
-	d.Delete("3", 20)
+	d.Delete("3", at(20))
 	g.Expect(usable(d)).NotTo(ContainElement("3"))
 }
 
@@ -84,11 +88,11 @@
 	clock.Advance(5 * time.Second)
 	d.SetReachable(true)
 	for i := range 3 {
-		d.Delete(fmt.Sprint(i+1), int64(20+i))
+		d.Delete(fmt.Sprint(i+1), at(int64(20+i)))
 	}
 	g.Expect(usable(d)).To(HaveLen(3))
 	clock.Advance(time.Second)
-	d.Put(upstream("1", 100), 30)
+	d.Put(upstream("1", 100), at(30))
 	clock.Advance(directory.RecoveryGrace)
 	d.RemoveExpired()
 	g.Expect(usable(d)).To(Equal([]string{"1"}))
@@ -104,7 +108,7 @@
 	clock.Advance(5 * time.Second)
 	d.SetReachable(true)
 	clock.Advance(time.Second)
-	d.Delete("3", 20)
+	d.Delete("3", at(20))
 	g.Expect(usable(d)).NotTo(ContainElement("3"))
 }
 
@@ -115,7 +119,7 @@
 	g := NewWithT(t)
 	d, clock := fixture(6)
 	for i := range 4 {
-		d.Delete(fmt.Sprint(i+1), int64(20+i))
+		d.Delete(fmt.Sprint(i+1), at(int64(20+i)))
 		clock.Advance(10 * time.Millisecond)
 	}
 	g.Expect(usable(d)).To(HaveLen(6))
@@ -131,6 +135,57 @@
 	d, _ := fixture(2)
 	u := upstream("9", 300)
 	u.Address = "10.0.0.1:1"
-	d.Put(u, 20)
+	d.Put(u, at(20))
 	g.Expect(usable(d)).To(Equal([]string{"2", "9"}))
 }
+
+// The store comes back from an older copy: upstream 1 is listed as it was, 2 registered
+// after the copy, 3 announced its departure after it, 4 was removed after it, and 5
+// restarted under its ID. Revisions are given out again.
+func TestRestoredStore(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := fixture(5)
+	d.SetHeartbeat(time.Second)
+	leaving := upstream("3", 100)
+	leaving.Leaving = true
+	d.Put(leaving, at(20))
+	d.Delete("4", at(21))
+	d.RemoveExpired()
+	d.Put(upstream("5", 200), at(22))
+	restored := func(revision int64) kvstore.Position { return kvstore.Position{Era: 2, Revision: revision} }
+	list, positions := map[string]directory.Upstream{}, map[string]kvstore.Position{}
+	for _, id := range []string{"1", "3", "4", "5"} {
+		list[id], positions[id] = upstream(id, 100), restored(5)
+	}
+	d.Replace(list, positions, restored(6))
+	g.Expect(usable(d)).To(Equal([]string{"1", "2", "5"}), "what was in use stays in use; what has left is not used again")
+	for _, u := range d.Usable() {
+		g.Expect(u.ID == "5" && u.Started != 200).To(BeFalse(), "the earlier incarnation doesn't come back")
+	}
+	d.Put(upstream("2", 100), restored(7))
+	clock.Advance(3 * time.Second)
+	d.RemoveExpired()
+	g.Expect(usable(d)).To(Equal([]string{"1", "2", "5"}))
+	d.Delete("4", restored(8)) // it missed its heartbeats
+	clock.Advance(3 * time.Second)
+	d.RemoveExpired()
+	g.Expect(usable(d)).To(Equal([]string{"1", "2", "5"}))
+	d.Delete("1", restored(9))
+	g.Expect(usable(d)).To(Equal([]string{"2", "5"}), "a revision of the new era isn't compared with the old one's")
+}
+
+// A registration that was removed because of the restored store's outage is used again
+// once its upstream is known to renew it, and one that never comes back isn't.
+func TestRegistrationsAfterARestore(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := fixture(3)
+	d.SetHeartbeat(time.Second)
+	d.Delete("1", at(20))
+	d.RemoveExpired()
+	restored := kvstore.Position{Era: 2, Revision: 5}
+	d.Replace(map[string]directory.Upstream{"1": upstream("1", 100), "2": upstream("2", 100)}, map[string]kvstore.Position{"1": restored, "2": restored}, restored)
+	g.Expect(usable(d)).To(Equal([]string{"2", "3"}))
+	clock.Advance(5 * time.Second)
+	d.RemoveExpired()
+	g.Expect(usable(d)).To(Equal([]string{"1", "2"}), "1 is still registered after its heartbeats would have been missed, 3 isn't")
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -60,7 +60,9 @@
 	Clock      clockwork.Clock
 	Log        *zap.Logger
 
-	revision int64
+	// position is the position up to which the sink has all changes; a Revision of 0
+	// means that the prefix has to be listed.
+	position kvstore.Position
 	// reachable is whether the last call to the service succeeded; reported is
 	// whether the sink has been told. reachabilityChangedAt is when reachable last
 	// changed.
@@ -91,28 +93,38 @@
 	}
 }
 
-// poll lists the keys if no revision is known, and otherwise waits for changes.
+// poll lists the keys if no position is known, and otherwise waits for changes.
 func (f *Feed) poll(ctx context.Context) error {
-	if f.revision == 0 {
-		l, err := f.KV.List(ctx, f.Prefix)
-		if err != nil {
-			return err
+	if f.position.Revision == 0 {
+		return f.list(ctx)
+	}
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	era, risen := f.KV.Eras().Current()
+	if era != f.position.Era {
+		f.restart("key-value service began a new era; listing again", era)
+		return nil
+	}
+	go func() {
+		select {
+		case <-risen:
+			cancel()
+		case <-watch.Done():
 		}
-		f.revision = l.Revision
-		f.recordResult(nil)
-		f.Sink.Replace(l)
+	}()
+	b, err := f.KV.Watch(watch, f.Prefix, f.position.Revision, f.watchTimeout())
+	if era, _ := f.KV.Eras().Current(); era != f.position.Era && ctx.Err() == nil {
+		f.restart("key-value service began a new era; listing again", era)
 		return nil
 	}
-	b, err := f.KV.Watch(ctx, f.Prefix, f.revision, f.watchTimeout())
 	if fault.KindOf(err) == fault.Stale {
-		f.Log.Info("key-value service has discarded the watched revision; listing again", zap.String("prefix", f.Prefix), zap.Int64("revision", f.revision))
-		f.revision = 0
+		f.restart("key-value service has discarded the watched revision; listing again", era)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	f.revision = max(f.revision, b.Revision)
+	f.position.Revision = max(f.position.Revision, b.Revision)
 	f.recordResult(nil)
 	if len(b.Events) == 0 {
 		return nil
@@ -124,6 +136,28 @@
 	return nil
 }
 
+// list lists the keys. A listing during which a new era began is discarded.
+func (f *Feed) list(ctx context.Context) error {
+	l, err := f.KV.List(ctx, f.Prefix)
+	if fault.KindOf(err) == fault.Stale || err == nil && !f.KV.Eras().Has(l.Era) {
+		f.Log.Info("key-value service began a new era during a listing; listing again", zap.String("prefix", f.Prefix), zap.Error(err))
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.position = l.Position()
+	f.recordResult(nil)
+	f.Sink.Replace(l)
+	return nil
+}
+
+// restart makes the next poll list the keys.
+func (f *Feed) restart(reason string, era int64) {
+	f.Log.Info(reason, zap.String("prefix", f.Prefix), zap.Int64("revision", f.position.Revision), zap.Int64("revision_era", f.position.Era), zap.Int64("era", era))
+	f.position = kvstore.Position{}
+}
+
 // sleep waits for d or until ctx is done.
 func (f *Feed) sleep(ctx context.Context, d time.Duration) {
 	select {
@@ -166,9 +200,9 @@
 	f.reachable, f.reported = ok, true
 	f.Sink.SetReachable(ok)
 	if ok {
-		f.Log.Info("key-value service is reachable", zap.String("prefix", f.Prefix), zap.Int64("revision", f.revision), zap.Duration("after", now.Sub(f.reachabilityChangedAt)))
+		f.Log.Info("key-value service is reachable", zap.String("prefix", f.Prefix), zap.Int64("revision", f.position.Revision), zap.Duration("after", now.Sub(f.reachabilityChangedAt)))
 	} else {
-		f.Log.Warn("key-value service is unreachable", zap.String("prefix", f.Prefix), zap.Int64("revision", f.revision), zap.Error(err), zap.Duration("after", now.Sub(f.reachabilityChangedAt)))
+		f.Log.Warn("key-value service is unreachable", zap.String("prefix", f.Prefix), zap.Int64("revision", f.position.Revision), zap.Error(err), zap.Duration("after", now.Sub(f.reachabilityChangedAt)))
 	}
 	f.reachabilityChangedAt = now
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -19,16 +19,20 @@
 type service struct {
 	kvstore.KV
 	mu      sync.Mutex
+	eras    *kvstore.Eras
 	watches []time.Duration
 	script  []func() (kvstore.Batch, error)
 	lists   int
 }
 
+func (s *service) Eras() *kvstore.Eras { return s.eras }
+
 func (s *service) List(context.Context, string) (kvstore.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
-	return kvstore.Listing{Revision: int64(10 * s.lists), Items: []kvstore.Item{{Key: "p/a"}}}, nil
+	era, _ := s.eras.Current()
+	return kvstore.Listing{Revision: int64(10 * s.lists), Era: era, Items: []kvstore.Item{{Key: "p/a"}}}, nil
 }
 
 func (s *service) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) (kvstore.Batch, error) {
@@ -115,3 +119,46 @@
 	go f.Run(ctx)
 	g.Eventually(recorder.recorded, "3s").Should(Equal([]string{"reachable", "replace", "replace"}))
 }
+
+// A new era of the service is a new listing, whichever call saw it first. Changes that a
+// watch returns from the new era are not applied to the old listing.
+func TestNewEraIsListedAgain(t *testing.T) {
+	for name, watch := range map[string]func(kv *service) (kvstore.Batch, error){
+		"seen by the watch": func(kv *service) (kvstore.Batch, error) {
+			kv.eras.Observe(2)
+			return kvstore.Batch{Revision: 11, Era: 2, Events: []kvstore.Event{{Item: kvstore.Item{Key: "p/a"}}}}, nil
+		},
+		"seen by another call": func(kv *service) (kvstore.Batch, error) {
+			kv.eras.Observe(2)
+			return kvstore.Batch{}, context.Canceled
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			kv := &service{eras: kvstore.NewEras()}
+			kv.eras.Observe(1)
+			kv.script = []func() (kvstore.Batch, error){func() (kvstore.Batch, error) { return watch(kv) }}
+			recorder := &sink{}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			f := &feed.Feed{KV: kv, Prefix: "p/", Sink: recorder, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+			go f.Run(ctx)
+			g.Eventually(recorder.recorded, "3s").Should(Equal([]string{"reachable", "replace", "replace"}))
+			g.Consistently(recorder.recorded, "200ms").Should(HaveLen(3))
+		})
+	}
+}
+
+// A watch that is waiting ends when another call has seen a new era.
+func TestNewEraEndsAWaitingWatch(t *testing.T) {
+	g := NewWithT(t)
+	kv := &service{eras: kvstore.NewEras()}
+	kv.eras.Observe(1)
+	recorder := &sink{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go (&feed.Feed{KV: kv, Prefix: "p/", Sink: recorder, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}).Run(ctx)
+	g.Eventually(recorder.recorded, "3s").Should(Equal([]string{"reachable", "replace"}))
+	kv.eras.Observe(2)
+	g.Eventually(recorder.recorded, "3s").Should(Equal([]string{"reachable", "replace", "replace"}))
+}
--- a/internal/fleet/registrar.go
+++ b/internal/fleet/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -22,6 +23,10 @@
 	renewInterval = 5 * time.Second
 	// retryDelay is the delay after a failed call.
 	retryDelay = 1 * time.Second
+	// reregisterWindow is the time over which the processes of a deployment spread
+	// their registrations after a new era has ended all of them. Other processes
+	// remember registrations for longer than that.
+	reregisterWindow = 2 * time.Second
 )
 
 // Registrar registers this process in the key-value service under a lease and
@@ -32,8 +37,8 @@
 	Clock clockwork.Clock
 	Log   *zap.Logger
 
-	leaseID int64
-	wake    chan struct{}
+	lease kvstore.Lease
+	wake  chan struct{}
 }
 
 // ReregisterOnLoss makes the process register again as soon as the view shows
@@ -58,29 +63,47 @@
 	for {
 		wait := renewInterval
 		if err := r.registerOrRenew(ctx); err != nil && ctx.Err() == nil {
-			r.Log.Warn("failed to renew the registration", zap.Int64("lease", r.leaseID), zap.Error(err))
+			r.Log.Warn("failed to renew the registration", zap.Int64("lease", r.lease.ID), zap.Error(err))
 			wait = retryDelay
 		}
+		_, risen := r.KV.Eras().Current()
 		select {
 		case <-ctx.Done():
 			r.revoke(context.WithoutCancel(ctx))
 			return
 		case <-r.wake:
+		case <-risen:
 		case <-r.Clock.After(wait):
 		}
+		r.awaitTurn(ctx)
+	}
+}
+
+// awaitTurn waits for a random part of reregisterWindow if a new era has ended the
+// registrations of all processes.
+func (r *Registrar) awaitTurn(ctx context.Context) {
+	if r.lease.ID == 0 || !r.lease.EndedWithEra(r.KV) {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-r.Clock.After(rand.N(reregisterWindow)):
 	}
 }
 
 func (r *Registrar) registerOrRenew(ctx context.Context) error {
-	if r.leaseID != 0 {
-		err := r.KV.KeepAlive(ctx, r.leaseID)
+	if r.lease.ID != 0 {
+		err := kvstore.ErrNewEra
+		if !r.lease.EndedWithEra(r.KV) {
+			err = r.KV.KeepAlive(ctx, r.lease.ID)
+		}
 		if fault.KindOf(err) != fault.NotFound {
 			return err
 		}
-		r.Log.Warn("registration has expired; registering again", zap.Int64("lease", r.leaseID))
-		r.leaseID = 0
+		r.Log.Warn("registration has ended; registering again", zap.Int64("lease", r.lease.ID), zap.Int64("lease_era", r.lease.Era), zap.Error(err))
+		r.lease = kvstore.Lease{}
 	}
-	leaseID, err := r.KV.Grant(ctx, registrationTTL)
+	lease, err := kvstore.Grant(ctx, r.KV, registrationTTL)
 	if err != nil {
 		return err
 	}
@@ -88,19 +111,19 @@
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "report this as a bug", "encoding the registration")
 	}
-	put := kvstore.Put{Key: memberPrefix + r.Self.Name, Value: value, Expect: kvstore.AnyRevision, Lease: leaseID}
+	put := kvstore.Put{Key: memberPrefix + r.Self.Name, Value: value, Expect: kvstore.AnyRevision, Lease: lease.ID}
 	if _, err := r.KV.Put(ctx, put); err != nil {
 		return err
 	}
-	r.leaseID = leaseID
+	r.lease = lease
 	return nil
 }
 
 func (r *Registrar) revoke(ctx context.Context) {
-	if r.leaseID == 0 {
+	if r.lease.ID == 0 || r.lease.EndedWithEra(r.KV) {
 		return
 	}
-	if err := r.KV.Revoke(ctx, r.leaseID); err != nil {
-		r.Log.Info("failed to revoke the registration; it will expire", zap.Int64("lease", r.leaseID), zap.Error(err))
+	if err := r.KV.Revoke(ctx, r.lease.ID); err != nil {
+		r.Log.Info("failed to revoke the registration; it will expire", zap.Int64("lease", r.lease.ID), zap.Error(err))
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/directory"
 	"github.com/kingcupreel/kingcupreel/internal/dispatch"
 	"github.com/kingcupreel/kingcupreel/internal/gateway"
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 	"github.com/kingcupreel/kingcupreel/internal/upstream"
@@ -551,11 +552,11 @@
 	f := newFixture(t, leaving, func(w http.ResponseWriter, r *http.Request) { stamped(w, r, http.StatusOK, "done") })
 	var announced atomic.Int64
 	f.gateway.OnDeparture = func() { announced.Add(1) }
-	list, revisions := map[string]directory.Upstream{}, map[string]int64{}
-	for i, u := range f.upstreams {
-		list[u.ID], revisions[u.ID] = u, int64(i+1)
+	list, positions := map[string]directory.Upstream{}, map[string]kvstore.Position{}
+	for _, u := range f.upstreams {
+		list[u.ID], positions[u.ID] = u, kvstore.Position{Revision: 1}
 	}
-	f.gateway.Directory.Replace(list, revisions, 2)
+	f.gateway.Directory.Replace(list, positions, kvstore.Position{Revision: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go f.gateway.Run(ctx)
--- a/internal/kvstore/kvstore.go
+++ b/internal/kvstore/kvstore.go
@@ -33,8 +33,13 @@
 type Listing struct {
 	Revision int64  `json:"revision"`
 	Items    []Item `json:"items"`
+	// Era is the era of Revision and of the items' revisions.
+	Era int64 `json:"era,omitempty"`
 }
 
+// Position returns the position of the listing.
+func (l Listing) Position() Position { return Position{l.Era, l.Revision} }
+
 // Event is one change of a key. For a deletion, Deleted is set and Item has only
 // Key and ModRevision.
 type Event struct {
@@ -47,6 +52,10 @@
 type Batch struct {
 	Revision int64   `json:"revision"`
 	Events   []Event `json:"events"`
+	// Era is the era of Revision and of the events' revisions. If it isn't the era of
+	// the revision that was asked for, the events are from another history and the
+	// caller must list the prefix again.
+	Era int64 `json:"era,omitempty"`
 }
 
 // Put is a write of one key.
@@ -66,7 +75,8 @@
 type KV interface {
 	// Get reads a key. If it is absent, the error has kind NotFound.
 	Get(ctx context.Context, key string) (Item, error)
-	// List reads all keys below a prefix.
+	// List reads all keys below a prefix. An error of kind Stale means that the
+	// service began a new era meanwhile.
 	List(ctx context.Context, prefix string) (Listing, error)
 	// Put writes a key and returns the revision of the write.
 	Put(ctx context.Context, p Put) (int64, error)
@@ -85,6 +95,9 @@
 	KeepAlive(ctx context.Context, lease int64) error
 	// Revoke ends a lease and deletes the keys bound to it.
 	Revoke(ctx context.Context, lease int64) error
+	// Eras returns the tracker of the service's era. A lease ends with the era in
+	// which it was granted: its id must not be used in a later one.
+	Eras() *Eras
 }
 
 // VMState is a VM's state in the VM list.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,5 +1,5 @@
 // Package lease holds a key of the key-value service under a lease. The
-// revision at which the key was created is the holder's fencing number: it
+// position at which the key was created gives the holder's fencing number: it
 // increases from holder to holder and is sent with every order.
 //
 // A holder that was paused may believe that it still holds the lease. Held
@@ -37,35 +37,55 @@
 	// TTL is how long the lease lasts without a renewal.
 	TTL time.Duration
 	// RetainOnOutage makes the holder keep trying to renew a lease that is no
-	// longer Held until the service reports that it is gone. While the service is
-	// unreachable no other process can acquire the key.
+	// longer Held until the service reports that it is gone or begins a new era.
+	// While the service is unreachable no other process can acquire the key.
 	RetainOnOutage bool
 
-	leaseID, fence int64
-	expiresAt      time.Time
+	lease kvstore.Lease
+	// position is where the key was created, zero without a lease.
+	position  kvstore.Position
+	expiresAt time.Time
 }
 
-// Held reports whether the lease is held and has not reached its safety margin.
+// Held reports whether the lease is held and has not reached its safety margin. A lease
+// ends with the era of the service.
 func (h *Holder) Held() bool {
-	return h.fence != 0 && h.Clock.Now().Before(h.expiresAt.Add(-h.TTL/safetyMarginDivisor))
+	return h.lease.ID != 0 && !h.lease.EndedWithEra(h.KV) && h.Clock.Now().Before(h.expiresAt.Add(-h.TTL/safetyMarginDivisor))
 }
 
+// Position returns the position at which the key was created, zero while the holder has
+// no lease.
+func (h *Holder) Position() kvstore.Position { return h.position }
+
 // Fence returns the fencing number, 0 while the holder has no lease.
-func (h *Holder) Fence() int64 { return h.fence }
+func (h *Holder) Fence() int64 { return h.position.FencingNumber() }
 
 // Refresh acquires the lease, or renews it when a third of its TTL has passed
 // since the last renewal. It returns an error if another process holds the key
 // or the service does not answer.
 func (h *Holder) Refresh(ctx context.Context) error {
-	if h.fence == 0 {
+	if h.lease.ID == 0 {
 		return h.acquire(ctx)
 	}
-	start := h.Clock.Now()
-	if start.Before(h.expiresAt.Add(-h.TTL * (renewDivisor - 1) / renewDivisor)) {
+	if h.lease.EndedWithEra(h.KV) {
+		h.reset()
+		return kvstore.ErrNewEra
+	}
+	if h.Clock.Now().Before(h.expiresAt.Add(-h.TTL * (renewDivisor - 1) / renewDivisor)) {
 		return nil
 	}
-	err := h.KV.KeepAlive(ctx, h.leaseID)
+	return h.Renew(ctx)
+}
+
+// Renew renews the lease. Without an error, the lease was held without a break since it
+// was acquired.
+func (h *Holder) Renew(ctx context.Context) error {
+	start := h.Clock.Now()
+	err := h.KV.KeepAlive(ctx, h.lease.ID)
 	switch {
+	case h.lease.EndedWithEra(h.KV):
+		h.reset()
+		return kvstore.ErrNewEra
 	case err == nil:
 		h.expiresAt = start.Add(h.TTL)
 	case fault.KindOf(err) == fault.NotFound, !h.Held() && !h.RetainOnOutage:
@@ -74,7 +94,7 @@
 	return err
 }
 
-func (h *Holder) reset() { h.leaseID, h.fence = 0, 0 }
+func (h *Holder) reset() { h.lease, h.position = kvstore.Lease{}, kvstore.Position{} }
 
 // acquire creates the key unless another process holds it. If the answer to the
 // write is lost, it reads the key back: the lease attached to the key shows
@@ -87,18 +107,23 @@
 		return err
 	}
 	start := h.Clock.Now()
-	id, err := h.KV.Grant(ctx, h.TTL)
+	granted, err := kvstore.Grant(ctx, h.KV, h.TTL)
 	if err != nil {
 		return err
 	}
-	rev, err := h.KV.Put(ctx, kvstore.Put{Key: h.Key, Value: []byte(h.Process), Expect: kvstore.MustNotExist, Lease: id})
+	rev, err := h.KV.Put(ctx, kvstore.Put{Key: h.Key, Value: []byte(h.Process), Expect: kvstore.MustNotExist, Lease: granted.ID})
 	if err != nil {
-		if rev, err = h.confirmPut(ctx, id, err); err != nil {
-			_ = h.KV.Revoke(ctx, id)
+		if rev, err = h.confirmPut(ctx, granted.ID, err); err != nil {
+			if !granted.EndedWithEra(h.KV) {
+				_ = h.KV.Revoke(ctx, granted.ID)
+			}
 			return err
 		}
 	}
-	h.leaseID, h.fence = id, rev
+	if granted.EndedWithEra(h.KV) {
+		return kvstore.ErrNewEra
+	}
+	h.lease, h.position = granted, kvstore.Position{Era: granted.Era, Revision: rev}
 	h.expiresAt = start.Add(h.TTL)
 	return nil
 }
@@ -118,15 +143,15 @@
 
 // Release revokes the lease.
 func (h *Holder) Release(ctx context.Context) {
-	if h.leaseID != 0 {
-		_ = h.KV.Revoke(ctx, h.leaseID)
+	if h.lease.ID != 0 && !h.lease.EndedWithEra(h.KV) {
+		_ = h.KV.Revoke(ctx, h.lease.ID)
 	}
 	h.reset()
 }
 
 // ReadHolder returns the process that holds a key and its fencing number. If
-// there is no holder, process is "" and fence is the current revision of the
-// service, which is lower than any later holder's fencing number.
+// there is no holder, process is "" and fence is that of the service's current position,
+// which is lower than any later holder's fencing number.
 func ReadHolder(ctx context.Context, kv kvstore.KV, key string) (process string, fence int64, err error) {
 	list, err := kv.List(ctx, key)
 	if err != nil {
@@ -134,8 +159,8 @@
 	}
 	for _, item := range list.Items {
 		if item.Key == key {
-			return string(item.Value), item.CreateRevision, nil
+			return string(item.Value), kvstore.Position{Era: list.Era, Revision: item.CreateRevision}.FencingNumber(), nil
 		}
 	}
-	return "", list.Revision, nil
+	return "", list.Position().FencingNumber(), nil
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -17,12 +17,19 @@
 type service struct {
 	kvstore.KV
 	store       *kv.Store
+	eras        *kvstore.Eras
 	unavailable bool
 	loseAnswers bool
 }
 
 var errUnavailable = fault.New(fault.Unavailable, "try again", "the service is unavailable")
 
+// Eras implements kvstore.KV as if an answer of the store had just arrived.
+func (s *service) Eras() *kvstore.Eras {
+	s.eras.Observe(s.store.Era())
+	return s.eras
+}
+
 func (s *service) List(_ context.Context, prefix string) (kvstore.Listing, error) {
 	return s.store.List(prefix), nil
 }
@@ -60,7 +67,7 @@
 
 func newFixture() (*service, *clockwork.FakeClock, func(process string) *Holder) {
 	clock := clockwork.NewFakeClock()
-	s := &service{store: kv.NewStore(clock)}
+	s := &service{store: kv.NewStore(clock), eras: kvstore.NewEras()}
 	return s, clock, func(process string) *Holder {
 		return &Holder{KV: s, Clock: clock, Key: "lease/g", Process: process, TTL: ttl}
 	}
@@ -142,3 +149,36 @@
 		t.Fatalf("fencing number %d is not above %d", b.Fence(), floor)
 	}
 }
+
+// The service comes back from a copy made before a acquired the lease, and gives the id of
+// a's lease out again, to b. a stops at once and neither renews nor ends b's lease, and
+// b's fencing number is higher although its revision is not.
+func TestLeaseEndsWithItsEra(t *testing.T) {
+	s, _, holder := newFixture()
+	a, b := holder("a"), holder("b")
+	s.store.Save()
+	if _, err := s.store.Put(kvstore.Put{Key: "other", Expect: kvstore.AnyRevision}); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Refresh(t.Context()); err != nil || !a.Held() {
+		t.Fatalf("a: %v, held %v", err, a.Held())
+	}
+	before := a.Position()
+	s.store.Revert()
+	if a.Held() {
+		t.Fatal("a relies on a lease of an earlier era")
+	}
+	if err := b.Refresh(t.Context()); err != nil || !b.Held() {
+		t.Fatalf("b: %v, held %v", err, b.Held())
+	}
+	if b.Position().Revision >= before.Revision || b.Fence() <= before.FencingNumber() {
+		t.Fatalf("b holds the lease at %+v with fencing number %d, a held it at %+v with %d", b.Position(), b.Fence(), before, before.FencingNumber())
+	}
+	if err := a.Refresh(t.Context()); fault.KindOf(err) != fault.NotFound {
+		t.Fatalf("a renews with %v", err)
+	}
+	a.Release(t.Context())
+	if process, fence, err := ReadHolder(t.Context(), s, "lease/g"); process != "b" || fence != b.Fence() || err != nil {
+		t.Fatalf("holder %q with fencing number %d, %v", process, fence, err)
+	}
+}
--- a/internal/provider/provider_test.go
+++ b/internal/provider/provider_test.go
@@ -32,11 +32,21 @@
 type service struct {
 	kvstore.KV
 	store                 *kv.Store
+	eras                  *kvstore.Eras
 	failBefore, failAfter error
 	// meanwhile runs once, before a Put or a List returns its answer.
 	meanwhile func()
 }
 
+// Eras implements kvstore.KV as if an answer of the store had just arrived.
+func (s *service) Eras() *kvstore.Eras {
+	if s.eras == nil {
+		s.eras = kvstore.NewEras()
+	}
+	s.eras.Observe(s.store.Era())
+	return s.eras
+}
+
 func (s *service) Get(_ context.Context, key string) (kvstore.Item, error) { return s.store.Get(key) }
 
 func (s *service) List(_ context.Context, prefix string) (kvstore.Listing, error) {
@@ -223,6 +233,29 @@
 	})
 })
 
+var _ = Describe("a service that comes back from an older copy", func() {
+	It("is noticed although its revision has passed the watched one", func() {
+		s := &service{store: kv.NewStore(clockwork.NewFakeClock())}
+		write := func(name string) {
+			r := record(name, 0)
+			_, err := s.store.Put(kvstore.Put{Key: r.Key, Value: r.Value, Expect: kvstore.AnyRevision})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		write("a")
+		s.store.Save()
+		write("b")
+		x := NewExchange(config.NewStore(codec.Decode), &membership.View{}, clockwork.NewFakeClock())
+		source := &Source{KV: s, Exchange: x, IsWatcher: func() bool { return true }, Log: zap.NewNop(), pendingDeletions: map[string]int64{}}
+		Expect(source.poll(context.Background())).To(Succeed())
+		s.store.Revert()
+		write("c")
+		write("d")
+		Expect(source.poll(context.Background())).To(Succeed())
+		Expect(x.Store.Restored()).NotTo(BeNil())
+		Expect(x.Store.Current().Services).To(HaveLen(2), "what was in force stays in force")
+	})
+})
+
 var _ = Describe("an entry that does not watch", func() {
 	It("reads the service at a start without peers, and when it receives no announcements", func() {
 		clock := clockwork.NewFakeClock()
--- a/internal/provider/source.go
+++ b/internal/provider/source.go
@@ -58,6 +58,8 @@
 	// seenRevision is the service's revision up to which events have been read; 0
 	// means that the configuration has to be listed.
 	seenRevision int64
+	// era is the service's era of seenRevision, 0 if not known.
+	era int64
 	// listRequired is set when the epoch's base has changed, so that the whole
 	// configuration has to be listed.
 	listRequired bool
@@ -150,6 +152,9 @@
 	if s.seenRevision == 0 {
 		s.seenRevision = s.store().Current().ServiceRevision()
 	}
+	if era, _ := s.KV.Eras().Current(); s.era != 0 && era != s.era {
+		s.listRequired = true
+	}
 	if s.seenRevision == 0 || s.listRequired {
 		return s.list(ctx)
 	}
@@ -160,7 +165,10 @@
 	if err != nil {
 		return err
 	}
-	s.seenRevision = batch.Revision
+	if s.era != 0 && batch.Era != s.era {
+		return nil // events of a new era; the next poll lists the configuration
+	}
+	s.seenRevision, s.era = batch.Revision, batch.Era
 	s.applyEvents(batch)
 	s.Exchange.ServiceAge.Observe(0)
 	s.writePending(ctx)
@@ -181,8 +189,14 @@
 	for _, i := range l.Items {
 		records = append(records, config.Record{Key: i.Key, Value: i.Value, Revision: i.ModRevision})
 	}
-	s.seenRevision, s.listRequired = l.Revision, false
+	newEra := s.era != 0 && l.Era != s.era
+	s.seenRevision, s.listRequired, s.era = l.Revision, false, l.Era
 	update := config.FullUpdate(records)
+	if newEra && update.Base == before.Base {
+		s.Log.Error("key-value service restored from an older copy", zap.Int64("era", l.Era), zap.Int64("revision", l.Revision), zap.Int64("in_force", before.Revision))
+		s.store().MarkRestored(before.Base)
+		return nil
+	}
 	if update.Base < before.Base || (update.Base == before.Base && update.Base+l.Revision < before.Revision) {
 		s.store().MarkRestored(before.Base)
 		return nil
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -69,6 +69,9 @@
 	mu sync.Mutex // leaf
 	// counts are the selection counts of the last reading that asked for them.
 	counts ranks.Counts
+	// highestFence is the highest fence of the orders that the agent has sent to its
+	// engine.
+	highestFence int64
 }
 
 // New returns an agent.
@@ -145,6 +148,7 @@
 // that asked for them.
 func (a *Agent) read(ctx context.Context, withSelections, withLists bool) *wire.RankState {
 	reply := read(ctx, a.Engine, withLists)
+	reply.HighestFence = a.recordFence(0)
 	if !withSelections || !reply.OK {
 		return reply
 	}
@@ -201,9 +205,19 @@
 	return reply
 }
 
+// recordFence records the fence of an order for the engine and returns the highest one so
+// far.
+func (a *Agent) recordFence(fence int64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.highestFence = max(a.highestFence, fence)
+	return a.highestFence
+}
+
 // execute sends an order to the engine of the agent's own rank, and counts and logs
 // the verdict.
 func (a *Agent) execute(ctx context.Context, o ranks.Order) *wire.RankState {
+	a.recordFence(o.Fence + ranks.MaxSends - 1)
 	reply := execute(ctx, a.Engine, o, localOrderTimeout)
 	telemetry.Counter(a.Metrics, "rank_orders."+string(o.Op)+"."+reply.Verdict.String()).Inc(1)
 	a.Log.Info("order sent to the engine", zap.String("order", string(o.Op)), zap.Int64("version", o.Version), zap.Int64("step", o.Step),
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -52,6 +52,8 @@
 	// version is the version of the map in force.
 	version  int64
 	stepRate ranks.StepRate
+	// termChosen is set once the fences that the ranks have seen are known.
+	termChosen bool
 }
 
 // RunElection campaigns for the leadership of the rank's group, and leads the group
@@ -110,7 +112,7 @@
 		}
 		return
 	}
-	a.Log.Info("elected leader of the group", zap.String("group", st.Group), zap.Int64("fence", lead.fence))
+	a.Log.Info("elected leader of the group", zap.String("group", st.Group), zap.Int64("revision", lead.position.Revision), zap.Int64("era", lead.position.Era))
 	// A switch in progress is completed even if ctx is cancelled.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -120,7 +122,7 @@
 	}
 	l := &leader{a: a, group: a.newGroup(work, st.Group), leadership: lead}
 	l.run(ctx)
-	a.Log.Info("leadership ended", zap.String("group", st.Group), zap.Int64("fence", lead.fence))
+	a.Log.Info("leadership ended", zap.String("group", st.Group), zap.Int64("revision", lead.position.Revision), zap.Int64("era", lead.position.Era))
 	lead.release(context.WithoutCancel(ctx))
 }
 
@@ -161,7 +163,7 @@
 		}
 		size = max(size, st.Status.Size)
 	}
-	if len(states) == 0 {
+	if len(states) == 0 || !l.chooseTerm(states) {
 		return
 	}
 	s := l.switcher(size)
@@ -183,6 +185,25 @@
 	}
 }
 
+// chooseTerm raises the term above the fences that the ranks have seen, once, with the
+// first reading. It returns false if the leadership can't start yet.
+func (l *leader) chooseTerm(states map[int]*wire.RankState) bool {
+	if l.termChosen {
+		return true
+	}
+	highest := int64(0)
+	for _, st := range states {
+		// Versions of maps are fences.
+		highest = max(highest, st.HighestFence, st.Status.Map, st.Status.Prepared, st.Status.Armed)
+	}
+	if err := l.leadership.raiseTerm(l.group.ctx, highest); err != nil {
+		l.a.Log.Info("failed to renew the leader lease before the first order", zap.Int64("highest_fence", highest), zap.Error(err))
+		return false
+	}
+	l.termChosen = true
+	return true
+}
+
 // rebalance plans a new map and switches to it if the ranks' load is uneven.
 func (l *leader) rebalance(s *ranks.Switcher) {
 	loads, peak, uneven := l.measureImbalance()
--- a/internal/rankagent/rankagent_test.go
+++ b/internal/rankagent/rankagent_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,8 +17,10 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/feed"
 	"github.com/kingcupreel/kingcupreel/internal/fleet"
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 	"github.com/kingcupreel/kingcupreel/internal/rankagent"
 	"github.com/kingcupreel/kingcupreel/internal/ranks"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
@@ -218,9 +221,12 @@
 // deployment is a simulatedGroup with an agent for each rank.
 type deployment struct {
 	g     *simulatedGroup
-	store *platform.Store
 	state *kv.Store
-	stop  []context.CancelFunc
+	// url is the key-value service's.
+	url string
+	// kvs are the agents' clients of the key-value service, by rank.
+	kvs  map[int]*cutKV
+	stop []context.CancelFunc
 	// metrics are the agents' registries, by rank.
 	metrics []metrics.Registry
 }
@@ -266,11 +272,11 @@
 func deployGroup(t *testing.T, size int) (context.Context, *deployment) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &deployment{g: newSimulatedGroup(size), state: kv.NewStore(clockwork.NewRealClock())}
+	d := &deployment{g: newSimulatedGroup(size), kvs: map[int]*cutKV{}, state: kv.NewStore(clockwork.NewRealClock())}
 	srv := httptest.NewServer(kv.NewServer(d.state).Handler())
 	t.Cleanup(srv.Close)
 	t.Cleanup(cancel) // before the service closes, so that no watch blocks it
-	d.store = platform.NewStore(srv.URL, time.Second)
+	d.url = srv.URL
 	go d.g.run(ctx)
 	return ctx, d
 }
@@ -287,6 +293,8 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(ctx)
 	d.stop = append(d.stop, stop)
+	client := &cutKV{KV: platform.NewStore(d.url, time.Second)}
+	d.kvs[rank] = client
 	clock := clockwork.NewRealClock()
 	address, datagrams := listenDatagrams(t)
 	self := fleet.Member{Name: fmt.Sprint("vm-", rank), Role: fleet.RoleRank, Address: address, Upstream: fmt.Sprint(rank)}
@@ -304,18 +312,70 @@
 			_, _ = fmt.Sscan(address, &n)
 			return &remoteEngine{d.g.engines[n], rank}
 		},
-		View: view, Datagrams: datagrams, Routes: routes, KV: d.store, LeaderLeaseTTL: time.Second, Fencing: fencing,
+		View: view, Datagrams: datagrams, Routes: routes, KV: client, LeaderLeaseTTL: time.Second, Fencing: fencing,
 		Clock: clock, Log: zap.NewNop(), Metrics: registry,
 	})
 	if err := fleet.Serve(ctx, self.Address, a.Handler(ctx), zap.NewNop()); err != nil {
 		t.Fatal(err)
 	}
-	go (&feed.Feed{KV: d.store, Prefix: fleet.Prefix, Sink: view, Clock: clock, Log: zap.NewNop()}).Run(ctx)
+	go (&feed.Feed{KV: client, Prefix: fleet.Prefix, Sink: view, Clock: clock, Log: zap.NewNop()}).Run(ctx)
 	go a.RunElection(ctx)
-	registrar := &fleet.Registrar{KV: d.store, Self: self, Clock: clock, Log: zap.NewNop()}
+	registrar := &fleet.Registrar{KV: client, Self: self, Clock: clock, Log: zap.NewNop()}
 	return func() { go registrar.Run(ctx) }
 }
 
+// cutKV is a client of the key-value service that can be cut off.
+type cutKV struct {
+	kvstore.KV
+	cut atomic.Bool
+}
+
+var errCut = fault.New(fault.Unavailable, "", "cut off")
+
+// reachable returns an error while the client is cut off.
+func (c *cutKV) reachable() error {
+	if c.cut.Load() {
+		return errCut
+	}
+	return nil
+}
+
+func (c *cutKV) Get(ctx context.Context, key string) (kvstore.Item, error) {
+	if err := c.reachable(); err != nil {
+		return kvstore.Item{}, err
+	}
+	return c.KV.Get(ctx, key)
+}
+
+func (c *cutKV) List(ctx context.Context, prefix string) (kvstore.Listing, error) {
+	if err := c.reachable(); err != nil {
+		return kvstore.Listing{}, err
+	}
+	return c.KV.List(ctx, prefix)
+}
+
+func (c *cutKV) Put(ctx context.Context, p kvstore.Put) (int64, error) {
+	if err := c.reachable(); err != nil {
+		return 0, err
+	}
+	return c.KV.Put(ctx, p)
+}
+
+func (c *cutKV) KeepAlive(ctx context.Context, lease int64) error {
+	if err := c.reachable(); err != nil {
+		return err
+	}
+	return c.KV.KeepAlive(ctx, lease)
+}
+
+// Watch is short, so that a cut takes effect soon.
+func (c *cutKV) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (kvstore.Batch, error) {
+	if err := c.reachable(); err != nil {
+		return kvstore.Batch{}, err
+	}
+	return c.KV.Watch(ctx, prefix, after, min(wait, 100*time.Millisecond))
+}
+
 func (d *deployment) leaderName() string {
 	item, err := d.state.Get(fleet.LeaderKey("g"))
 	if err != nil {
@@ -501,3 +561,50 @@
 	_, _, _, mixed := d.g.state()
 	g.Expect(mixed).To(BeFalse())
 }
+
+// awaitMap waits until a map newer than version is in force.
+func (d *deployment) awaitMap(g Gomega, version int64) (inForce int64) {
+	g.Eventually(func() int64 {
+		_, inForce, _, _ = d.g.state()
+		return inForce
+	}, "20s").Should(BeNumerically(">", version))
+	return inForce
+}
+
+// demand makes another expert the most selected one.
+func (d *deployment) demand(expert int) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	d.g.hotExpert = expert
+}
+
+// The key-value service comes back from a copy made before the leader was elected, so
+// that a leader of the new era is elected at a lower revision. The old leader is cut off
+// from the service and does not learn of it. The new leader's orders are accepted by
+// every rank, the old one's by none.
+func TestLeadersOfTwoEras(t *testing.T) {
+	g := NewWithT(t)
+	ctx, d := deployGroup(t, testRanks)
+	d.state.Save()
+	for range 50 { // the new era's revisions stay below those of the old one
+		_, err := d.state.Put(kvstore.Put{Key: "other", Expect: kvstore.AnyRevision})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	d.startAgent(ctx, t, 0, true)
+	g.Eventually(d.leaderName, "10s").Should(Equal("vm-0"))
+	for r := 1; r < testRanks; r++ {
+		d.startAgent(ctx, t, r, true)
+	}
+	before := d.awaitMap(g, 0)
+	d.kvs[0].cut.Store(true)
+	time.Sleep(200 * time.Millisecond) // ends the calls in flight
+	d.state.Revert()
+	g.Eventually(d.leaderName, "10s").ShouldNot(Or(BeEmpty(), Equal("vm-0")))
+	d.demand(3)
+	inForce := d.awaitMap(g, before)
+	g.Expect(inForce>>20).To(BeNumerically(">", before>>20), "the new leader's term is higher than the old one's")
+	d.demand(5)
+	d.awaitMap(g, inForce)
+	_, _, _, mixed := d.g.state()
+	g.Expect(mixed).To(BeFalse())
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -24,6 +24,10 @@
 	// service that it belongs to. Both are empty on an entry VM.
 	LocalUpstream, LocalService string
 
+	// Heartbeat is the interval at which upstreams renew their registrations; 0 means
+	// unknown.
+	Heartbeat time.Duration
+
 	MemoryBytes int64
 
 	// DrainBound is the longest time for which a leaving upstream may get new
@@ -66,6 +70,7 @@
 	require(n.FirstPort > 0 && n.LastPort >= n.FirstPort && n.LastPort < 1<<16, "internal ports", "give a first and a last port from 1 to 65535, the first not above the last")
 	require(n.LocalUpstream == "" || isAddress(n.LocalUpstream), "upstream address", "give it as IP:port")
 	require(n.MemoryBytes > 0, "memory limit", "give the memory in MB")
+	require(n.Heartbeat >= 0, "upstreams' heartbeat", "give a time of 0 or more")
 	require(n.Grace > 0, "grace", "give a positive time from SIGTERM to SIGKILL")
 	require(n.RetryRatio >= 0 && n.RetryAllowance >= 0 && n.RetryWindow > 0, "retry budget", "give a ratio and an allowance of 0 or more, and a positive window")
 	return errors.Join(faults...)
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -70,9 +70,18 @@
 	mux.HandleFunc("GET /admin/stats", s.showStats)
 	mux.HandleFunc("POST /admin/save", adminAction(s.store.Save))
 	mux.HandleFunc("POST /admin/restore", adminAction(s.store.Restore))
+	mux.HandleFunc("POST /admin/revert", adminAction(s.store.Revert))
 	mux.HandleFunc("POST /admin/vms", s.setVM)
 	mux.HandleFunc("DELETE /admin/vms/{id}", s.deleteVM)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.setEra(w)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// setEra states the store's era in a response.
+func (s *Server) setEra(w http.ResponseWriter) {
+	w.Header().Set(platform.HeaderEra, strconv.FormatInt(s.store.Era(), 10))
 }
 
 // adminAction returns a handler that runs f and responds with an empty object.
@@ -243,6 +252,7 @@
 	defer timer.Stop()
 	for {
 		batch, changed, err := s.store.Changes(r.FormValue(platform.QueryPrefix), after)
+		s.setEra(w)
 		if err != nil || len(batch.Events) > 0 {
 			standin.Answer(w, watchResponse(batch), err)
 			return
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -27,8 +27,10 @@
 
 // backup is a saved copy of the items.
 type backup struct {
-	revision int64
-	items    map[string]kvstore.Item
+	revision    int64
+	items       map[string]kvstore.Item
+	leases      map[int64]*lease
+	lastLeaseID int64
 }
 
 // Store is the state of the key-value service. Invariant: history holds the
@@ -36,7 +38,9 @@
 type Store struct {
 	clock clockwork.Clock
 
-	mu                sync.Mutex
+	mu sync.Mutex
+	// era counts how often the store has reverted to a copy, from 1.
+	era               int64
 	revision          int64
 	compactedRevision int64
 	items             map[string]kvstore.Item
@@ -51,6 +55,7 @@
 func NewStore(clock clockwork.Clock) *Store {
 	return &Store{
 		clock:   clock,
+		era:     1,
 		items:   map[string]kvstore.Item{},
 		leases:  map[int64]*lease{},
 		changed: make(chan struct{}),
@@ -74,7 +79,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
-	listing := kvstore.Listing{Revision: s.revision}
+	listing := kvstore.Listing{Revision: s.revision, Era: s.era}
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) {
 			listing.Items = append(listing.Items, item)
@@ -184,7 +189,7 @@
 	if after < s.compactedRevision || after > s.revision {
 		return kvstore.Batch{}, nil, fault.New(fault.Stale, "", "revision %d is not in %d to %d", after, s.compactedRevision, s.revision)
 	}
-	batch := kvstore.Batch{Revision: s.revision}
+	batch := kvstore.Batch{Revision: s.revision, Era: s.era}
 	for _, e := range s.history {
 		if e.Item.ModRevision > after && strings.HasPrefix(e.Item.Key, prefix) {
 			batch.Events = append(batch.Events, e)
@@ -193,26 +198,60 @@
 	return batch, s.changed, nil
 }
 
-// Save keeps a copy of the items, as a backup of the service does.
+// Save keeps a copy of the items and leases, as a backup of the service does.
 func (s *Store) Save() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.saved = backup{revision: s.revision, items: maps.Clone(s.items)}
+	s.saved = backup{revision: s.revision, items: maps.Clone(s.items), leases: cloneLeases(s.leases), lastLeaseID: s.lastLeaseID}
 }
 
-// Restore sets the items and the revision back to the copy of the last Save and
-// drops the history, as a restore from a backup does. Leases stay.
+func cloneLeases(leases map[int64]*lease) map[int64]*lease {
+	clone := make(map[int64]*lease, len(leases))
+	for id, l := range leases {
+		copied := *l
+		clone[id] = &copied
+	}
+	return clone
+}
+
+// Restore sets the items and the revision back to the copy of the last Save, or to the
+// empty state, and drops the history, as a restore from a backup does. Leases stay.
 func (s *Store) Restore() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.restore()
+}
+
+// restore is Restore for a caller that holds mu.
+func (s *Store) restore() {
 	s.revision = s.saved.revision
 	s.compactedRevision = s.saved.revision
 	s.items = maps.Clone(s.saved.items)
+	if s.items == nil {
+		s.items = map[string]kvstore.Item{}
+	}
 	s.history = nil
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// Revert is Restore for a service that also loses the leases granted since the copy and
+// begins a new era.
+func (s *Store) Revert() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restore()
+	s.leases, s.lastLeaseID = cloneLeases(s.saved.leases), s.saved.lastLeaseID
+	s.era++
+}
+
+// Era returns the era.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Grant creates a lease and returns its ID.
 func (s *Store) Grant(ttl time.Duration) int64 {
 	s.mu.Lock()
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -107,6 +107,9 @@
 	Selections      ranks.Selections
 	SelectionsValid bool
 	ExpertLists     ranks.ExpertLists
+	// HighestFence is the highest fence of the orders that the agent has sent to its
+	// engine. It is set in answers to queries.
+	HighestFence int64
 }
 
 // Kind implements Message.
