Refuse at once what can't be served: unreachable zones, groups that don't come back

And a group that had been broken since the start kept its callers waiting for 1.4 s each.

An entry now tracks when it last heard from each data centre (digests, load reports, answers). Upstreams of one that is silent for 1.5 s are used only if no other can take the request, and then by one request in 2 s. A request waits for a group only if it may come back in time: all of its ranks report (load reports say the group's size), or the outage is about as old as outages get; never for a group that hasn't served yet or is out for twice as long as any outage that ended.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -49,6 +49,8 @@
 	transport *upstream.Transport
 	gateway   *gateway.Gateway
 	exchange  *fleet.Exchange
+	// reachability is updated by every message of another process.
+	reachability *fleet.Reachability
 }
 
 // RunGateway serves callers on a VM of the platform until ctx is done or the
@@ -90,7 +92,7 @@
 // newGatewayProcess builds the gateway, joins the fleet and registers the
 // gauges.
 func newGatewayProcess(work context.Context, p *platformProcess) (*gatewayProcess, error) {
-	g := &gatewayProcess{platformProcess: p, routes: &routing.Store{}, directory: directory.New(p.clock)}
+	g := &gatewayProcess{platformProcess: p, routes: &routing.Store{}, directory: directory.New(p.clock), reachability: fleet.NewReachability(p.clock, p.node.DataCentre)}
 	if p.node.Heartbeat > 0 {
 		g.directory.SetHeartbeat(p.node.Heartbeat)
 	}
@@ -99,8 +101,8 @@
 		Routes: g.routes, Directory: g.directory, Codec: platform.Headers{}, Transport: g.transport,
 		Pools:       gateway.NewPools(p.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		RetryLimits: retryLimits(p.node), MinOutage: p.node.MaxPartition,
-		OnDeparture: func() { g.exchange.TriggerDigest() },
-		Clock:       p.clock, Log: p.log, Metrics: p.metrics,
+		Reachability: g.reachability, OnDeparture: func() { g.exchange.TriggerDigest() },
+		Clock: p.clock, Log: p.log, Metrics: p.metrics,
 	})
 	var err error
 	if g.fleet, err = p.join(work, fleet.RoleEntry); err != nil {
@@ -143,10 +145,16 @@
 func (g *gatewayProcess) handleDatagram(work context.Context, from netip.AddrPort, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.EntryDigest:
+		if sender, ok := g.fleet.view.Get(m.Entry); ok {
+			g.reachability.Heard(sender.DataCentre)
+		}
 		g.exchange.HandleDigest(work, from, m)
 	case *wire.RankLoad:
+		if u := g.gateway.Pools.Get(m.Address, m.Started); u != nil {
+			g.reachability.Heard(u.DataCentre)
+		}
 		g.recordDeparture(m)
-		load := dispatch.Load{Queued: m.Queued, Active: m.Active, Slowness: float64(m.Slowness), GroupServing: m.GroupServing, Group: m.Group}
+		load := dispatch.Load{Queued: m.Queued, Active: m.Active, Slowness: float64(m.Slowness), GroupServing: m.GroupServing, Group: m.Group, GroupSize: m.GroupSize}
 		if u := g.gateway.Pools.UpdateLoad(m.Address, m.Started, load); u != nil {
 			g.log.Info("rank's group started or stopped serving", zap.String("upstream", u.ID), zap.String("group", m.Group), zap.Bool("group_serves", m.GroupServing),
 				zap.Int64("step", m.Step), zap.Int("queued", m.Queued), zap.Int("active", m.Active))
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -32,6 +32,8 @@
 	// Group is the name of the upstream's group. Upstreams without groups have the
 	// name "".
 	Group string
+	// GroupSize is the number of ranks in the group, 0 if not known.
+	GroupSize int
 }
 
 // StepCost describes how requests at an engine slow each other: a step takes
@@ -46,6 +48,9 @@
 	// last report it is used only when no other upstream can take the request.
 	reportTTL     = 1200 * time.Millisecond
 	silenceWindow = 10 * time.Second
+	// AliveTTL is the age of a report up to which an upstream counts as alive: one
+	// report may be lost.
+	AliveTTL = 700 * time.Millisecond
 	// suspendDuration is how long an upstream is skipped after it refused a
 	// request because its group can't serve. A report sent after the refusal
 	// that says the group is serving ends this early.
@@ -55,6 +60,9 @@
 	// goneDuration is how long an upstream is skipped once another one is
 	// found at its address: by then its own registration has expired.
 	goneDuration = 5 * time.Second
+	// probeInterval is the time between two picks of an unreachable upstream, which
+	// show whether it answers although nothing is heard from its data centre.
+	probeInterval = 2 * time.Second
 	// failureWeight is the weight of one attempt in the moving average of
 	// failures. failureDecay is the time within which that average decays
 	// linearly to 0.
@@ -79,14 +87,18 @@
 	otherRequests int
 	slowness      float64
 	groupServing  bool
-	// group is the last reported group. It is valid once reportedAt is set.
+	// group and groupSize are the last reported ones. They are valid once reportedAt
+	// is set.
 	group      string
+	groupSize  int
 	reportedAt time.Time
 	// suspendedUntil is the time until which the upstream is skipped.
 	// suspendedAt is when it was suspended; only reports sent later than that end
 	// the suspension early.
 	suspendedUntil time.Time
 	suspendedAt    time.Time
+	// unreachable is set if the upstream's data centre is not heard from.
+	unreachable bool
 	// restsUntil is the time until which the upstream wants no requests.
 	restsUntil    time.Time
 	failureMean   float64
@@ -98,6 +110,8 @@
 	rand  *rand.Rand
 	cost  StepCost
 	nodes []*Node
+	// probedAt is when an unreachable upstream was last picked.
+	probedAt time.Time
 }
 
 // NewPool returns an empty pool.
@@ -196,7 +210,7 @@
 	compared := 0
 	for _, i := range p.rand.Perm(len(p.nodes)) {
 		n := p.nodes[i]
-		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || n.silent(now) != silent {
+		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || n.silent(now) != silent || n.unreachable && now.Sub(p.probedAt) < probeInterval {
 			continue
 		}
 		if c := p.costAt(n, now); best == nil || c < bestCost {
@@ -206,6 +220,9 @@
 			break
 		}
 	}
+	if best != nil && best.unreachable {
+		p.probedAt = now
+	}
 	return best
 }
 
@@ -253,6 +270,21 @@
 	return states
 }
 
+// Reforming reports whether all ranks of a group are alive, so that the group can serve
+// as soon as it has formed.
+func (p *Pool) Reforming(now time.Time) bool {
+	alive := map[string]int{}
+	for _, n := range p.nodes {
+		if now.Sub(n.reportedAt) > AliveTTL || n.groupSize == 0 {
+			continue
+		}
+		if alive[n.group]++; alive[n.group] == n.groupSize {
+			return true
+		}
+	}
+	return false
+}
+
 // suspended reports whether the upstream's group is known not to serve. An upstream that
 // has never reported may have just restarted in any of the groups.
 func (n *Node) suspended(groups []groupState) bool {
@@ -274,11 +306,11 @@
 	return n.groupServing
 }
 
-// silent reports whether the upstream's last report is older than reportTTL
-// but not older than silenceWindow.
+// silent reports whether the upstream is unreachable, or its last report is older than
+// reportTTL but not older than silenceWindow.
 func (n *Node) silent(now time.Time) bool {
 	age := now.Sub(n.reportedAt)
-	return age > reportTTL && age <= silenceWindow
+	return n.unreachable || age > reportTTL && age <= silenceWindow
 }
 
 // failureRate returns the fraction of recent attempts that failed, decayed to
@@ -304,7 +336,7 @@
 func (n *Node) UpdateLoad(l Load, now time.Time) {
 	n.otherRequests = max(l.Queued+l.Active-n.inFlight, 0)
 	n.slowness = l.Slowness
-	n.groupServing, n.group = l.GroupServing, l.Group
+	n.groupServing, n.group, n.groupSize = l.GroupServing, l.Group, l.GroupSize
 	n.reportedAt = now
 	if l.GroupServing && now.Sub(n.suspendedAt) > maxReportDelay {
 		n.suspendedUntil = time.Time{}
@@ -346,6 +378,10 @@
 	}
 }
 
+// SetUnreachable records whether the upstream's data centre is not heard from. Such an
+// upstream is used only if no other one can take the request, and rarely.
+func (n *Node) SetUnreachable(unreachable bool) { n.unreachable = unreachable }
+
 // Rest skips the upstream until a time, because it asked for that. Load reports don't end
 // this early.
 func (n *Node) Rest(until time.Time) {
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -132,6 +132,34 @@
 	g.Expect(p.Pick(later.Add(1300*time.Millisecond), nil)).NotTo(BeNil())
 }
 
+// A data centre is cut off and only one upstream of the service is left. It gets all
+// requests, also when it fails some. If it is tried too, an upstream that can't be reached
+// is tried by a few requests only, so that the others are not kept waiting for it.
+func TestUnreachableUpstreamsAreProbed(t *testing.T) {
+	g := NewWithT(t)
+	p := dispatch.NewPool(rand.New(rand.NewPCG(1, 1)))
+	var nodes []*dispatch.Node
+	for r := range 3 {
+		n := p.Add(dispatch.Replica{ID: fmt.Sprint("rank-", r), Slots: 12})
+		n.SetUnreachable(r > 0)
+		nodes = append(nodes, n)
+	}
+	nodes[0].MarkSent()
+	nodes[0].Finish(false, true, start)
+	for range 20 {
+		g.Expect(p.Pick(start, nil)).To(Equal(nodes[0]))
+	}
+	probes := 0
+	for i := range 100 {
+		if p.Pick(start.Add(time.Duration(i)*100*time.Millisecond), []string{"rank-0"}) != nil {
+			probes++
+		}
+	}
+	g.Expect(probes).To(Equal(5))
+	nodes[1].SetUnreachable(false)
+	g.Expect(p.Pick(start, []string{"rank-0"})).To(Equal(nodes[1]))
+}
+
 // A slow rank slows the whole group by the work it has, so it gets fewer
 // requests.
 func TestSlowRankGetsFewerRequests(t *testing.T) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -208,6 +208,9 @@
 		return sendFailure(err)
 	}
 	defer reply.Close()
+	if q.g.Reachability != nil {
+		q.g.Reachability.Heard(m.DataCentre)
+	}
 	q.applyAnnouncements(m, reply)
 	switch {
 	case reply.NotRun || reply.Misdirected:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,13 @@
 	SetErrorHeaders(h http.Header, id string, retryAfter time.Duration)
 }
 
+// Reachability tells which data centres are heard from.
+type Reachability interface {
+	// Heard records an answer from a data centre.
+	Heard(dataCentre string)
+	Reachable(dataCentre string) bool
+}
+
 // Options holds the dependencies and settings of a gateway.
 type Options struct {
 	Routes      *routing.Store
@@ -80,6 +87,8 @@
 	// means defaultMinOutage. A negative value means that the group may reopen
 	// at any moment.
 	MinOutage time.Duration
+	// Reachability may be nil; then every data centre counts as reachable.
+	Reachability Reachability
 	// OnDeparture, if not nil, is called after an answer has shown that an upstream is
 	// leaving and the directory has recorded it.
 	OnDeparture func()
@@ -222,6 +231,9 @@
 		case <-g.Directory.Changed():
 		case <-ticker.Chan():
 			g.Directory.RemoveExpired()
+			if g.Reachability != nil {
+				g.Pools.SetReachable(g.Reachability.Reachable)
+			}
 		}
 		usable := g.Directory.Usable()
 		if !g.Pools.Reconcile(usable) {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -15,7 +15,7 @@
 )
 
 // Pools chooses the upstreams of each service. It is safe for concurrent use.
-// mu is a leaf lock: no other lock is taken while it is held.
+// Under mu only the lock of reachable is taken.
 type Pools struct {
 	clock clockwork.Clock
 	rand  *rand.Rand
@@ -29,10 +29,8 @@
 	waiting map[string]*admission.Waitlist
 	// starting counts, by service, the waiting requests that were started and
 	// have not yet picked an upstream.
-	starting map[string]int
-	// suspendedSince is the time since when a service has had no usable
-	// upstream, by service.
-	suspendedSince map[string]time.Time
+	starting    map[string]int
+	suspensions map[string]*suspension
 	// lastSuspendedAt is the last time when requests waited for a service
 	// without a usable upstream, by service.
 	lastSuspendedAt map[string]time.Time
@@ -41,6 +39,8 @@
 	rests map[directory.Departure]time.Time
 	// entryShare is this entry's share of the upstreams' capacity, 0 to 1.
 	entryShare float64
+	// reachable reports whether a data centre is heard from.
+	reachable func(dataCentre string) bool
 }
 
 // Member is an upstream of a pool. Its node is guarded by Pools.mu.
@@ -52,7 +52,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, lastSuspendedAt: map[string]time.Time{}, suspendedSince: map[string]time.Time{}, rests: map[directory.Departure]time.Time{}, entryShare: defaultEntryShare}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
 }
 
 // Configure sets the step costs of the services' engines.
@@ -106,6 +106,16 @@
 	return changed
 }
 
+// SetReachable sets which data centres are heard from.
+func (p *Pools) SetReachable(reachable func(dataCentre string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reachable = reachable
+	for _, m := range p.members {
+		m.node.SetUnreachable(!reachable(m.DataCentre))
+	}
+}
+
 // matches reports whether u is the member's incarnation with unchanged service,
 // address and slots.
 func (m *Member) matches(u directory.Upstream) bool {
@@ -117,6 +127,7 @@
 	m := &Member{Upstream: u, pools: p}
 	m.node = p.pool(u.Service).Add(dispatch.Replica{ID: u.ID, Slots: u.Slots})
 	m.node.Rest(p.rests[u.Incarnation()])
+	m.node.SetUnreachable(!p.reachable(u.DataCentre))
 	p.members[u.ID] = m
 	p.byAddress[u.Address] = m
 }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/admission"
+	"github.com/kingcupreel/kingcupreel/internal/dispatch"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 )
 
@@ -59,12 +60,14 @@
 	}
 	// A new request is tried before those that wait: it can still get its
 	// first event in time, the waiting ones can't.
-	m, outage := q.g.Pools.pickOrOutageAge(q.service, q.attempted)
+	m, o := q.g.Pools.pickOrOutage(q.service, q.attempted)
 	if m != nil {
 		return m
 	}
 	limit := q.waitLimit()
-	if !q.headSent && outage+limit < q.g.MinOutage {
+	if !q.headSent && !o.mayEndWithin(limit, q.g.MinOutage) {
+		q.log.Info("group isn't expected back in time", zap.Duration("outage", o.age), zap.Bool("all_ranks_alive", o.reforming), zap.Bool("served_before", o.servedBefore),
+			zap.Duration("longest_outage", o.longest), zap.Duration("limit", limit))
 		return nil
 	}
 	if rest, all := q.g.Pools.restingFor(q.service); all && rest > limit {
@@ -76,6 +79,38 @@
 	return q.g.Pools.pickStarted(q.service, q.attempted)
 }
 
+// outage describes why a service has no usable upstream.
+type outage struct {
+	// age is the time since when there has been none.
+	age time.Duration
+	// reforming is set if all ranks of a group are alive, and have not been for long.
+	reforming bool
+	// servedBefore is set if the service has had a usable upstream.
+	servedBefore bool
+	// longest is the longest outage that has ended.
+	longest time.Duration
+}
+
+const (
+	// maxReformTime is how long the ranks of a group can be alive until it has formed.
+	maxReformTime = 5 * time.Second
+	// maxOutageFactor is the multiple of the shortest expected outage, or of the
+	// longest one so far, after which a group isn't expected back.
+	maxOutageFactor = 2
+)
+
+// mayEndWithin reports whether a request should wait for the end of the outage up to
+// limit. minOutage is the shortest expected outage.
+func (o outage) mayEndWithin(limit, minOutage time.Duration) bool {
+	switch {
+	case o.reforming || minOutage < 0:
+		return true
+	case !o.servedBefore || o.age > maxOutageFactor*max(minOutage, o.longest):
+		return false
+	}
+	return o.age+limit >= minOutage
+}
+
 // waitLimit returns how long the request may wait from now on.
 func (q *request) waitLimit() time.Duration {
 	since := q.startedAt
@@ -118,31 +153,60 @@
 // serve, if the platform states no bound on partitions.
 const defaultMinOutage = 5 * time.Second
 
-// pickOrOutageAge is Pick, but without an upstream it returns for how long
-// there has been none.
-func (p *Pools) pickOrOutageAge(service string, exclude []string) (m *Member, outage time.Duration) {
+// pickOrOutage is Pick, but without an upstream it returns why there is none.
+func (p *Pools) pickOrOutage(service string, exclude []string) (*Member, outage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m = p.pickLocked(service, exclude); m != nil {
-		return m, 0
+	if m := p.pickLocked(service, exclude); m != nil {
+		return m, outage{}
+	}
+	h := p.trackSuspension(service)
+	now := p.clock.Now()
+	o := outage{servedBefore: h.servedBefore, longest: h.longest}
+	if !h.since.IsZero() {
+		o.age = now.Sub(h.since)
 	}
-	return nil, p.clock.Since(p.trackSuspension(service))
+	o.reforming = !h.aliveSince.IsZero() && now.Sub(h.aliveSince) < maxReformTime
+	return nil, o
+}
+
+// suspension is what is known of the outages of a service.
+type suspension struct {
+	// since is the time since when the service has had no usable upstream, zero if it
+	// has one. aliveSince is the time since when all ranks of a group have been alive
+	// meanwhile, zero if they aren't.
+	since, aliveSince time.Time
+	servedBefore      bool
+	longest           time.Duration
 }
 
-// trackSuspension updates suspendedSince and returns the time since when the
-// service has had no usable upstream, or now if it has one. The caller holds
-// mu.
-func (p *Pools) trackSuspension(service string) time.Time {
+// trackSuspension updates and returns a service's suspension. The caller holds mu.
+func (p *Pools) trackSuspension(service string) *suspension {
+	h := p.suspensions[service]
+	if h == nil {
+		h = &suspension{}
+		p.suspensions[service] = h
+	}
 	now := p.clock.Now()
-	if p.pool(service).Capacity(now).UsableUpstreams > 0 {
-		delete(p.suspendedSince, service)
-		return now
+	pool := p.pool(service)
+	if pool.Capacity(now).UsableUpstreams > 0 {
+		if !h.since.IsZero() && h.servedBefore {
+			h.longest = max(h.longest, now.Sub(h.since))
+		}
+		h.servedBefore, h.since, h.aliveSince = true, time.Time{}, time.Time{}
+		return h
+	}
+	if h.since.IsZero() {
+		h.since = now
 	}
-	if since, suspended := p.suspendedSince[service]; suspended {
-		return since
+	switch {
+	// Just after a rank's end its last report is still recent.
+	case !pool.Reforming(now) || now.Sub(h.since) < dispatch.AliveTTL:
+		h.aliveSince = time.Time{}
+	case h.aliveSince.IsZero():
+		h.aliveSince = now
 	}
-	p.suspendedSince[service] = now
-	return now
+	return h
 }
 
 // SetEntryShare sets this entry's share of the upstreams' capacity, 0 to 1.
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -112,7 +112,7 @@
 			progressing = now
 			a.Log.Info("group's progress changed", zap.String("group", st.Group), zap.Bool("goes_on", now), zap.Int64("step", st.Step), zap.Int("active", st.Active), zap.Int64("held", st.Held))
 		}
-		load := wire.RankLoad{Address: a.Self.Upstream, Started: st.Started, Queued: st.Queued, Active: st.Active, Slowness: float32(st.Slowness), GroupServing: st.GroupServing && progressing, Group: st.Group, Leaving: st.Leaving}
+		load := wire.RankLoad{Address: a.Self.Upstream, Started: st.Started, Queued: st.Queued, Active: st.Active, Slowness: float32(st.Slowness), GroupServing: st.GroupServing && progressing, Group: st.Group, GroupSize: st.Size, Leaving: st.Leaving}
 		if load == lastLoad && a.Clock.Since(sentAt) < loadResendInterval {
 			continue
 		}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -33,6 +33,8 @@
 	Group string
 	// Leaving is set if the upstream says that it is leaving.
 	Leaving bool
+	// GroupSize is the number of ranks in the group, 0 if not known.
+	GroupSize int
 }
 
 // EntryDigest tells another entry which configuration and departures the sender
