Bound what an upstream may send without end

The head of a response had no bound at all, a buffered answer 4 MB and an event 1 MB for each request, so that 200 of them could exceed an entry's memory.

A head has 64 KB (informational ones included), answers that are read to their end share the 48 MB of request bodies, an event has 128 KB, and the body of a refusal is read without keeping it, up to 64 KB.

Test: ten kinds of endless bytes, 200 callers each: all get a final answer and the heap stays below 160 MB. Also a slow but sound stream that is kept and a trickling one that ends with its deadline.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -214,7 +215,7 @@
 	q.applyAnnouncements(m, reply)
 	switch {
 	case reply.NotRun || reply.Misdirected:
-		_, _ = reply.ReadAll() // lets the connection be reused
+		reply.Discard()
 		q.applyRefusal(m, reply)
 		return result{attemptStatus: attemptNotRun, sent: true, refused: true, cause: fault.New(fault.Unavailable, "try another upstream", "the upstream refused the request with status %d", reply.Status)}
 	case !reply.FromUpstream && reply.Status < http.StatusInternalServerError, promisesNotRun(reply.Status):
@@ -279,10 +280,29 @@
 	return result{attemptStatus: attemptUnknown, sent: true, cause: err}
 }
 
+// maxAnswerBytes bounds an answer that is read to its end, in bytes.
+const maxAnswerBytes = 4 << 20
+
+var errAnswerTooLarge = fault.New(fault.TooLarge, "see the upstream's logs; the answer is discarded", "the answer exceeds %d bytes", maxAnswerBytes)
+
+// readAnswer reads an answer's body to its end. The memory is released with the request.
+func (q *request) readAnswer(reply *upstream.Reply) ([]byte, error) {
+	length := reply.ContentLength()
+	if length > maxAnswerBytes {
+		return nil, errAnswerTooLarge
+	}
+	body, err := q.g.bodyMemory.read(q.ctx, io.LimitReader(reply, maxAnswerBytes+1), length)
+	q.answerMemory += int64(cap(body))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLarge
+	}
+	return body, err
+}
+
 // forwardResponse reads an answer to its end and forwards it. A server error
 // is not forwarded yet, since another attempt may follow.
 func (q *request) forwardResponse(reply *upstream.Reply) result {
-	body, err := reply.ReadAll()
+	body, err := q.readAnswer(reply)
 	if err != nil {
 		return result{attemptStatus: attemptUnknown, sent: true, cause: err}
 	}
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -10,17 +10,18 @@
 )
 
 const (
-	// maxBodyMemory is the maximum memory for request bodies, in bytes: a
-	// fifth of the memory of the smallest entry VM.
+	// maxBodyMemory is the maximum memory for the bodies of requests and of answers
+	// that are read to their end, in bytes: a fifth of the memory of the smallest
+	// entry VM.
 	maxBodyMemory = 48 << 20
 	// minBodyReservation is the memory that is reserved first for a body of
 	// unknown length, in bytes.
 	minBodyReservation = 4 << 10
 )
 
-var errBodyMemory = fault.New(fault.Unavailable, "try again shortly", "the memory for request bodies is exhausted").After(time.Second)
+var errBodyMemory = fault.New(fault.Unavailable, "try again shortly", "the memory for bodies is exhausted").After(time.Second)
 
-// bodyBudget limits the memory for request bodies. Its lock is a leaf: no
+// bodyBudget limits the memory for bodies. Its lock is a leaf: no
 // other lock is taken while it is held.
 type bodyBudget struct {
 	mu   sync.Mutex
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -623,3 +624,109 @@
 	f.send(f.request(http.MethodGet, "/safe/x", ""))
 	g.Expect(f.arrived()).To(HaveLen(3), "the first one's time has ended")
 }
+
+// endless writes bytes that are no answer until the connection is closed.
+func endless(head, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, err = io.WriteString(c, strings.ReplaceAll(head, "ID", r.Header.Get("Request-Id")))
+		for chunk := []byte(strings.Repeat(body, 4096/len(body))); err == nil; {
+			_, err = c.Write(chunk)
+		}
+	}
+}
+
+// Upstreams may send bytes that are no answer without end, in a head or in a body. Each
+// reader stops at its limit and closes the connection, and the memory of an entry stays
+// bounded under 200 such answers at once.
+func TestBytesWithoutEnd(t *testing.T) {
+	const confirmed = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+	for name, c := range map[string]struct {
+		path, head, body string
+		status           int
+	}{
+		"a head":                  {"/unsafe/x", "HTTP/1.1 200 OK\r\n", "X-Junk: junk\r\n", http.StatusBadGateway},
+		"a head of one line":      {"/unsafe/x", "HTTP/1.1 200 OK\r\nX-Junk: ", "junkjunk", http.StatusBadGateway},
+		"informational heads":     {"/unsafe/x", "", "HTTP/1.1 102 Processing\r\n\r\n", http.StatusBadGateway},
+		"a body without a length": {"/unsafe/x", confirmed + "\r\n", "junkjunk", http.StatusBadGateway},
+		"chunks":                  {"/unsafe/x", confirmed + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("j", 1024) + "\r\n", http.StatusBadGateway},
+		"a chunk's size":          {"/unsafe/x", confirmed + "Transfer-Encoding: chunked\r\n\r\n", "00000000", http.StatusBadGateway},
+		"a trailer":               {"/unsafe/x", confirmed + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Junk: junk\r\n", http.StatusBadGateway},
+		"a refusal's body":        {"/unsafe/x", "HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nNot-Executed: 1\r\n\r\n", "junkjunk", http.StatusServiceUnavailable},
+		"after an answer":         {"/unsafe/x", confirmed + "Content-Length: 2\r\n\r\nok", "junkjunk", http.StatusOK},
+		"an event":                {"/once/x", confirmed + "\r\n", "junkjunk", http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFixture(t, endless(c.head, c.body))
+			const callers = 200
+			statuses := make(chan int, callers)
+			for i := range callers {
+				go func() {
+					r := f.request(http.MethodPost, c.path, "order")
+					r.Header.Set("Request-Id", fmt.Sprint("r", i))
+					r.Header.Set("Deadline-Ms", "60000")
+					resp, err := callers200.RoundTrip(r)
+					if err != nil {
+						statuses <- 0
+						return
+					}
+					defer resp.Body.Close()
+					statuses <- resp.StatusCode
+				}()
+			}
+			peak := uint64(0)
+			for range callers {
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				peak = max(peak, m.HeapAlloc)
+				// A request whose answer found no memory left gets 502 too.
+				g.Eventually(statuses, "30s").Should(Receive(Equal(c.status)))
+			}
+			g.Expect(peak).To(BeNumerically("<", 160<<20))
+		})
+	}
+}
+
+// callers200 keeps no connections, so that a test's callers don't share them.
+var callers200 = &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+
+// A stream whose events come slowly is sound and isn't cut. One that sends a byte now and
+// then, but no event, ends with its deadline.
+func TestSlowStreamIsKeptAndTricklingOneEnds(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Server-Stamp", "stamp")
+		text := "data: never complete"
+		if r.Header.Get("Length-Hint") == "slow" {
+			for i := range 4 {
+				time.Sleep(300 * time.Millisecond)
+				fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+				_ = http.NewResponseController(w).Flush()
+			}
+			return
+		}
+		for i := 0; r.Context().Err() == nil; i++ {
+			fmt.Fprint(w, text[i%len(text):i%len(text)+1])
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	r := f.request(http.MethodPost, "/once/x", "")
+	r.Header.Set("Length-Hint", "slow")
+	status, _, body, err := f.send(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(strings.Count(body, "data: x")).To(Equal(4))
+	start := time.Now()
+	r = f.request(http.MethodPost, "/once/x", "")
+	r.Header.Set("Deadline-Ms", "700")
+	status, _, _, _ = f.send(r)
+	g.Expect(status).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(time.Since(start)).To(BeNumerically("<", 1200*time.Millisecond))
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -25,16 +25,18 @@
 // request is a caller's request until its final answer.
 type request struct {
 	Inbound
-	g         *Gateway
-	w         http.ResponseWriter
-	r         *http.Request
-	table     *routing.Table
-	route     *routing.Route
-	service   string
-	account   string
-	body      []byte
-	log       *zap.Logger
-	startedAt time.Time
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	table   *routing.Table
+	route   *routing.Route
+	service string
+	account string
+	body    []byte
+	// answerMemory is the memory of the answers read so far, in bytes.
+	answerMemory int64
+	log          *zap.Logger
+	startedAt    time.Time
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -166,7 +168,7 @@
 	q.timer.Stop()
 	q.mu.Unlock()
 	q.cancel(errRequestEnded)
-	q.g.bodyMemory.release(int64(cap(q.body)))
+	q.g.bodyMemory.release(int64(cap(q.body)) + q.answerMemory)
 }
 
 // readBody reads the body to its end, so that an attempt never waits for the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,8 +18,9 @@
 const (
 	// eventBufferSize is the size of the read buffer for events, in bytes.
 	eventBufferSize = 2 << 10
-	// maxEventBytes is the maximum size of one event, in bytes.
-	maxEventBytes = 1 << 20
+	// maxEventBytes is the maximum size of one event, in bytes. Hundreds of streams may
+	// each hold an event that doesn't end.
+	maxEventBytes = 128 << 10
 )
 
 // forwardStream forwards a stream to the caller in complete events only: an
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,6 +24,12 @@
 	// announces, because the upstream counts it from the moment that it wrote the
 	// response.
 	idleTimeoutMargin = 1 * time.Second
+	// maxHeadBytes bounds the head of a response, in bytes: common servers send a few
+	// kilobytes at most.
+	maxHeadBytes = 64 << 10
+	// maxDiscardedBody bounds a body that is read only to reuse its connection, in
+	// bytes.
+	maxDiscardedBody = 64 << 10
 	// maxMismatched bounds the responses to earlier requests that are skipped.
 	maxMismatched = 2
 )
@@ -33,9 +40,11 @@
 
 // conn is one connection to an upstream. One request uses it at a time.
 type conn struct {
-	nc   net.Conn
-	br   *bufio.Reader
-	used bool
+	nc net.Conn
+	// limit bounds what br reads from nc while the head of a response is read.
+	limit *readLimit
+	br    *bufio.Reader
+	used  bool
 	// mismatched reports whether a response to another request arrived on the
 	// connection.
 	mismatched bool
@@ -49,7 +58,29 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize)}
+	limit := &readLimit{r: nc, left: unlimited}
+	return &conn{nc: nc, limit: limit, br: bufio.NewReaderSize(limit, readBufferSize)}
+}
+
+// unlimited is the number of bytes that may be read when there is no limit.
+const unlimited = math.MaxInt64
+
+// readLimit is a reader that fails with errHeadTooLarge once left bytes have been read.
+type readLimit struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *readLimit) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	if l.left != unlimited {
+		l.left -= int64(n)
+	}
+	return n, err
 }
 
 // write sends the request. A body larger than maxInlineBody is written in the
@@ -97,8 +128,10 @@
 }
 
 // readHead reads the head of the next response, skipping informational (1xx)
-// ones.
+// ones. All of them together may have maxHeadBytes.
 func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limit.left = maxHeadBytes
+	defer func() { c.limit.left = unlimited }()
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil || resp.StatusCode >= http.StatusOK {
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -99,7 +99,7 @@
 			return r, nil
 		}
 		c.mismatched = true
-		if err := discardBody(resp, t.opts.MaxBufferedBody); err != nil {
+		if err := discardBody(resp, maxDiscardedBody); err != nil {
 			return fail(Sent, err)
 		}
 	}
@@ -235,16 +235,13 @@
 	return n, err
 }
 
-// ReadAll reads the whole body, up to Options.MaxBufferedBody.
-func (r *Reply) ReadAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, r.transport.opts.MaxBufferedBody+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > r.transport.opts.MaxBufferedBody {
-		return nil, &Error{Stage: ResponseStarted, Address: r.address, Reused: r.Reused, Cause: errTooLarge}
-	}
-	return body, nil
+// ContentLength returns the length that the response states for its body, -1 if none.
+func (r *Reply) ContentLength() int64 { return r.resp.ContentLength }
+
+// Discard reads the rest of a short body, so that Close can keep the connection.
+func (r *Reply) Discard() {
+	// Without the end of the body, Close resets the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, maxDiscardedBody))
 }
 
 // Close releases the reply's connection. The connection is kept for reuse only
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -107,7 +107,7 @@
 		return "", err
 	}
 	defer reply.Close()
-	body, err := reply.ReadAll()
+	body, err := io.ReadAll(reply)
 	return string(body), err
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -102,8 +102,6 @@
 	// IdleTimeout is how long an idle connection is kept for reuse when the
 	// upstream announces no timeout.
 	IdleTimeout time.Duration
-	// MaxBufferedBody bounds a response body that is read as a whole, in bytes.
-	MaxBufferedBody int64
 }
 
 // Defaults of Options.
@@ -116,8 +114,6 @@
 	DefaultAckTimeout = 1500 * time.Millisecond
 	// DefaultIdleTimeout is shorter than the idle timeouts of common servers.
 	DefaultIdleTimeout = 4 * time.Second
-	// DefaultMaxBufferedBody is the platform's limit on bodies.
-	DefaultMaxBufferedBody = 4 << 20
 )
 
 func (o Options) withDefaults() Options {
@@ -130,9 +126,6 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = DefaultIdleTimeout
 	}
-	if o.MaxBufferedBody == 0 {
-		o.MaxBufferedBody = DefaultMaxBufferedBody
-	}
 	return o
 }
 
@@ -140,6 +133,7 @@
 	errConnectionLimit = fault.New(fault.Overloaded, "try another upstream", "all connections to the upstream are in use")
 	errMismatched      = fault.New(fault.Mismatch, "no action needed; the connection is closed", "the response belongs to another request")
 	errEncoded         = fault.New(fault.Mismatch, "look for an intermediary that encodes responses; the response is discarded", "the response body has a content encoding")
+	errHeadTooLarge    = fault.New(fault.TooLarge, "see the upstream's logs; the connection is closed", "the head of the response exceeds %d bytes", maxHeadBytes)
 	errTooLarge        = fault.New(fault.TooLarge, "raise the limit on response bodies", "the response body is too large")
 )
 
