--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -663,6 +663,12 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			f := newFixture(t, endless(c.head, c.body))
+			patient := configuration()
+			patient.Version = 2
+			for i := range patient.Routes {
+				patient.Routes[i].Timeout = time.Minute
+			}
+			f.routes.Apply(patient, time.Now())
 			const callers = 200
 			statuses := make(chan int, callers)
 			for i := range callers {
--- a/internal/kvstore/era.go
+++ b/internal/kvstore/era.go
@@ -25,8 +25,8 @@
 }
 
 // fencingRevisionBits is the number of low bits of a fencing number that hold the
-// revision.
-const fencingRevisionBits = 40
+// revision. Map versions of the stand-alone deployment need the highest 20 bits.
+const fencingRevisionBits = 33
 
 // FencingNumber returns a number that increases with the position.
 func (p Position) FencingNumber() int64 { return p.Era<<fencingRevisionBits | p.Revision }
