Read the store through one entry of each data centre

Cause: every entry watched the configuration, the replicas and the registrations itself, and every rank agent the registrations: with n machines and c changes n x c calls, and the watches' timeouts on top.

Package relay: in each data centre one entry, the first in rendezvous order, reads the store; the others list and watch its mirror with the same calls, positions and eras. A watcher that is silent, can't reach the store or lies behind what another entry's digest knows is passed over for 10 s and the next one takes its place; a process that finds none reads the store itself, and one that the store turns away reads through another.

The first listing of a feed is a stale one, whose cost is a tenth; the watch adds what it lacks. Tried and taken back: watches of 20 s for the configuration and the upstreams.

Weighed: all watch (as before); two watchers a data centre (calls at rest twice as many; the digests cover the gap that a second one would); gossip of changes with hashes (a change takes log n rounds of 500 ms, too long for the bound on leaving replicas).

Tests without a network beyond loopback: calls for a change, a stopped watcher, one turned away by the store, one that lies behind, a new era, an outage for all.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/dispatch"
 	"github.com/kingcupreel/kingcupreel/internal/fleet"
 	"github.com/kingcupreel/kingcupreel/internal/gateway"
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 	"github.com/kingcupreel/kingcupreel/internal/settings"
@@ -28,13 +29,12 @@
 	// drainNotice is how long a draining gateway accepts connections: the
 	// balancer checks readiness every second and acts after two failed checks.
 	drainNotice = 2500 * time.Millisecond
-	// configurationWatchFactor times settings.Node.ConfigBound is the timeout of
-	// a watch of the configuration. A watch may miss a change; its timeout bounds
-	// when an entry that receives no digests from others learns of it.
+	// configurationWatchFactor times settings.Node.ConfigBound, and
+	// replicasWatchFactor times settings.Node.DrainBound, are the timeouts of the
+	// watches of the configuration and of the upstreams. A store that discards its
+	// history lets a watch wait in vain to its end, at all watchers alike.
 	configurationWatchFactor = 1.25
-	// replicasWatchFactor times settings.Node.DrainBound is the timeout of a
-	// watch of the upstreams. Entries also tell each other of leaving upstreams.
-	replicasWatchFactor = 2.5
+	replicasWatchFactor      = 2.5
 	// replicasBatchDelay is the pause after changes of upstreams, in which
 	// further changes are batched. It is a small fraction of DrainBound.
 	replicasBatchDelay = 100 * time.Millisecond
@@ -128,11 +128,14 @@
 func (g *gatewayProcess) startExchange(work context.Context) error {
 	g.exchange = &fleet.Exchange{
 		Self: g.fleet.self.Name, View: g.fleet.view, Datagrams: g.fleet.datagrams, Clock: g.clock, Log: g.log,
-		SharedState: &sharedState{routes: g.routes, directory: g.directory, applyConfiguration: g.configurationSink().ApplyConfiguration},
+		SharedState: &sharedState{routes: g.routes, directory: g.directory, fleet: g.fleet, applyConfiguration: g.configurationSink().ApplyConfiguration},
 	}
 	g.routes.OnChange(func(*routing.Table) { g.exchange.TriggerDigest() })
 	g.directory.OnDeparture(g.exchange.TriggerDigest)
-	mux := &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){wire.KindConfigurationRequest: g.exchange.SendConfiguration}}
+	mux := &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){
+		wire.KindConfigurationRequest: g.exchange.SendConfiguration,
+		wire.KindStoreQuery:           func(c *wire.Conn, m wire.Message) { g.fleet.mirrors.Handle(work, c, m.(*wire.StoreQuery)) },
+	}}
 	if err := fleet.Serve(work, g.fleet.self.Address, mux, g.log); err != nil {
 		return err
 	}
@@ -180,9 +183,9 @@
 	go g.gateway.Run(work)
 	go updateEntryCount(work, g.clock, g.gateway, g.fleet.view)
 	g.reload(work, func(n settings.Node) { g.gateway.SetLimits(retryLimits(n)) })
-	g.follow(work, platform.KeyConfiguration, g.configurationSink(), scale(g.node.ConfigBound, configurationWatchFactor), 0)
+	g.follow(work, g.fleet, platform.KeyConfiguration, g.configurationSink(), scale(g.node.ConfigBound, configurationWatchFactor), 0)
 	replicas := platform.ReplicaSink{Directory: g.directory, Log: g.log}
-	g.follow(work, platform.PrefixReplicas, replicas, scale(g.node.DrainBound, replicasWatchFactor), replicasBatchDelay)
+	g.follow(work, g.fleet, platform.PrefixReplicas, replicas, scale(g.node.DrainBound, replicasWatchFactor), replicasBatchDelay)
 }
 
 // scale returns a duration times a factor.
@@ -218,6 +221,7 @@
 type sharedState struct {
 	routes             *routing.Store
 	directory          *directory.Directory
+	fleet              *fleetMembership
 	applyConfiguration func(encoded []byte, source string, revision int64)
 }
 
@@ -256,6 +260,21 @@
 	return s.directory.Depart(directory.Departure(d))
 }
 
+// UpstreamsChange implements fleet.SharedState.
+func (s *sharedState) UpstreamsChange() kvstore.Position {
+	if m := s.fleet.mirrors.Mirror(platform.PrefixReplicas); m != nil {
+		return m.LastChange()
+	}
+	return kvstore.Position{}
+}
+
+// ObserveUpstreamsChange implements fleet.SharedState.
+func (s *sharedState) ObserveUpstreamsChange(at kvstore.Position) {
+	if m := s.fleet.mirrors.Mirror(platform.PrefixReplicas); m != nil {
+		s.fleet.reads.ObserveChange(platform.PrefixReplicas, m, at)
+	}
+}
+
 // configurationAgeMS returns how long the current configuration has been in
 // force, in milliseconds, or -1 if there is none.
 func configurationAgeMS(clock clockwork.Clock, routes *routing.Store) int64 {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -23,6 +23,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/feed"
 	"github.com/kingcupreel/kingcupreel/internal/fleet"
+	"github.com/kingcupreel/kingcupreel/internal/relay"
 	"github.com/kingcupreel/kingcupreel/internal/settings"
 	"github.com/kingcupreel/kingcupreel/internal/socket"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
@@ -36,9 +37,9 @@
 	memoryLimitFraction = 0.6
 	// callerAckTimeout closes a connection whose caller acknowledges nothing.
 	callerAckTimeout = 5 * time.Second
-	// registrationWatchTimeout is the timeout of a watch of the registrations.
-	// It may be long, since a missed change does no harm for some seconds.
-	registrationWatchTimeout = 20 * time.Second
+	// maxWatchTimeout is the timeout of a watch that may miss a change for some
+	// seconds without harm.
+	maxWatchTimeout = 20 * time.Second
 	// registrationBatchDelay is the pause after changes of registrations, in
 	// which further changes are batched: many come when a deployment starts.
 	registrationBatchDelay = 1 * time.Second
@@ -174,11 +175,15 @@
 }
 
 // fleetMembership is a process's registration in the fleet, its view of the
-// other members and its socket for datagrams to them.
+// other members, its socket for datagrams to them, and its access to the store through
+// them.
 type fleetMembership struct {
 	self      fleet.Member
 	view      *fleet.View
 	datagrams *fleet.Datagrams
+	reads     *relay.Client
+	// mirrors answers other processes' reads of the store; nil on a rank's VM.
+	mirrors *relay.Server
 }
 
 // join registers the process in the fleet and follows the other members'
@@ -191,19 +196,28 @@
 		},
 		view: fleet.NewView(p.clock, p.log),
 	}
+	f.reads = relay.NewClient(ctx, p.store, f.self, f.view, p.clock, p.log)
+	if role == fleet.RoleEntry {
+		f.mirrors = &relay.Server{Client: f.reads, Clock: p.clock}
+	}
 	var err error
 	if f.datagrams, err = fleet.ListenDatagrams(f.self.Address, p.log); err != nil {
 		return nil, err
 	}
 	registrar := &fleet.Registrar{KV: p.store, Self: f.self, Clock: p.clock, Log: p.log}
 	registrar.ReregisterOnLoss(f.view)
-	p.follow(ctx, fleet.Prefix, f.view, registrationWatchTimeout, registrationBatchDelay)
+	p.follow(ctx, f, fleet.Prefix, f.view, maxWatchTimeout, registrationBatchDelay)
 	go registrar.Run(ctx)
 	return f, nil
 }
 
 // follow starts a feed that applies the keys below a prefix to a sink. A watch
 // lasts at most watchTimeout; batchDelay is the pause after changes.
-func (p *platformProcess) follow(ctx context.Context, prefix string, sink feed.Sink, watchTimeout, batchDelay time.Duration) {
-	go (&feed.Feed{KV: p.store, Prefix: prefix, Sink: sink, WatchTimeout: watchTimeout, BatchDelay: batchDelay, Clock: p.clock, Log: p.log}).Run(ctx)
+func (p *platformProcess) follow(ctx context.Context, f *fleetMembership, prefix string, sink feed.Sink, watchTimeout, batchDelay time.Duration) {
+	if f.mirrors != nil {
+		m := relay.NewMirror(sink)
+		f.mirrors.Add(prefix, m)
+		sink = m
+	}
+	go (&feed.Feed{KV: f.reads, Prefix: prefix, Sink: sink, WatchTimeout: watchTimeout, BatchDelay: batchDelay, Clock: p.clock, Log: p.log}).Run(ctx)
 }
--- a/internal/daemon/rank.go
+++ b/internal/daemon/rank.go
@@ -19,10 +19,6 @@
 // leader holds stays held until then.
 const leaderLeaseTTL = 1500 * time.Millisecond
 
-// engineWatchTimeout is the timeout of a watch of the configuration. It may be
-// long, since a leader needs only the description of the engines from it.
-const engineWatchTimeout = 30 * time.Second
-
 // RunRank runs the rank agent of the model replica on this VM of the platform
 // until ctx is done or the process gets a signal to stop.
 func RunRank(ctx context.Context, s settings.Hosted, out io.Writer) error {
@@ -44,7 +40,7 @@
 		Self: f.self, Service: p.node.LocalService, Engine: platform.NewEngine(p.node.LocalUpstream),
 		Connect: func(address string) rankagent.Engine { return platform.NewEngine(address) },
 		View:    f.view, Datagrams: f.datagrams, Routes: routes, KV: p.store,
-		FollowConfiguration: func(ctx context.Context) { p.follow(ctx, platform.KeyConfiguration, sink, engineWatchTimeout, 0) },
+		FollowConfiguration: func(ctx context.Context) { p.follow(ctx, f, platform.KeyConfiguration, sink, maxWatchTimeout, 0) },
 		LeaderLeaseTTL:      max(leaderLeaseTTL, p.node.MinLeaseTTL), Fencing: p.node.FencingEnforced, Clock: p.clock, Log: p.log, Metrics: p.metrics,
 	})
 	if err := fleet.Serve(work, f.self.Address, a.Handler(work), p.log); err != nil {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -63,6 +63,9 @@
 	// position is the position up to which the sink has all changes; a Revision of 0
 	// means that the prefix has to be listed.
 	position kvstore.Position
+	// relisting is set if the prefix is to be listed again, which needs a current
+	// listing.
+	relisting bool
 	// reachable is whether the last call to the service succeeded; reported is
 	// whether the sink has been told. reachabilityChangedAt is when reachable last
 	// changed.
@@ -138,7 +141,12 @@
 
 // list lists the keys. A listing during which a new era began is discarded.
 func (f *Feed) list(ctx context.Context) error {
-	l, err := f.KV.List(ctx, f.Prefix)
+	// The first watch adds what a stale listing lacks.
+	list := f.KV.ListStale
+	if f.relisting {
+		list = f.KV.List
+	}
+	l, err := list(ctx, f.Prefix)
 	if fault.KindOf(err) == fault.Stale || err == nil && !f.KV.Eras().Has(l.Era) {
 		f.Log.Info("key-value service began a new era during a listing; listing again", zap.String("prefix", f.Prefix), zap.Error(err))
 		return nil
@@ -155,7 +163,7 @@
 // restart makes the next poll list the keys.
 func (f *Feed) restart(reason string, era int64) {
 	f.Log.Info(reason, zap.String("prefix", f.Prefix), zap.Int64("revision", f.position.Revision), zap.Int64("revision_era", f.position.Era), zap.Int64("era", era))
-	f.position = kvstore.Position{}
+	f.position, f.relisting = kvstore.Position{}, true
 }
 
 // sleep waits for d or until ctx is done.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -35,6 +35,10 @@
 	return kvstore.Listing{Revision: int64(10 * s.lists), Era: era, Items: []kvstore.Item{{Key: "p/a"}}}, nil
 }
 
+func (s *service) ListStale(ctx context.Context, prefix string) (kvstore.Listing, error) {
+	return s.List(ctx, prefix)
+}
+
 func (s *service) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) (kvstore.Batch, error) {
 	s.mu.Lock()
 	s.watches = append(s.watches, wait)
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
@@ -43,6 +44,11 @@
 	// Depart records a departure. It returns false if the departure was already
 	// known.
 	Depart(d wire.Departure) bool
+	// UpstreamsChange returns the position of the last change of the upstreams'
+	// registrations that is known, ObserveUpstreamsChange records the one that
+	// another entry knows.
+	UpstreamsChange() kvstore.Position
+	ObserveUpstreamsChange(at kvstore.Position)
 }
 
 // Exchange synchronises an entry's state with other entries, whether or not the
@@ -93,7 +99,11 @@
 func (x *Exchange) sendDigest() {
 	peers := x.View.Members(RoleEntry)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	d := &wire.EntryDigest{Entry: x.Self, Version: x.SharedState.Version(), Departures: x.SharedState.Departures()}
+	change := x.SharedState.UpstreamsChange()
+	d := &wire.EntryDigest{
+		Entry: x.Self, Version: x.SharedState.Version(), Departures: x.SharedState.Departures(),
+		UpstreamsEra: change.Era, UpstreamsRevision: change.Revision,
+	}
 	if excess := len(d.Departures) - maxDigestDepartures; excess > 0 {
 		d.Departures = d.Departures[excess:]
 	}
@@ -123,6 +133,7 @@
 	if added {
 		x.TriggerDigest()
 	}
+	x.SharedState.ObserveUpstreamsChange(kvstore.Position{Era: d.UpstreamsEra, Revision: d.UpstreamsRevision})
 	if d.Version > x.SharedState.Version() {
 		x.startFetch(ctx, d.Entry, d.Version)
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -112,6 +112,9 @@
 	departures []wire.Departure
 }
 
+func (*sharedState) UpstreamsChange() kvstore.Position       { return kvstore.Position{} }
+func (*sharedState) ObserveUpstreamsChange(kvstore.Position) {}
+
 func (s *sharedState) Version() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/kvstore/kvstore.go
+++ b/internal/kvstore/kvstore.go
@@ -78,6 +78,9 @@
 	// List reads all keys below a prefix. An error of kind Stale means that the
 	// service began a new era meanwhile.
 	List(ctx context.Context, prefix string) (Listing, error)
+	// ListStale is List for a fraction of the cost, but the listing may be seconds
+	// old. A watch from its revision returns what it lacks.
+	ListStale(ctx context.Context, prefix string) (Listing, error)
 	// Put writes a key and returns the revision of the write.
 	Put(ctx context.Context, p Put) (int64, error)
 	// Delete deletes a key if its ModRevision is expect or if expect is
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -13,6 +13,8 @@
 	KindRankOrder
 	KindRankState
 	KindRankRelay
+	KindStoreQuery
+	KindStoreReply
 )
 
 // RankLoad reports to the entries the load of the upstream at Address.
@@ -44,6 +46,9 @@
 	// Version is the version of the configuration in force, 0 for none.
 	Version    int64
 	Departures []Departure
+	// UpstreamsEra and UpstreamsRevision are the position of the last change of the
+	// upstreams' registrations that the sender knows.
+	UpstreamsEra, UpstreamsRevision int64
 }
 
 // Departure identifies an incarnation of an upstream that accepts no new work.
@@ -114,6 +119,57 @@
 	HighestFence int64
 }
 
+// StoreQuery asks an entry that reads the key-value service for keys below a prefix, or
+// for the changes after a position.
+type StoreQuery struct {
+	Nonce  uint64
+	Prefix string
+	// List asks for all keys, without a wait; otherwise the answer has the changes
+	// after the position Era and After.
+	List       bool
+	Era, After int64
+	// WaitMS is how long to wait for a change, in milliseconds.
+	WaitMS int64
+}
+
+// StoreStatus says whether a StoreReply answers its query.
+type StoreStatus uint8
+
+// The statuses.
+const (
+	// StoreOK means that the reply answers the query.
+	StoreOK StoreStatus = iota
+	// StoreStale means that the changes after the position aren't known.
+	StoreStale
+	// StoreUnreachable means that the sender can't reach the key-value service.
+	StoreUnreachable
+	// StoreNotRead means that the sender doesn't read the key-value service itself.
+	StoreNotRead
+)
+
+// StoreReply answers a StoreQuery with keys or changes as of a position.
+type StoreReply struct {
+	Nonce         uint64
+	Status        StoreStatus
+	Era, Revision int64
+	Items         []StoreItem
+}
+
+// StoreItem is a key of a listing, or the change of a key. If Deleted is set, only Key
+// and ModRevision are valid.
+type StoreItem struct {
+	Key                         string
+	Value                       []byte
+	CreateRevision, ModRevision int64
+	Deleted                     bool
+}
+
+// Kind implements Message.
+func (*StoreQuery) Kind() Kind { return KindStoreQuery }
+
+// Kind implements Message.
+func (*StoreReply) Kind() Kind { return KindStoreReply }
+
 // Kind implements Message.
 func (*RankLoad) Kind() Kind { return KindRankLoad }
 
@@ -149,4 +205,6 @@
 	KindRankOrder:            func() Message { return new(RankOrder) },
 	KindRankState:            func() Message { return new(RankState) },
 	KindRankRelay:            func() Message { return new(RankRelay) },
+	KindStoreQuery:           func() Message { return new(StoreQuery) },
+	KindStoreReply:           func() Message { return new(StoreReply) },
 }
