--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -84,8 +84,25 @@
 	// loadResendInterval is how often an unchanged load is sent again, for entries
 	// that are new or have missed a datagram.
 	loadResendInterval = 500 * time.Millisecond
+	// maxLoadReports is the number of datagrams a second with which an agent tells the
+	// entries of its rank's changing load, and maxLoadInterval the longest time between
+	// two to the same entry. A change of the group's or the upstream's state is sent at
+	// once.
+	maxLoadReports  = 300
+	maxLoadInterval = 400 * time.Millisecond
 )
 
+// loadReportInterval returns the time between two reports of a changing load to each of a
+// number of entries.
+func loadReportInterval(entries int) time.Duration {
+	return min(max(time.Duration(entries)*time.Second/maxLoadReports, loadInterval), maxLoadInterval)
+}
+
+// sameState reports whether two load reports differ at most in the load.
+func sameState(a, b *wire.RankLoad) bool {
+	return a.Started == b.Started && a.Group == b.Group && a.GroupSize == b.GroupSize && a.GroupServing == b.GroupServing && a.Leaving == b.Leaving
+}
+
 // Run reports the rank's load to the entries until ctx is done.
 func (a *Agent) Run(ctx context.Context) {
 	ticker := a.Clock.NewTicker(loadInterval)
@@ -113,12 +130,14 @@
 			a.Log.Info("group's progress changed", zap.String("group", st.Group), zap.Bool("goes_on", now), zap.Int64("step", st.Step), zap.Int("active", st.Active), zap.Int64("held", st.Held))
 		}
 		load := wire.RankLoad{Address: a.Self.Upstream, Started: st.Started, Queued: st.Queued, Active: st.Active, Slowness: float32(st.Slowness), GroupServing: st.GroupServing && progressing, Group: st.Group, GroupSize: st.Size, Leaving: st.Leaving}
-		if load == lastLoad && a.Clock.Since(sentAt) < loadResendInterval {
+		entries := a.View.Members(fleet.RoleEntry)
+		sinceSent := a.Clock.Since(sentAt)
+		if load == lastLoad && sinceSent < loadResendInterval || sameState(&load, &lastLoad) && sinceSent < loadReportInterval(len(entries)) {
 			continue
 		}
 		lastLoad, sentAt = load, a.Clock.Now()
 		load.Step = st.Step
-		for _, entry := range a.View.Members(fleet.RoleEntry) {
+		for _, entry := range entries {
 			a.Datagrams.Send(entry.Address, &load)
 		}
 	}
