relay: pass over a watcher that hasn't seen the new era

A process that knows of the new era by another call discarded the listing of a watcher that didn't and asked it again at once, without a pause.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -227,6 +227,8 @@
 			c.passOver(m, passOverTime, "it can't reach the key-value service, or lies behind")
 		case reply.Status == wire.StoreNotRead:
 			c.passOver(m, notReadTime, "it doesn't read the key-value service itself")
+		case c.isPast(reply.Era):
+			c.passOver(m, notReadTime, "it hasn't seen the service's new era")
 		default:
 			c.KV.Eras().Observe(reply.Era)
 			return reply
@@ -235,6 +237,12 @@
 	return nil
 }
 
+// isPast reports whether the service has begun a later era.
+func (c *Client) isPast(era int64) bool {
+	current, _ := c.KV.Eras().Current()
+	return era < current
+}
+
 // askWatcher sends a query to one watcher and waits for the answer.
 func (c *Client) askWatcher(ctx context.Context, m fleet.Member, q *wire.StoreQuery) (*wire.StoreReply, error) {
 	ctx, interrupt := context.WithCancelCause(ctx)
