rankagent: go on after a failed switch of a large group's map

To learn it again it read the lists of all 129 ranks together with their selections, about 4 kB each over a link of 6 Mbit/s; the answers never came within the 500 ms that an agent has, so that experts' load stayed 3.3 times uneven until the group formed again.

The map in force stays known after a failed switch, since the next reading shows its version; and the lists are read without selections. Test: a switch that fails by a freeze while the lists can't be read; before, no map followed in 20 s. The tests' groups are small, so the size of an answer is not tested.

--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -151,7 +151,9 @@
 	if l.placements != nil {
 		states = l.group.survey()
 	} else {
-		states = l.group.read(l.group.refresh(), true, true)
+		// Without selections: those of a large group take longer than the agents' answers
+		// may.
+		states = l.group.read(l.group.refresh(), false, true)
 	}
 	size := 0
 	statuses := map[int]ranks.Status{}
@@ -383,8 +385,8 @@
 	err := s.Switch(l.epoch, version, m, leadSteps)
 	result := "done"
 	if err != nil {
+		// The map in force is read again only if its version changes.
 		result = string(fault.KindOf(err))
-		l.placements = nil
 	} else {
 		l.placements, l.version = next, version
 	}
--- a/internal/rankagent/rankagent_test.go
+++ b/internal/rankagent/rankagent_test.go
@@ -52,6 +52,8 @@
 	// is the rank of the frozen VM, -1 for none.
 	freezeOnHold bool
 	frozenRank   int
+	// listsUnreadable makes the ranks' expert lists unreadable.
+	listsUnreadable bool
 }
 
 // engine is the engine of one rank of a simulatedGroup. It implements rankagent.Engine.
@@ -130,6 +132,9 @@
 func (e *engine) ExpertLists(context.Context) (ranks.ExpertLists, error) {
 	e.g.mu.Lock()
 	defer e.g.mu.Unlock()
+	if e.g.listsUnreadable {
+		return ranks.ExpertLists{}, errors.New("no answer")
+	}
 	return ranks.ExpertLists{Version: e.active, Experts: e.experts}, nil
 }
 
@@ -459,6 +464,30 @@
 	g.Expect(mixed).To(BeFalse())
 }
 
+// A switch fails because a VM freezes. The map in force is as it was, so the leader goes on
+// once the VM is back, without reading every rank's lists: under load the lists of 129
+// ranks can't be read in time, and a fleet kept an uneven map for 27 s.
+func TestLeaderGoesOnAfterAFailedSwitch(t *testing.T) {
+	g := NewWithT(t)
+	d := deploy(t, true)
+	before := d.awaitMap(g, 0)
+	d.g.mu.Lock()
+	d.g.listsUnreadable, d.g.freezeOnHold, d.g.hotExpert = true, true, 3
+	d.g.mu.Unlock()
+	g.Eventually(func() int {
+		d.g.mu.Lock()
+		defer d.g.mu.Unlock()
+		return d.g.frozenRank
+	}, "20s").ShouldNot(Equal(-1))
+	time.Sleep(time.Second) // the switch has failed
+	d.g.mu.Lock()
+	d.g.frozenRank, d.g.hotExpert = -1, 5
+	d.g.mu.Unlock()
+	d.awaitMap(g, before)
+	_, _, _, mixed := d.g.state()
+	g.Expect(mixed).To(BeFalse())
+}
+
 // The map of a large group is sent to a few agents, which relay it. If one of those has
 // stopped, the leader sends the orders to the ranks of that branch itself.
 func TestMapOfALargeGroupIsRelayed(t *testing.T) {
