soak: strike with a store that comes back from an older copy

Reading the directory for it: the copy may show the process that used an address before the present one; it is ignored now like an earlier incarnation under the same id (test).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -269,12 +269,14 @@
 func (d *Directory) restoreGrace() time.Duration { return restoreHeartbeats * d.heartbeat }
 
 // putRestored is put for a registration in the first listing of a new era. It ignores one
-// of an earlier incarnation than the known one. If the registration was removed in an
+// of an earlier incarnation than the known one under its ID or at its address. If the registration was removed in an
 // earlier era, the upstream is only used once it is known that it renews its
 // registration. The caller holds mu.
 func (d *Directory) putRestored(u Upstream, at kvstore.Position) {
-	if old := d.records[u.ID]; old != nil && old.Started > u.Started {
-		return
+	for _, r := range d.records {
+		if (r.ID == u.ID || r.Address == u.Address) && r.Started > u.Started {
+			return
+		}
 	}
 	d.put(u, at)
 	_, removed := d.removed[u.Incarnation()]
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -174,6 +174,18 @@
 	g.Expect(usable(d)).To(Equal([]string{"2", "5"}), "a revision of the new era isn't compared with the old one's")
 }
 
+// The copy shows the process that used an address before the present one.
+func TestRestoredStoreDoesntBringBackTheFormerProcessAtAnAddress(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := fixture(1)
+	successor := upstream("9", 300)
+	successor.Address = "10.0.0.1:1"
+	d.Put(successor, at(20))
+	restored := kvstore.Position{Era: 2, Revision: 5}
+	d.Replace(map[string]directory.Upstream{"1": upstream("1", 100)}, map[string]kvstore.Position{"1": restored}, restored)
+	g.Expect(usable(d)).To(Equal([]string{"9"}))
+}
+
 // A registration that was removed because of the restored store's outage is used again
 // once its upstream is known to renew it, and one that never comes back isn't.
 func TestRegistrationsAfterARestore(t *testing.T) {
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -151,6 +151,11 @@
 // route, which no caller uses.
 func (d *deployment) writeConfiguration() {
 	d.configVersion++
+	d.putConfiguration()
+}
+
+// putConfiguration writes the present configuration.
+func (d *deployment) putConfiguration() {
 	route := func(prefix, kind string, resumable bool) map[string]any {
 		return map[string]any{
 			"name": prefix, "host": "h", "path-prefix": prefix, "kind": kind, "resumable": resumable,
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -110,7 +110,7 @@
 	var running sync.WaitGroup
 	processLocks := make([]sync.Mutex, gateways)
 	for range faultCount {
-		i, kind, duration := rng.IntN(gateways), rng.IntN(9), time.Duration(200+rng.IntN(1300))*time.Millisecond
+		i, kind, duration := rng.IntN(gateways), rng.IntN(10), time.Duration(200+rng.IntN(1300))*time.Millisecond
 		u := d.upstreams[rng.IntN(len(d.upstreams))]
 		running.Go(func() {
 			processLocks[i].Lock()
@@ -160,9 +160,26 @@
 		d.recorder.mu.Lock()
 		d.writeConfiguration()
 		d.recorder.mu.Unlock()
+	case 9:
+		d.restoreStore(duration)
 	}
 }
 
+// restoreStore makes the store come back from a copy of the given age. What the operator
+// and the upstreams wrote since is written again later.
+func (d *deployment) restoreStore(age time.Duration) {
+	d.kvStore.Save()
+	time.Sleep(age)
+	d.kvStore.Revert()
+	time.Sleep(age)
+	for _, u := range d.upstreams {
+		u.registerAgain()
+	}
+	d.recorder.mu.Lock()
+	defer d.recorder.mu.Unlock()
+	d.putConfiguration()
+}
+
 // caller sends requests of all kinds over persistent connections.
 type caller struct {
 	d        *deployment
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -63,6 +64,7 @@
 
 	mu   sync.Mutex
 	id   string
+	born int64
 	rand *rand.Rand
 }
 
@@ -80,11 +82,9 @@
 func (u *upstream) registerIncarnation() {
 	u.mu.Lock()
 	previous := u.id
-	u.id = fmt.Sprintf("i-%s-%d", u.address[len(u.address)-5:], u.rand.Uint32())
-	id := u.id
+	u.id, u.born = fmt.Sprintf("i-%s-%d", u.address[len(u.address)-5:], u.rand.Uint32()), time.Now().UnixMilli()
 	u.mu.Unlock()
-	record := map[string]any{"service": "s", "address": u.address, "zone": "a", "slots": 8, "state": "ready", "born": time.Now().UnixMilli()}
-	u.d.putRecord("servers/"+id, record)
+	u.register()
 	if previous != "" {
 		if item, err := u.d.kvStore.Get("servers/" + previous); err == nil {
 			_, _ = u.d.kvStore.Delete(item.Key, item.ModRevision) // only this test removes records
@@ -92,6 +92,28 @@
 	}
 }
 
+// register writes the present incarnation's registration.
+func (u *upstream) register() {
+	u.mu.Lock()
+	id, born := u.id, u.born
+	u.mu.Unlock()
+	u.d.putRecord("servers/"+id, map[string]any{"service": "s", "address": u.address, "zone": "a", "slots": 8, "state": "ready", "born": born})
+}
+
+// registerAgain writes the registration again after the store came back from an older
+// copy, and removes those of former incarnations, which renew them no more.
+func (u *upstream) registerAgain() {
+	u.register()
+	u.mu.Lock()
+	id := u.id
+	u.mu.Unlock()
+	for _, item := range u.d.kvStore.List("servers/").Items {
+		if strings.HasPrefix(item.Key, "servers/i-"+u.address[len(u.address)-5:]+"-") && item.Key != "servers/"+id {
+			_, _ = u.d.kvStore.Delete(item.Key, item.ModRevision) // only this test removes records
+		}
+	}
+}
+
 // drawBehaviour returns the current incarnation, a number x that selects the
 // behaviour, and the time that a run takes. x is in [0, 1) while faults are
 // injected and 1, a normal answer, afterwards.
