Retry-After of a group's outage doesn't come from one rank's rest

Found in reading the diff: with one rank of a group resting, callers of a group that can't serve were told the end of that rest, a fraction of a second, and came back into the outage. Test: one resting rank in a broken group.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,7 +107,8 @@
 // upstream.
 func (q *request) retryAfter() time.Duration {
 	limit := maxRetryAfterFraction * float64(q.remaining()) * (1 - retryAfterJitter*rand.Float64())
-	if rest, _ := q.g.Pools.restingFor(q.service); rest > 0 {
+	// A rank group with ranks that don't rest can't serve for another reason.
+	if rest, all := q.g.Pools.restingFor(q.service); rest > 0 && (all || !q.isRankGroup()) {
 		return time.Duration(min(float64(rest)+rand.Float64()*float64(restReturnWindow), limit))
 	}
 	return time.Duration(min(float64(groupRetryAfter)*(1-retryAfterJitter*rand.Float64()), limit))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -625,6 +625,24 @@
 	g.Expect(f.arrived()).To(HaveLen(3), "the first one's time has ended")
 }
 
+// One rank of a group asks to be left alone for a moment, and then the group can't serve.
+// Callers are told when a group comes back, not when the rank's rest ends.
+func TestRestOfOneRankDoesntSayWhenItsGroupReturns(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, refuseFor("0.2"), abort)
+	f.gateway.MinOutage = time.Hour
+	f.routes.Apply(groupConfiguration(), time.Now())
+	f.report(dispatch.Load{GroupServing: true, Slowness: 1})
+	f.gateway.Pools.Get(f.upstreams[0].Address, 0).Rest(200 * time.Millisecond)
+	f.report(dispatch.Load{GroupServing: false})
+	r := f.request(http.MethodPost, "/stream/x", "")
+	r.Header.Set("Deadline-Ms", "100000")
+	_, header, _, _ := f.send(r)
+	delay, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(delay).To(BeNumerically(">", 2))
+}
+
 // endless writes bytes that are no answer until the connection is closed.
 func endless(head, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
