ranks: an order fenced by its own resend doesn't end the leadership

A fenced order now makes the leader renew its lease: if the store still has it, the order is sent again with a higher fence, and only a rank that fences that too ends the leadership. Test: fenced once, not confirmed, and fenced again. Effect on the large fleet not measured yet.

--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -229,10 +229,8 @@
 func (l *leader) switcher(size int) *ranks.Switcher {
 	return &ranks.Switcher{
 		Group: l.group, Size: size, HoldRank: l.group.remoteRank(size), Fence: l.leadership.next, IsLeader: l.leadership.isLeader,
+		ConfirmLeader: func() bool { return l.leadership.confirm(l.group.ctx) }, OnSuperseded: l.leadership.markSuperseded,
 		OnAnswer: func(rank int, o ranks.Order, a ranks.Answer) {
-			if a.Verdict == ranks.Fenced {
-				l.leadership.markSuperseded()
-			}
 			if a.Verdict != ranks.Accepted {
 				l.a.Log.Info("order not accepted", zap.Int("rank", rank), zap.String("order", string(o.Op)), zap.Int64("version", o.Version),
 					zap.Int64("step", o.Step), zap.Int64("fence", o.Fence), zap.Stringer("verdict", a.Verdict), zap.Bool("read", a.OK))
--- a/internal/rankagent/leadership.go
+++ b/internal/rankagent/leadership.go
@@ -86,6 +86,15 @@
 	return nil
 }
 
+// confirm reports whether the key-value service still has the lease.
+func (l *leadership) confirm(ctx context.Context) bool {
+	l.holderMu.Lock()
+	err := l.holder.Renew(ctx)
+	l.holderMu.Unlock()
+	l.a.Log.Info("a rank has fenced an order", zap.String("group", l.group), zap.Bool("still_leader", err == nil && !l.hasEnded()), zap.Error(err))
+	return err == nil && !l.hasEnded()
+}
+
 // firstFence returns the first fence of this leadership.
 func (l *leadership) firstFence() int64 {
 	l.mu.Lock()
--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -24,8 +24,38 @@
 	// before each action that starts or extends a switch; a switch in progress is
 	// completed or cancelled regardless.
 	IsLeader func() bool
+	// ConfirmLeader asks the key-value service whether this process is still the
+	// leader. It is called when a rank has fenced an order; nil means that it isn't.
+	ConfirmLeader func() bool
+	// OnSuperseded is called when a rank has fenced orders of this process for good;
+	// nil is allowed.
+	OnSuperseded func()
 	// OnAnswer is called with each order and its answer; nil is allowed.
 	OnAnswer func(rank int, o Order, a Answer)
+
+	// fencedRanks holds the ranks that have fenced an order although this process was
+	// the leader.
+	fencedRanks map[int]bool
+}
+
+// superseded reports whether an answer shows that another leader has taken over. A rank
+// also fences an order if a resend of it, which has a higher fence, arrived first: the
+// next order is then accepted.
+func (s *Switcher) superseded(rank int, a Answer) bool {
+	if a.Verdict != Fenced {
+		return false
+	}
+	if !s.fencedRanks[rank] && s.ConfirmLeader != nil && s.ConfirmLeader() {
+		if s.fencedRanks == nil {
+			s.fencedRanks = map[int]bool{}
+		}
+		s.fencedRanks[rank] = true
+		return false
+	}
+	if s.OnSuperseded != nil {
+		s.OnSuperseded()
+	}
+	return true
 }
 
 // Limits of a switch, in rounds of orders or readings of the group.
@@ -136,7 +166,7 @@
 			case a.Verdict == Accepted:
 				delete(pending, r)
 				copying = true
-			case a.Verdict == Refused || a.Verdict == Fenced:
+			case a.Verdict == Refused || s.superseded(r, a):
 				return 0, fault.New(fault.Conflict, "no action needed; the leader plans a new map", "rank %d answered %s to map version %d", r, a.Verdict, version)
 			}
 		}
@@ -198,12 +228,13 @@
 			return 0, errNotLeader
 		}
 		a := s.sendToEach(Order{Op: Hold, Step: step, Epoch: epoch}, map[int]bool{s.HoldRank: true})[s.HoldRank]
+		if s.superseded(s.HoldRank, a) {
+			return 0, errNotLeader
+		}
 		switch a.Verdict {
 		case Accepted:
 			return step, nil
-		case Fenced:
-			return 0, errNotLeader
-		case Unknown:
+		case Unknown, Fenced:
 			// The order may have been carried out, or may still be.
 			if err := s.cancelHold(epoch); err != nil {
 				return 0, err
@@ -240,7 +271,7 @@
 			switch {
 			case a.OK && a.Status.Epoch == epoch && a.Status.Armed == version:
 				delete(pending, r)
-			case a.Verdict == Refused || a.Verdict == Fenced:
+			case a.Verdict == Refused || s.superseded(r, a):
 				return false
 			}
 		}
@@ -267,7 +298,9 @@
 			case a.OK && a.Status.Epoch != epoch:
 				return errGroupChanged
 			case a.Verdict == Fenced:
-				return errNotLeader
+				if s.superseded(r, a) {
+					return errNotLeader
+				}
 			case a.Verdict != Unknown && a.OK && a.Status.Armed == None:
 				delete(pending, r)
 			}
@@ -287,7 +320,7 @@
 	for {
 		a := s.sendToEach(Order{Op: Release, Step: step, Epoch: epoch}, map[int]bool{rank: true})[rank]
 		switch {
-		case a.Verdict == Fenced:
+		case s.superseded(rank, a):
 			return errNotLeader
 		case a.OK && a.Status.Epoch != epoch:
 			return errGroupChanged
@@ -339,11 +372,11 @@
 		o := Order{Op: Disarm, Version: s.Fence(), Epoch: epoch}
 		a := s.sendToEach(o, map[int]bool{rank: true})[rank]
 		switch {
-		case a.Verdict == Fenced:
+		case s.superseded(rank, a):
 			return None, errNotLeader
 		case a.OK && a.Status.Epoch != epoch:
 			return None, errGroupChanged
-		case a.Verdict != Unknown && a.OK:
+		case a.Verdict != Unknown && a.Verdict != Fenced && a.OK:
 			return a.Status.Held, nil
 		}
 		if !s.Group.Pause() {
@@ -368,13 +401,13 @@
 		}
 		for r, a := range s.sendOrders(orders) {
 			switch {
-			case a.Verdict == Fenced:
+			case s.superseded(r, a):
 				return errNotLeader
 			case a.OK && a.Status.Epoch != epoch:
 				return errGroupChanged
 			case a.OK && a.Status.Armed != None:
 				pending[r] = a.Status.Armed
-			case a.Verdict != Unknown && a.OK:
+			case a.Verdict != Unknown && a.Verdict != Fenced && a.OK:
 				delete(pending, r)
 			}
 		}
--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -191,7 +191,12 @@
 
 func (w *simulatedGroup) deliver(rank int, o ranks.Order) ranks.Answer {
 	if w.rng.Float64() < w.faultRate {
-		switch w.rng.IntN(3) {
+		switch w.rng.IntN(4) {
+		case 3: // a resend of the order arrives first
+			resend := o
+			resend.Fence += ranks.MaxSends - 1
+			w.carryOut(rank, resend)
+			return ranks.Answer{Verdict: w.carryOut(rank, o), Status: w.status(rank), OK: true}
 		case 0: // lost
 		case 1:
 			w.carryOut(rank, o)
@@ -245,7 +250,8 @@
 	n := int64(0)
 	s := &ranks.Switcher{
 		Group: w, Size: len(w.engines), HoldRank: int(fenceBase) % len(w.engines), IsLeader: func() bool { return true },
-		Fence: func() int64 { n += ranks.MaxSends; return fenceBase<<20 + n },
+		ConfirmLeader: func() bool { return true },
+		Fence:         func() int64 { n += ranks.MaxSends; return fenceBase<<20 + n },
 	}
 	for range 5 {
 		if s.Recover() == nil {
@@ -359,6 +365,38 @@
 	return c.t.Pause()
 }
 
+// A resend of an order arrives at a rank before the order itself, which is then fenced. The
+// leader goes on if the service confirms its lease, and ends when it isn't confirmed or
+// the rank fences its next order too.
+func TestOrderFencedByItsResendDoesntEndTheLeadership(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirmed, otherLeader, switches bool
+	}{
+		"confirmed":                   {true, false, true},
+		"not confirmed":               {false, false, false},
+		"confirmed, but fenced again": {true, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newSimulatedGroup(1, 4)
+			w.faultRate = 0
+			n, superseded := int64(0), false
+			s := &ranks.Switcher{
+				Group: w, Size: 4, IsLeader: func() bool { return true }, ConfirmLeader: func() bool { return c.confirmed },
+				OnSuperseded: func() { superseded = true },
+				Fence:        func() int64 { n += ranks.MaxSends; return 1<<20 + n },
+			}
+			w.engines[2].fence = 1<<20 + 3*ranks.MaxSends + 1 // above its Prepare, below the next order
+			if c.otherLeader {
+				w.engines[2].fence = 2 << 20
+			}
+			err := s.Switch(w.epoch, 1<<20+1, nil, 3)
+			g.Expect(err == nil).To(Equal(c.switches))
+			g.Expect(superseded).To(Equal(!c.switches))
+		})
+	}
+}
+
 // runConcurrentLeaders runs leaders concurrently, each with higher fences than the one
 // before, until all have returned.
 func runConcurrentLeaders(w *simulatedGroup, leaders int) {
@@ -372,9 +410,9 @@
 			s := &ranks.Switcher{
 				Group: c, Size: len(w.engines), HoldRank: i, IsLeader: func() bool { return !superseded },
 				Fence: func() int64 { n += ranks.MaxSends; return fenceBase<<20 + n },
-				OnAnswer: func(_ int, _ ranks.Order, a ranks.Answer) {
-					superseded = superseded || a.Verdict == ranks.Fenced
-				},
+				// A leader may think that it still leads: the ranks must not depend on it.
+				ConfirmLeader: func() bool { return c.t.rng.IntN(2) == 0 },
+				OnSuperseded:  func() { superseded = true },
 			}
 			for k := int64(1); k <= 3 && !superseded; k++ {
 				if ranks.HasUnfinishedSwitch(c.ReadStatuses()) && s.Recover() != nil {
