--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,8 +4,8 @@
 // the attempt's status, never on the HTTP method. It belongs to the platform
 // deployment; package entry is its counterpart in the stand-alone one.
 //
-// Lock order: Gateway.mu before Pools.mu. Neither is held while a request is
-// sent.
+// Lock order: Gateway.mu, Pools.mu, the lock of Options.Reachability. None is held while a
+// request is sent.
 package gateway
 
 import (
