--- a/internal/kvstore/era.go
+++ b/internal/kvstore/era.go
@@ -28,8 +28,9 @@
 // revision. Map versions of the stand-alone deployment need the highest 20 bits.
 const fencingRevisionBits = 33
 
-// FencingNumber returns a number that increases with the position.
-func (p Position) FencingNumber() int64 { return p.Era<<fencingRevisionBits | p.Revision }
+// FencingNumber returns a number that increases with the revision, and with the era while
+// revisions fit into fencingRevisionBits.
+func (p Position) FencingNumber() int64 { return p.Era<<fencingRevisionBits + p.Revision }
 
 // Eras tracks the era of the key-value service as its answers state it. A nil *Eras
 // belongs to a service without eras. It is safe for concurrent use.
