--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -92,6 +92,11 @@
 	group      string
 	groupSize  int
 	reportedAt time.Time
+	// heardAt is the time of the last sign of life, reportInterval the mean time between
+	// reports. silent is the result of the last check for silence.
+	heardAt        time.Time
+	reportInterval time.Duration
+	silent         bool
 	// suspendedUntil is the time until which the upstream is skipped.
 	// suspendedAt is when it was suspended; only reports sent later than that end
 	// the suspension early.
@@ -112,6 +117,9 @@
 	nodes []*Node
 	// probedAt is when an unreachable upstream was last picked.
 	probedAt time.Time
+	// silenceCheckedAt is the time of the last check for silence. Before silenceKnownFrom
+	// no upstream falls silent.
+	silenceCheckedAt, silenceKnownFrom time.Time
 }
 
 // NewPool returns an empty pool.
@@ -170,7 +178,7 @@
 		out.TotalSlots += n.Slots
 		out.InFlight += n.inFlight
 		out.Unanswered += n.unanswered
-		if n.usable(now, groups) && !n.silent(now) {
+		if n.usable(now, groups) && !n.unheard(now) {
 			out.UsableUpstreams++
 			out.FreeSlots += max(int(waitingFillFraction*float64(n.Slots))-n.load(now), 0)
 		}
@@ -203,14 +211,14 @@
 	return int(math.Ceil(entryShare*float64(promptsPerUpstream*c.UsableUpstreams))) - c.Unanswered
 }
 
-func (p *Pool) pick(now time.Time, exclude []string, silent bool) *Node {
+func (p *Pool) pick(now time.Time, exclude []string, unheard bool) *Node {
 	var best *Node
 	bestCost := 0.0
 	groups := p.groupStates(now)
 	compared := 0
 	for _, i := range p.rand.Perm(len(p.nodes)) {
 		n := p.nodes[i]
-		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || n.silent(now) != silent || n.unreachable && now.Sub(p.probedAt) < probeInterval {
+		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || n.unheard(now) != unheard || n.unreachable && now.Sub(p.probedAt) < probeInterval {
 			continue
 		}
 		if c := p.costAt(n, now); best == nil || c < bestCost {
@@ -306,9 +314,9 @@
 	return n.groupServing
 }
 
-// silent reports whether the upstream is unreachable, or its last report is older than
+// unheard reports whether the upstream is unreachable, or its last report is older than
 // reportTTL but not older than silenceWindow.
-func (n *Node) silent(now time.Time) bool {
+func (n *Node) unheard(now time.Time) bool {
 	age := now.Sub(n.reportedAt)
 	return n.unreachable || age > reportTTL && age <= silenceWindow
 }
@@ -337,7 +345,8 @@
 	n.otherRequests = max(l.Queued+l.Active-n.inFlight, 0)
 	n.slowness = l.Slowness
 	n.groupServing, n.group, n.groupSize = l.GroupServing, l.Group, l.GroupSize
-	n.reportedAt = now
+	n.recordInterval(now)
+	n.reportedAt, n.heardAt = now, now
 	if l.GroupServing && now.Sub(n.suspendedAt) > maxReportDelay {
 		n.suspendedUntil = time.Time{}
 	}
--- /dev/null
+++ b/internal/dispatch/silence.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import "time"
+
+// An upstream that has been heard from and stops while the others go on is silent: its VM
+// stands still or can't be reached. What runs there can't be ended until it is heard again.
+
+const (
+	// missedReports is the number of load reports in a row whose absence makes an
+	// upstream silent. Datagrams get lost.
+	missedReports = 3
+	// reportIntervalWeight is the weight of a new interval in the moving average of the
+	// time between two load reports.
+	reportIntervalWeight = 0.2
+	// maxSilenceCheckGap is the longest time between two checks for silence after which
+	// this process itself may have stood still.
+	maxSilenceCheckGap = 300 * time.Millisecond
+)
+
+// SilenceChange says that an upstream has fallen silent, or is heard from again.
+type SilenceChange struct {
+	Node   *Node
+	Silent bool
+	// Age is the time since the upstream was last heard from.
+	Age time.Duration
+}
+
+// Hear records a sign of life from an upstream other than a load report.
+func (n *Node) Hear(now time.Time) { n.heardAt = now }
+
+// Silent reports whether the upstream was silent at the last check.
+func (n *Node) Silent() bool { return n.silent }
+
+// silenceLimit is the time without any sign of life after which the upstream is silent.
+func (n *Node) silenceLimit() time.Duration {
+	return max(AliveTTL, missedReports*n.reportInterval)
+}
+
+// recordInterval updates the mean time between reports with a report that arrives now.
+func (n *Node) recordInterval(now time.Time) {
+	if !n.reportedAt.IsZero() {
+		interval := min(now.Sub(n.reportedAt), reportTTL)
+		n.reportInterval += time.Duration(reportIntervalWeight * float64(interval-n.reportInterval))
+	}
+}
+
+// CheckSilence updates which upstreams are silent and returns the changes. Call it several
+// times a second. While fewer than half of the upstreams are heard from, and for AliveTTL
+// after this process may have stood still, none falls silent: the fault may be on this side.
+func (p *Pool) CheckSilence(now time.Time) []SilenceChange {
+	if now.Sub(p.silenceCheckedAt) > maxSilenceCheckGap {
+		p.silenceKnownFrom = now.Add(AliveTTL)
+	}
+	p.silenceCheckedAt = now
+	reporting, heard := 0, 0
+	for _, n := range p.nodes {
+		if n.reportedAt.IsZero() {
+			continue
+		}
+		reporting++
+		if now.Sub(n.heardAt) <= n.silenceLimit() {
+			heard++
+		}
+	}
+	trusted := 2*heard >= reporting && !now.Before(p.silenceKnownFrom)
+	var changes []SilenceChange
+	for _, n := range p.nodes {
+		age := now.Sub(n.heardAt)
+		silent := !n.reportedAt.IsZero() && age > n.silenceLimit()
+		if silent == n.silent || silent && !trusted {
+			continue
+		}
+		n.silent = silent
+		changes = append(changes, SilenceChange{Node: n, Silent: silent, Age: age})
+	}
+	return changes
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -149,7 +149,7 @@
 	q.g.stats.recordAttempt(q.service, res.attemptStatus, time.Since(start))
 	q.log.Info("attempt ended",
 		zap.String("upstream", m.ID), zap.String("address", m.Address), zap.String("fate", attemptStatusNames[res.attemptStatus]), zap.Error(res.cause),
-		zap.Int("attempt", q.attempts), zap.Duration("took", time.Since(start)), zap.Duration("left", q.remaining()),
+		zap.Int("attempt", q.attempts), zap.Bool("answer_started", q.answerStarted), zap.Duration("took", time.Since(start)), zap.Duration("left", q.remaining()),
 		zap.String("resume_after", q.resumeAfter()), zap.Int64("configuration", q.configurationVersion()))
 	return res
 }
@@ -213,6 +213,7 @@
 	if q.g.Reachability != nil {
 		q.g.Reachability.Heard(m.DataCentre)
 	}
+	m.Hear()
 	q.applyAnnouncements(m, reply)
 	switch {
 	case reply.NotRun || reply.Misdirected:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,13 +214,15 @@
 	delete(g.running, r)
 }
 
-// Run keeps the pools in step with the directory and starts waiting requests
-// until ctx is done.
+// Run keeps the pools in step with the directory, starts waiting requests and looks for
+// silent upstreams until ctx is done.
 func (g *Gateway) Run(ctx context.Context) {
 	ticker := g.Clock.NewTicker(reconcileInterval)
 	defer ticker.Stop()
 	leftover := g.Clock.NewTicker(leftoverInterval)
 	defer leftover.Stop()
+	silence := g.Clock.NewTicker(silenceCheckInterval)
+	defer silence.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -228,6 +230,9 @@
 		case <-leftover.Chan():
 			g.Pools.startOnLeftover()
 			continue
+		case <-silence.Chan():
+			g.checkSilence()
+			continue
 		case <-g.Directory.Changed():
 		case <-ticker.Chan():
 			g.Directory.RemoveExpired()
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -191,6 +191,13 @@
 	return m
 }
 
+// Hear records a part of an answer as a sign of life of the upstream.
+func (m *Member) Hear() {
+	m.pools.mu.Lock()
+	defer m.pools.mu.Unlock()
+	m.node.Hear(m.pools.clock.Now())
+}
+
 // MarkAnswered counts the first part of an answer to an attempt.
 func (m *Member) MarkAnswered() {
 	m.pools.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,6 +43,7 @@
 			return result{attemptStatus: attemptBroken, sent: true, cause: err}
 		}
 		q.lastEventAt = time.Now()
+		m.Hear()
 		if !q.answerStarted {
 			q.answerStarted = true
 			m.MarkAnswered()
