--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -144,10 +144,16 @@
 // Pick returns the upstream for a request, or nil. Upstreams in exclude are
 // skipped. Pick doesn't count the request: see Node.MarkSent.
 func (p *Pool) Pick(now time.Time, exclude []string) *Node {
-	if n := p.pick(now, exclude, false); n != nil {
+	if n := p.pick(now, exclude, func(n *Node) bool { return !n.unheard(now) }); n != nil {
 		return n
 	}
-	return p.pick(now, exclude, true)
+	return p.pick(now, exclude, func(n *Node) bool { return n.unheard(now) })
+}
+
+// PickFree is Pick for a request that can't wait in an upstream's queue: it returns only
+// an upstream that is heard from and has a free slot.
+func (p *Pool) PickFree(now time.Time, exclude []string) *Node {
+	return p.pick(now, exclude, func(n *Node) bool { return !n.unheard(now) && n.load(now) < n.Slots })
 }
 
 // Capacity describes how many requests a pool's upstreams can run at once.
@@ -211,14 +217,15 @@
 	return int(math.Ceil(entryShare*float64(promptsPerUpstream*c.UsableUpstreams))) - c.Unanswered
 }
 
-func (p *Pool) pick(now time.Time, exclude []string, unheard bool) *Node {
+// pick compares the usable upstreams that candidate accepts.
+func (p *Pool) pick(now time.Time, exclude []string, candidate func(*Node) bool) *Node {
 	var best *Node
 	bestCost := 0.0
 	groups := p.groupStates(now)
 	compared := 0
 	for _, i := range p.rand.Perm(len(p.nodes)) {
 		n := p.nodes[i]
-		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || n.unheard(now) != unheard || n.unreachable && now.Sub(p.probedAt) < probeInterval {
+		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || !candidate(n) || n.unreachable && now.Sub(p.probedAt) < probeInterval {
 			continue
 		}
 		if c := p.costAt(n, now); best == nil || c < bestCost {
@@ -314,11 +321,11 @@
 	return n.groupServing
 }
 
-// unheard reports whether the upstream is unreachable, or its last report is older than
-// reportTTL but not older than silenceWindow.
+// unheard reports whether the upstream is unreachable or silent, or its last report is
+// older than reportTTL but not older than silenceWindow.
 func (n *Node) unheard(now time.Time) bool {
 	age := now.Sub(n.reportedAt)
-	return n.unreachable || age > reportTTL && age <= silenceWindow
+	return n.unreachable || n.silent || age > reportTTL && age <= silenceWindow
 }
 
 // failureRate returns the fraction of recent attempts that failed, decayed to
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -31,6 +31,12 @@
 // Silent reports whether the upstream was silent at the last check.
 func (n *Node) Silent() bool { return n.silent }
 
+// silentAt reports whether the upstream has shown no sign of life for too long. One whose
+// last report is older than silenceWindow has no load reports to miss.
+func (n *Node) silentAt(now time.Time) bool {
+	return now.Sub(n.reportedAt) <= silenceWindow && now.Sub(n.heardAt) > n.silenceLimit()
+}
+
 // silenceLimit is the time without any sign of life after which the upstream is silent.
 func (n *Node) silenceLimit() time.Duration {
 	return max(AliveTTL, missedReports*n.reportInterval)
@@ -54,24 +60,23 @@
 	p.silenceCheckedAt = now
 	reporting, heard := 0, 0
 	for _, n := range p.nodes {
-		if n.reportedAt.IsZero() {
+		if now.Sub(n.reportedAt) > silenceWindow {
 			continue
 		}
 		reporting++
-		if now.Sub(n.heardAt) <= n.silenceLimit() {
+		if !n.silentAt(now) {
 			heard++
 		}
 	}
 	trusted := 2*heard >= reporting && !now.Before(p.silenceKnownFrom)
 	var changes []SilenceChange
 	for _, n := range p.nodes {
-		age := now.Sub(n.heardAt)
-		silent := !n.reportedAt.IsZero() && age > n.silenceLimit()
+		silent := n.silentAt(now)
 		if silent == n.silent || silent && !trusted {
 			continue
 		}
 		n.silent = silent
-		changes = append(changes, SilenceChange{Node: n, Silent: silent, Age: age})
+		changes = append(changes, SilenceChange{Node: n, Silent: silent, Age: now.Sub(n.heardAt)})
 	}
 	return changes
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -60,7 +61,12 @@
 func (q *request) run() {
 	var last result
 	for {
-		m := q.pick()
+		var m *Member
+		if errors.Is(last.cause, errSilentUpstream) {
+			m = q.pickAfterSilence()
+		} else {
+			m = q.pick()
+		}
 		if m == nil {
 			q.conclude(last, errNoUpstream.After(q.retryAfter()))
 			return
@@ -137,7 +143,9 @@
 	q.attempted = append(q.attempted, m.ID)
 	q.answerStarted = false
 	start := time.Now()
-	res := q.send(m)
+	ctx := q.beginAttempt(m)
+	res := q.send(ctx, m)
+	q.endAttempt()
 	if res.sent {
 		q.attempts++
 	}
@@ -154,6 +162,23 @@
 	return res
 }
 
+// beginAttempt returns the context of an attempt that withdrawFrom may end before the
+// request ends.
+func (q *request) beginAttempt(m *Member) context.Context {
+	ctx, cancel := context.WithCancelCause(q.ctx)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.attemptAt, q.cancelAttempt = m, cancel
+	return ctx
+}
+
+func (q *request) endAttempt() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.cancelAttempt(errRequestEnded)
+	q.attemptAt = nil
+}
+
 // resumeAfter returns the ID of the last event that the caller has received.
 func (q *request) resumeAfter() string {
 	if q.lastEventID != "" {
@@ -204,8 +229,8 @@
 	return max(int(float64(s.MaxConnections)*q.g.entryShare), 1)
 }
 
-func (q *request) send(m *Member) result {
-	reply, err := q.g.Transport.Do(q.ctx, m.Address, q.connectionLimit(), q.buildCall(m))
+func (q *request) send(ctx context.Context, m *Member) result {
+	reply, err := q.g.Transport.Do(ctx, m.Address, q.connectionLimit(), q.buildCall(m))
 	if err != nil {
 		return sendFailure(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,7 +10,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -189,19 +191,20 @@
 // requests in flight.
 func (g *Gateway) applyTable(t *routing.Table) {
 	g.Pools.Configure(t.Services)
-	g.mu.Lock()
-	running := make([]*request, 0, len(g.running))
-	for r := range g.running {
-		running = append(running, r)
-	}
-	g.mu.Unlock()
-	for _, r := range running {
+	for _, r := range g.inProgress() {
 		if route := t.Route(r.route.Name); route != nil {
 			r.setTimeout(route.Timeout)
 		}
 	}
 }
 
+// inProgress returns the requests without a final answer.
+func (g *Gateway) inProgress() []*request {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Keys(g.running))
+}
+
 func (g *Gateway) track(r *request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -152,7 +152,12 @@
 
 // pickLocked is Pick for a caller that holds mu.
 func (p *Pools) pickLocked(service string, exclude []string) *Member {
-	n := p.pool(service).Pick(p.clock.Now(), exclude)
+	return p.member(p.pool(service).Pick(p.clock.Now(), exclude))
+}
+
+// member counts a request to a node and returns the node's member, nil for nil. The caller
+// holds mu.
+func (p *Pools) member(n *dispatch.Node) *Member {
 	if n == nil {
 		return nil
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,9 +41,13 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
-	mu        sync.Mutex // leaf; guards timer and expiresAt
+	mu        sync.Mutex // leaf; guards the fields up to cancelAttempt
 	timer     *time.Timer
 	expiresAt time.Time
+	// attemptAt is the upstream of the attempt in progress, nil for none. cancelAttempt
+	// ends that attempt.
+	attemptAt     *Member
+	cancelAttempt context.CancelCauseFunc
 
 	// attempts counts the upstreams that the request was sent to. attempted
 	// lists the IDs of the upstreams of all attempts, including those that
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -4,8 +4,12 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
 )
 
+var errSilentUpstream = fault.New(fault.Unavailable, "no action needed; the request is sent to another upstream if one can take it", "the upstream has fallen silent")
+
 // silenceCheckInterval is how often silent upstreams are looked for: a small part of the
 // time that callers wait for an event.
 const silenceCheckInterval = 100 * time.Millisecond
@@ -33,13 +37,53 @@
 	return changes
 }
 
-// checkSilence logs which upstreams have fallen silent or are heard from again.
+// pickFree chooses an upstream of the service that has a free slot and is not in exclude,
+// and counts a request to it. It returns nil if there is none.
+func (p *Pools) pickFree(service string, exclude []string) *Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.member(p.pool(service).PickFree(p.clock.Now(), exclude))
+}
+
+// checkSilence looks for upstreams that have fallen silent or are heard from again. An
+// upstream that has just fallen silent loses the requests that may run elsewhere.
 func (g *Gateway) checkSilence() {
 	for _, c := range g.Pools.checkSilence() {
-		if c.silent {
-			g.Log.Info("upstream has fallen silent", zap.String("upstream", c.member.ID), zap.Duration("age", c.age), zap.Int("in_flight", c.inFlight))
+		if !c.silent {
+			g.Log.Info("upstream is heard from again", zap.String("upstream", c.member.ID), zap.Int("in_flight", c.inFlight))
 			continue
 		}
-		g.Log.Info("upstream is heard from again", zap.String("upstream", c.member.ID), zap.Int("in_flight", c.inFlight))
+		withdrawn := 0
+		for _, r := range g.inProgress() {
+			if r.withdrawFrom(c.member) {
+				withdrawn++
+			}
+		}
+		g.Log.Info("upstream has fallen silent", zap.String("upstream", c.member.ID), zap.Duration("age", c.age), zap.Int("in_flight", c.inFlight), zap.Int("withdrawn", withdrawn))
+	}
+}
+
+// withdrawFrom ends the request's attempt at a silent upstream if the request may run
+// more than once. Its caller would leave after waiting in vain, and a run that its
+// caller has left can't be ended there.
+func (q *request) withdrawFrom(m *Member) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.attemptAt != m || !q.route.Retryable() {
+		return false
+	}
+	q.cancelAttempt(errSilentUpstream)
+	return true
+}
+
+// pickAfterSilence chooses an upstream for a request that was withdrawn from a silent one,
+// or returns nil. The request has lost time: it waits in no upstream's queue.
+func (q *request) pickAfterSilence() *Member {
+	if m := q.g.Pools.pickFree(q.service, q.attempted); m != nil {
+		return m
+	}
+	if !q.await(q.waitLimit()) {
+		return nil
 	}
+	return q.g.Pools.pickStarted(q.service, q.attempted)
 }
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -21,7 +21,8 @@
 	silent atomic.Bool
 }
 
-// othersActive is the reported number of running requests at the other ranks.
+// newSilentRank starts the group. othersActive is the reported number of running requests at
+// each of the other ranks.
 func newSilentRank(t *testing.T, othersActive int, rank0, others http.HandlerFunc) *silentRank {
 	t.Helper()
 	s := &silentRank{fixture: newFixture(t, rank0, others, others)}
