--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -97,6 +97,8 @@
 	heardAt        time.Time
 	reportInterval time.Duration
 	silent         bool
+	// firstCheckedAt is the time of the first check for silence.
+	firstCheckedAt time.Time
 	// suspendedUntil is the time until which the upstream is skipped.
 	// suspendedAt is when it was suspended; only reports sent later than that end
 	// the suspension early.
@@ -120,6 +122,8 @@
 	// silenceCheckedAt is the time of the last check for silence. Before silenceKnownFrom
 	// no upstream falls silent.
 	silenceCheckedAt, silenceKnownFrom time.Time
+	// mostReport is set if at least half of the upstreams had reported at that check.
+	mostReport bool
 }
 
 // NewPool returns an empty pool.
@@ -128,8 +132,8 @@
 // SetStepCost sets how requests at the pool's upstreams slow each other.
 func (p *Pool) SetStepCost(c StepCost) { p.cost = c }
 
-// Add adds an upstream and returns its node. The upstream can be picked before
-// its first load report.
+// Add adds an upstream and returns its node. Before its first load report the upstream is
+// picked like the others while most of them don't report either.
 func (p *Pool) Add(r Replica) *Node {
 	n := &Node{Replica: r, slowness: 1}
 	p.nodes = append(p.nodes, n)
@@ -144,16 +148,16 @@
 // Pick returns the upstream for a request, or nil. Upstreams in exclude are
 // skipped. Pick doesn't count the request: see Node.MarkSent.
 func (p *Pool) Pick(now time.Time, exclude []string) *Node {
-	if n := p.pick(now, exclude, func(n *Node) bool { return !n.unheard(now) }); n != nil {
+	if n := p.pick(now, exclude, func(n *Node) bool { return !p.unheard(n, now) }); n != nil {
 		return n
 	}
-	return p.pick(now, exclude, func(n *Node) bool { return n.unheard(now) })
+	return p.pick(now, exclude, func(n *Node) bool { return p.unheard(n, now) })
 }
 
 // PickFree is Pick for a request that can't wait in an upstream's queue: it returns only
 // an upstream that is heard from and has a free slot.
 func (p *Pool) PickFree(now time.Time, exclude []string) *Node {
-	return p.pick(now, exclude, func(n *Node) bool { return !n.unheard(now) && n.load(now) < n.Slots })
+	return p.pick(now, exclude, func(n *Node) bool { return !p.unheard(n, now) && n.load(now) < n.Slots })
 }
 
 // Capacity describes how many requests a pool's upstreams can run at once.
@@ -184,7 +188,7 @@
 		out.TotalSlots += n.Slots
 		out.InFlight += n.inFlight
 		out.Unanswered += n.unanswered
-		if n.usable(now, groups) && !n.unheard(now) {
+		if n.usable(now, groups) && !p.unheard(n, now) {
 			out.UsableUpstreams++
 			out.FreeSlots += max(int(waitingFillFraction*float64(n.Slots))-n.load(now), 0)
 		}
@@ -321,13 +325,6 @@
 	return n.groupServing
 }
 
-// unheard reports whether the upstream is unreachable or silent, or its last report is
-// older than reportTTL but not older than silenceWindow.
-func (n *Node) unheard(now time.Time) bool {
-	age := now.Sub(n.reportedAt)
-	return n.unreachable || n.silent || age > reportTTL && age <= silenceWindow
-}
-
 // failureRate returns the fraction of recent attempts that failed, decayed to
 // the given time.
 func (n *Node) failureRate(now time.Time) float64 {
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -50,6 +50,17 @@
 	}
 }
 
+// unheard reports whether an upstream may not answer: its data centre is unreachable, it is
+// silent, its load reports have stopped, or it has sent none although most others have.
+// After silenceWindow without reports it may be in use without them.
+func (p *Pool) unheard(n *Node, now time.Time) bool {
+	if n.reportedAt.IsZero() && p.mostReport {
+		return n.unreachable || n.firstCheckedAt.IsZero() || now.Sub(n.firstCheckedAt) <= silenceWindow
+	}
+	age := now.Sub(n.reportedAt)
+	return n.unreachable || n.silent || age > reportTTL && age <= silenceWindow
+}
+
 // CheckSilence updates which upstreams are silent and returns the changes. Call it several
 // times a second. While fewer than half of the upstreams are heard from, and for AliveTTL
 // after this process may have stood still, none falls silent: the fault may be on this side.
@@ -68,9 +79,13 @@
 			heard++
 		}
 	}
+	p.mostReport = reporting > 0 && 2*reporting >= len(p.nodes)
 	trusted := 2*heard >= reporting && !now.Before(p.silenceKnownFrom)
 	var changes []SilenceChange
 	for _, n := range p.nodes {
+		if n.firstCheckedAt.IsZero() {
+			n.firstCheckedAt = now
+		}
 		silent := n.silentAt(now)
 		if silent == n.silent || silent && !trusted {
 			continue
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -78,3 +78,24 @@
 	g.Expect(s.advance(700*time.Millisecond, 1, 2, 3)).To(BeNil())
 	g.Expect(s.advance(600*time.Millisecond, 1, 2, 3).Silent).To(BeTrue())
 }
+
+// Guards against runs without callers after a restart: an entry that starts while one VM
+// stands still has no report of that upstream, which looks idle, and sends it everything.
+func TestUpstreamThatHasNotReportedIsTheLastChoiceBesideThoseThatHave(t *testing.T) {
+	g := NewWithT(t)
+	p, nodes := group(3)
+	unknown := p.Add(dispatch.Replica{ID: "unknown", Slots: 12})
+	for _, n := range nodes {
+		n.UpdateLoad(dispatch.Load{GroupServing: true, Active: 11}, start)
+	}
+	p.CheckSilence(start)
+	for range 20 {
+		g.Expect(p.Pick(start, nil)).NotTo(Equal(unknown))
+	}
+	g.Expect(p.Pick(start, []string{"rank-0", "rank-1", "rank-2"})).To(Equal(unknown))
+	later := start.Add(11 * time.Second)
+	for _, n := range nodes {
+		n.UpdateLoad(dispatch.Load{GroupServing: true, Active: 11}, later)
+	}
+	g.Expect(p.Pick(later, nil)).To(Equal(unknown), "its agent is gone, but it serves")
+}
