--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -68,6 +68,9 @@
 	// linearly to 0.
 	failureWeight = 0.3
 	failureDecay  = 4 * time.Second
+	// answerDelayWeight is the weight of a new answer in the moving average of the time to
+	// the first part.
+	answerDelayWeight = 0.2
 	// failurePenalty is the weight of the failure rate in an upstream's cost:
 	// a rate of 0.1 doubles the cost.
 	failurePenalty = 10
@@ -122,6 +125,9 @@
 	// silenceCheckedAt is the time of the last check for silence. Before silenceKnownFrom
 	// no upstream falls silent.
 	silenceCheckedAt, silenceKnownFrom time.Time
+	// answerDelay is the moving average of the time from a request's sending to the first
+	// part of its answer, 0 while unknown.
+	answerDelay time.Duration
 	// mostReport is set if at least half of the upstreams had reported at that check.
 	mostReport bool
 }
@@ -365,6 +371,19 @@
 // MarkAnswered counts the first part of an answer to a request.
 func (n *Node) MarkAnswered() { n.unanswered-- }
 
+// RecordAnswerDelay records the time from a request's sending to the first part of its
+// answer.
+func (p *Pool) RecordAnswerDelay(d time.Duration) {
+	if p.answerDelay == 0 {
+		p.answerDelay = d
+	}
+	p.answerDelay += time.Duration(answerDelayWeight * float64(d-p.answerDelay))
+}
+
+// AnswerDelay returns the usual time from a request's sending to the first part of its
+// answer, 0 if it isn't known.
+func (p *Pool) AnswerDelay() time.Duration { return p.answerDelay }
+
 // Finish counts the end of a request. answered says that MarkAnswered was
 // called for it, and failed that the upstream was at fault.
 func (n *Node) Finish(answered, failed bool, now time.Time) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -143,6 +143,7 @@
 	q.attempted = append(q.attempted, m.ID)
 	q.answerStarted = false
 	start := time.Now()
+	q.attemptStartedAt = start
 	ctx := q.beginAttempt(m)
 	res := q.send(ctx, m)
 	q.endAttempt()
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -203,11 +203,12 @@
 	m.node.Hear(m.pools.clock.Now())
 }
 
-// MarkAnswered counts the first part of an answer to an attempt.
-func (m *Member) MarkAnswered() {
+// MarkAnswered counts the first part of an answer to an attempt that began so long ago.
+func (m *Member) MarkAnswered(delay time.Duration) {
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
 	m.node.MarkAnswered()
+	m.pools.pool(m.Service).RecordAnswerDelay(delay)
 	m.pools.startWaiting(m.Service, false)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,8 +62,10 @@
 	headSent    bool
 	lastEventID string
 	lastEventAt time.Time
-	// answerStarted is set if the current attempt has delivered an event.
-	answerStarted bool
+	// attemptStartedAt is the start of the current attempt. answerStarted is set if it has
+	// delivered an event.
+	attemptStartedAt time.Time
+	answerStarted    bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -24,6 +24,14 @@
 	inFlight int
 }
 
+// answerDelay returns the usual time from the sending of a request to the first part of its
+// answer, 0 if it isn't known.
+func (p *Pools) answerDelay(service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool(service).AnswerDelay()
+}
+
 // checkSilence updates which upstreams are silent and returns the changes.
 func (p *Pools) checkSilence() []silenceChange {
 	p.mu.Lock()
@@ -79,6 +87,10 @@
 // pickAfterSilence chooses an upstream for a request that was withdrawn from a silent one,
 // or returns nil. The request has lost time: it waits in no upstream's queue.
 func (q *request) pickAfterSilence() *Member {
+	if left, needed := q.patienceLeft(), q.g.Pools.answerDelay(q.service); left < needed {
+		q.log.Info("no other upstream would answer in time", zap.Duration("usual_delay", needed), zap.Duration("patience", left))
+		return nil
+	}
 	if m := q.g.Pools.pickFree(q.service, q.attempted); m != nil {
 		return m
 	}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -79,12 +79,13 @@
 	r := s.request(http.MethodPost, path, "")
 	r.Header.Set("Deadline-Ms", "20000")
 	answers := make(chan answer, 1)
+	before := len(s.arrived())
 	go func() {
 		status, _, body, _ := s.send(r)
 		answers <- answer{status, body}
 	}()
-	g.Eventually(s.arrived, "10s").Should(HaveLen(1))
-	g.Expect(s.arrived()[0].upstream).To(Equal("u0"))
+	g.Eventually(s.arrived, "10s").Should(HaveLen(before + 1))
+	g.Expect(s.arrived()[before].upstream).To(Equal("u0"))
 	s.silent.Store(true)
 	return answers
 }
@@ -131,6 +132,29 @@
 	g.Expect(s.arrived()).To(HaveLen(1))
 }
 
+// Guards against runs without callers while all upstreams are slow: another one would answer
+// only after the caller has left, so the caller gets the final answer at once.
+func TestRequestAtASilentUpstreamIsAnsweredWhenTheOthersAreTooSlow(t *testing.T) {
+	g := NewWithT(t)
+	var requests atomic.Int64
+	s := newSilentRank(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) > 1 {
+			block(w, r)
+			return
+		}
+		time.Sleep(1500 * time.Millisecond) // most of the 2 s that callers wait for an event
+		threeEvents(w, r)
+	}, threeEvents)
+	r := s.request(http.MethodPost, "/stream/x", "")
+	r.Header.Set("Deadline-Ms", "20000")
+	status, _, _, _ := s.send(r)
+	g.Expect(status).To(Equal(http.StatusOK))
+	var a answer
+	g.Eventually(s.sendLong(g, "/stream/x"), "10s").Should(Receive(&a))
+	g.Expect(a.status).To(Equal(http.StatusBadGateway))
+	g.Expect(s.arrived()).To(HaveLen(2))
+}
+
 // A request that may not run twice stays at a silent upstream, whose answer is delivered
 // when it is heard again.
 func TestRequestThatMayRunOnceStaysAtASilentUpstream(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,7 +46,7 @@
 		m.Hear()
 		if !q.answerStarted {
 			q.answerStarted = true
-			m.MarkAnswered()
+			m.MarkAnswered(time.Since(q.attemptStartedAt))
 		}
 		if id := eventID(event); id != "" {
 			q.lastEventID = id
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -111,13 +111,22 @@
 	return o.age+limit >= minOutage
 }
 
+// lastProgressAt returns when the caller got the last event, or sent the request.
+func (q *request) lastProgressAt() time.Time {
+	if q.lastEventAt.After(q.startedAt) {
+		return q.lastEventAt
+	}
+	return q.startedAt
+}
+
+// patienceLeft returns how long the caller goes on waiting for an event.
+func (q *request) patienceLeft() time.Duration {
+	return eventPatience(q.route) - time.Since(q.lastProgressAt())
+}
+
 // waitLimit returns how long the request may wait from now on.
 func (q *request) waitLimit() time.Duration {
-	since := q.startedAt
-	if q.lastEventAt.After(since) {
-		since = q.lastEventAt
-	}
-	limit := time.Duration(maxWaitPatienceFraction*float64(eventPatience(q.route))) - time.Since(since)
+	limit := time.Duration(maxWaitPatienceFraction*float64(eventPatience(q.route))) - time.Since(q.lastProgressAt())
 	return min(limit, time.Duration(maxWaitRemainingFraction*float64(q.remaining())))
 }
 
