--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -160,6 +160,7 @@
 		zap.String("upstream", m.ID), zap.String("address", m.Address), zap.String("fate", attemptStatusNames[res.attemptStatus]), zap.Error(res.cause),
 		zap.Int("attempt", q.attempts), zap.Bool("answer_started", q.answerStarted), zap.Duration("took", time.Since(start)), zap.Duration("left", q.remaining()),
 		zap.String("resume_after", q.resumeAfter()), zap.Int64("configuration", q.configurationVersion()))
+	q.crashedBeforeAnswer(m, res)
 	return res
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,8 @@
 	// ResumeAfter is the ID of the last event that the caller of a stream has
 	// received, empty for none.
 	ResumeAfter string
+	// PromptParts are the IDs of the parts of the prompt that other requests may share.
+	PromptParts []string
 }
 
 // Outbound holds what the headers of an attempt say to the upstream.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,6 +23,8 @@
 	maxEventBytes = 128 << 10
 )
 
+var errEndsWithinEvent = fault.New(fault.Crashed, "no action needed if the route is resumable; otherwise send the request again if it may run twice", "the upstream's stream ended within an event")
+
 // forwardStream forwards a stream to the caller in complete events only: an
 // upstream may stop in the middle of an event, and a stream that resumes at
 // another upstream starts with a new one.
@@ -78,7 +80,7 @@
 		return result{attemptStatus: attemptDelivered, sent: true}
 	}
 	if errors.Is(err, io.EOF) {
-		err = fault.New(fault.Crashed, "no action needed if the route is resumable; otherwise send the request again if it may run twice", "the upstream's stream ended within an event")
+		err = errEndsWithinEvent
 	}
 	if q.headSent {
 		return result{attemptStatus: attemptBroken, sent: true, cause: err}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/kingcupreel/kingcupreel/internal/socket"
@@ -106,6 +107,15 @@
 	return fail(Sent, errMismatched)
 }
 
+// Refuses reports whether the host at an address is there but nothing listens.
+func (t *Transport) Refuses(ctx context.Context, address string) bool {
+	nc, err := t.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		nc.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // acquire returns a usable idle connection, unless forceNew is set, or opens a
 // new one. At the connection limit it falls back to an idle connection even if
 // forceNew is set.
