--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,110 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/directory"
+)
+
+// crashPart is the part of a prompt that crashes upstreams.
+const crashPart = "bad1"
+
+// crashingFleet is a fixture whose upstreams crash at prompts with crashPart. The head of
+// the answer is sent first. A crashed upstream comes back at another address.
+type crashingFleet struct {
+	*fixture
+	mu      sync.Mutex // guards the fields below
+	started int
+	crashes int
+}
+
+func newCrashingFleet(t *testing.T, upstreams int) *crashingFleet {
+	t.Helper()
+	c := &crashingFleet{fixture: newFixture(t)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for range upstreams {
+		c.start()
+	}
+	return c
+}
+
+// start adds an upstream. The caller holds mu.
+func (c *crashingFleet) start() {
+	c.started++
+	id := fmt.Sprint("c", c.started)
+	var srv *httptest.Server
+	srv = httptest.NewServer(c.record(id, func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.Header.Get("Prefix-Hash"), crashPart+":") {
+			events(w, r, 1, 3, false)
+			return
+		}
+		events(w, r, 1, 0, false)
+		_ = http.NewResponseController(w).Flush()
+		_ = srv.Listener.Close() // a second crash of the same upstream finds it closed
+		srv.CloseClientConnections()
+		c.crashed(id)
+		panic(http.ErrAbortHandler)
+	}))
+	c.t.Cleanup(srv.Close)
+	c.upstreams = append(c.upstreams, directory.Upstream{ID: id, Service: "s", Address: srv.Listener.Addr().String(), Slots: 4})
+	c.gateway.Pools.Reconcile(c.upstreams)
+}
+
+func (c *crashingFleet) crashed(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes++
+	for i, u := range c.upstreams {
+		if u.ID == id {
+			c.upstreams = append(c.upstreams[:i:i], c.upstreams[i+1:]...)
+			break
+		}
+	}
+	c.start()
+}
+
+func (c *crashingFleet) crashCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashes
+}
+
+// stream sends a request with the given prompt and returns the status and the body.
+func (c *crashingFleet) stream(prompt string) (int, string) {
+	r := c.request(http.MethodPost, "/stream/x", prompt)
+	r.Header.Set("Prefix-Hash", prompt)
+	status, _, body, _ := c.send(r)
+	return status, body
+}
+
+// Guards against a part of a prompt that crashes one upstream after the other: requests
+// with it differ in all else, come again and again, and share a part with sound ones.
+func TestPromptPartThatCrashesUpstreamsIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrashingFleet(t, 4)
+	const rounds, enoughCrashes = 12, 5
+	refused := 0
+	for i := range rounds {
+		status, _ := c.stream(fmt.Sprintf("aa:40,%s:30,own%d:500", crashPart, i))
+		if status == http.StatusServiceUnavailable {
+			refused++
+		}
+		for j := range 3 {
+			status, body := c.stream(fmt.Sprintf("aa:40,sound%d-%d:500", i, j))
+			g.Expect(status).To(Equal(http.StatusOK), "a sound request that shares the first part")
+			g.Expect(body).To(Equal(threeEventsBody))
+		}
+		time.Sleep(400 * time.Millisecond) // crashes at one moment may have another cause
+	}
+	g.Expect(c.crashCount()).To(BeNumerically("<=", enoughCrashes))
+	g.Expect(refused).To(BeNumerically(">=", rounds-enoughCrashes))
+}
