--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -12,7 +12,7 @@
 
 // suspectOf returns the quarantine's identification of the dispatched request.
 func suspectOf(d *wire.Dispatch) quarantine.Suspect {
-	return quarantine.Suspect{Fingerprint: quarantine.FingerprintOf(d.Account, d.Path, d.Body), Account: d.Account}
+	return quarantine.Suspect{Fingerprint: quarantine.FingerprintOf(d.Account, d.Path, d.Body), Account: d.Account, Parts: d.PromptParts}
 }
 
 // isolate waits, if the run is marked as isolated, until no other isolated run
@@ -31,13 +31,13 @@
 	if a.quarantine.Empty() {
 		return nil
 	}
-	return a.quarantine.Check(suspectOf(r.dispatch).Fingerprint)
+	return a.quarantine.Check(suspectOf(r.dispatch))
 }
 
 // callUpstream runs an attempt at the upstream. A crash is attributed to all
 // requests in flight there, and reported before the attempt's outcome is sent.
 func (a *Agent) callUpstream(r *run) (outcome.Outcome, error) {
-	f := a.inFlight.Start(suspectOf(r.dispatch))
+	f := a.inFlight.Start(suspectOf(r.dispatch), r.answerStarted)
 	defer a.inFlight.End(f)
 	o, err := a.upstream.run(r)
 	if fault.KindOf(err) == fault.Crashed {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -106,6 +106,13 @@
 	r.send(r.head)
 }
 
+// answerStarted reports whether a part of the answer has been sent.
+func (r *run) answerStarted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seq > r.dispatch.ResumeFrom
+}
+
 // sendChunk sends the next part of the answer and keeps it for a replay.
 func (r *run) sendChunk(data []byte) {
 	r.mu.Lock()
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -19,7 +19,7 @@
 	return records, c.do(ctx, http.MethodGet, opapi.PathQuarantine, nil, &records)
 }
 
-// quarantine prints the suspected and convicted requests.
+// quarantine prints the suspected and convicted requests and parts of prompts.
 func (t *tool) quarantine(ctx context.Context) error {
 	records, err := t.client.Quarantine(ctx)
 	if err != nil {
@@ -27,9 +27,13 @@
 	}
 	return t.print(records, func() {
 		w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
-		fmt.Fprintln(w, "FINGERPRINT\tCLIENT ACCOUNT\tSTATE\tUPSTREAMS CRASHED\tEXPIRES (UTC)")
+		fmt.Fprintln(w, "FINGERPRINT\tKIND\tCLIENT ACCOUNT\tSTATE\tUPSTREAMS CRASHED\tEXPIRES (UTC)")
 		for _, r := range records {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", r.Fingerprint, r.Account, r.State, strings.Join(r.CrashedUpstreams, ","), r.Expires.UTC().Format(time.DateTime))
+			kind := "request"
+			if r.Part {
+				kind = "part"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", r.Fingerprint, kind, r.Account, r.State, strings.Join(r.CrashedUpstreams, ","), r.Expires.UTC().Format(time.DateTime))
 		}
 		w.Flush()
 	})
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -37,6 +37,8 @@
 	Content string `json:"content"`
 }
 
+func (m ChatMessage) text() string { return m.Role + ": " + m.Content }
+
 // Resume asks an engine to continue a stream that another engine started.
 type Resume struct {
 	// Tokens is the number of tokens generated so far.
@@ -64,11 +66,21 @@
 	}
 	parts := make([]string, 0, len(c.Messages))
 	for _, m := range c.Messages {
-		parts = append(parts, m.Role+": "+m.Content)
+		parts = append(parts, m.text())
 	}
 	return strings.Join(parts, "\n")
 }
 
+// SharedParts returns the chat's messages with their roles, without the last one: other
+// requests may share them.
+func (c *Call) SharedParts() []string {
+	var parts []string
+	for _, m := range c.Messages[:max(len(c.Messages)-1, 0)] {
+		parts = append(parts, m.text())
+	}
+	return parts
+}
+
 // Choice is one alternative of a completion.
 type Choice struct {
 	Index int    `json:"index"`
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -16,6 +16,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/engineapi"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
@@ -169,7 +170,7 @@
 	prompt := call.PromptText()
 	req := &request{
 		prefix:   prompt[:min(len(prompt), routingPrefixBytes)],
-		dispatch: wire.Dispatch{Path: r.URL.Path, Model: call.Model, Stream: call.Stream},
+		dispatch: wire.Dispatch{Path: r.URL.Path, Model: call.Model, Stream: call.Stream, PromptParts: quarantine.PartFingerprints(call.SharedParts())},
 		pool:     modelPool(call.Model),
 	}
 	return parsedRequest{req: req, stream: call.Stream}, nil
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -50,10 +50,16 @@
 	if x.entry.quarantine.Empty() {
 		return quarantine.Record{State: quarantine.Clear}
 	}
+	return x.entry.quarantine.Lookup(x.suspect())
+}
+
+// suspect returns the quarantine's identification of the request.
+func (x *exchange) suspect() quarantine.Suspect {
+	d := &x.req.dispatch
 	if x.fingerprint == "" {
-		x.fingerprint = quarantine.FingerprintOf(x.req.account.Name, x.req.dispatch.Path, x.req.dispatch.Body)
+		x.fingerprint = quarantine.FingerprintOf(x.req.account.Name, d.Path, d.Body)
 	}
-	return x.entry.quarantine.Lookup(x.fingerprint)
+	return quarantine.Suspect{Fingerprint: x.fingerprint, Account: x.req.account.Name, Parts: d.PromptParts}
 }
 
 // checkQuarantine updates quarantineRecord and returns an error for a convicted
@@ -64,7 +70,7 @@
 		return nil
 	}
 	x.entry.count("quarantine.refused")
-	return x.entry.quarantine.Check(x.fingerprint)
+	return x.entry.quarantine.Check(x.suspect())
 }
 
 // isSuspected reports whether the request was in flight at a crash and may run
@@ -72,20 +78,23 @@
 func (x *exchange) isSuspected() bool { return x.lookupQuarantine().State == quarantine.Suspected }
 
 // clear reports to the peers, and to the agents of the upstreams that crashed,
-// that a suspect has succeeded.
+// that a suspect, or a request with a suspected part, has succeeded.
 func (x *exchange) clear() {
-	rec := x.lookupQuarantine()
-	if rec.State != quarantine.Suspected {
+	if x.entry.quarantine.Empty() {
+		return
+	}
+	upstreams := x.entry.quarantine.CrashedWith(x.suspect())
+	if len(upstreams) == 0 {
 		return
 	}
 	x.entry.count("quarantine.cleared")
 	r := quarantine.Report{
 		ID: uuid.NewString(), AtMS: clockwork.NewRealClock().Now().UnixMilli(), Cleared: true,
-		Suspects: []quarantine.Suspect{{Fingerprint: rec.Fingerprint, Account: rec.Account}},
+		Suspects: []quarantine.Suspect{x.suspect()},
 	}
 	x.entry.propagateReport(r)
 	m := wire.CrashReport(r)
-	for _, name := range rec.CrashedUpstreams {
+	for _, name := range upstreams {
 		if l := x.entry.links.byName(name); l != nil {
 			_ = l.send(&m)
 		}
--- a/internal/quarantine/inflight.go
+++ b/internal/quarantine/inflight.go
@@ -13,18 +13,20 @@
 
 // Run is one request in flight.
 type Run struct {
-	suspect    Suspect
-	crashCount int // crashes before the run started
+	suspect       Suspect
+	answerStarted func() bool
+	crashCount    int // crashes before the run started
 }
 
 // NewInFlight returns a tracker without requests.
 func NewInFlight() *InFlight { return &InFlight{runs: map[*Run]bool{}} }
 
-// Start records that the engine runs a request.
-func (f *InFlight) Start(s Suspect) *Run {
+// Start records that the engine runs a request. The parts of its prompt are suspects until
+// answerStarted returns true.
+func (f *InFlight) Start(s Suspect, answerStarted func() bool) *Run {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := &Run{suspect: s, crashCount: f.crashCount}
+	r := &Run{suspect: s, answerStarted: answerStarted, crashCount: f.crashCount}
 	f.runs[r] = true
 	return r
 }
@@ -52,7 +54,11 @@
 	for other := range f.runs {
 		if other.crashCount < f.crashCount && !included[other.suspect.Fingerprint] {
 			included[other.suspect.Fingerprint] = true
-			suspects = append(suspects, other.suspect)
+			s := other.suspect
+			if other.answerStarted() {
+				s.Parts = nil
+			}
+			suspects = append(suspects, s)
 		}
 	}
 	report(suspects)
--- /dev/null
+++ b/internal/quarantine/parts.go
@@ -0,0 +1,81 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// One part of a prompt may crash every engine that begins to write an answer on it. Other
+// parts of the same requests are in flight at the same crashes, also in sound requests. Two
+// things tell them apart: a success clears a part, and a crash is blamed on a part of a
+// request only if no part that the request lacks was in flight at all the same crashes.
+
+const (
+	// partThreshold is the number of crashes after which a part is convicted. By
+	// chance, a part that many requests share is in flight at one or two.
+	partThreshold = 3
+	// minCrashSpread is the least time between the first and the last of these crashes.
+	// Many upstreams may crash at one moment for another reason.
+	minCrashSpread = 1 * time.Second
+)
+
+// recurs reports whether the record's crashes are too many to be chance.
+func (r *Record) recurs() bool {
+	return len(r.crashes) >= partThreshold && r.lastCrash.Sub(r.firstCrash) >= minCrashSpread
+}
+
+// partToBlame returns the record of a convicted part among those of a request, or nil. The
+// caller must hold mu.
+func (t *Table) partToBlame(parts []Fingerprint) *Record {
+	for _, f := range parts {
+		if rec := t.unexpired(f); rec != nil && rec.State == Convicted && !t.blamedElsewhere(rec, parts) {
+			return rec
+		}
+	}
+	return nil
+}
+
+// blamedElsewhere reports whether a part that isn't among the given ones was in flight at
+// all crashes of the record. The caller must hold mu.
+func (t *Table) blamedElsewhere(rec *Record, parts []Fingerprint) bool {
+	for f, other := range t.records {
+		if !other.Part || other.State != Convicted || slices.Contains(parts, f) {
+			continue
+		}
+		if !slices.ContainsFunc(rec.crashes, func(crash string) bool { return !slices.Contains(other.crashes, crash) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// Recurring reports whether the request, or a part of it, was in flight at more than one
+// crash and has not succeeded since the first.
+func (t *Table) Recurring(s Suspect) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recurring(s)
+}
+
+// recurring is Recurring for a caller that holds mu.
+func (t *Table) recurring(s Suspect) bool {
+	return slices.ContainsFunc(append([]Fingerprint{s.Fingerprint}, s.Parts...), func(f Fingerprint) bool {
+		rec := t.unexpired(f)
+		return rec != nil && len(rec.crashes) > 1
+	})
+}
+
+// CrashedWith returns the upstreams that crashed while they ran the request, or one with a
+// part of it, since that was last cleared.
+func (t *Table) CrashedWith(s Suspect) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var upstreams []string
+	for _, f := range append([]Fingerprint{s.Fingerprint}, s.Parts...) {
+		if rec := t.unexpired(f); rec != nil {
+			upstreams = append(upstreams, rec.CrashedUpstreams...)
+		}
+	}
+	slices.Sort(upstreams)
+	return slices.Compact(upstreams)
+}
--- /dev/null
+++ b/internal/quarantine/parts_test.go
@@ -0,0 +1,122 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
+)
+
+// prompt returns a request with a content of its own and the given shared parts.
+func prompt(own string, parts ...string) quarantine.Suspect {
+	return quarantine.Suspect{Fingerprint: quarantine.FingerprintOf("a", "/p", []byte(own)), Account: "a", Parts: quarantine.PartFingerprints(parts)}
+}
+
+var _ = Describe("parts of prompts", func() {
+	var (
+		clock *clockwork.FakeClock
+		table *quarantine.Table
+		count int
+	)
+	crashed := func(crash string, suspects ...quarantine.Suspect) {
+		count++
+		table.Add(quarantine.Report{ID: fmt.Sprint(count), Crash: crash, Upstream: crash, AtMS: clock.Now().UnixMilli(), Suspects: suspects})
+	}
+	succeeded := func(s quarantine.Suspect) {
+		count++
+		table.Add(quarantine.Report{ID: fmt.Sprint(count), AtMS: clock.Now().UnixMilli(), Suspects: []quarantine.Suspect{s}, Cleared: true})
+	}
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClockAt(time.UnixMilli(0))
+		table = quarantine.NewTable(clock)
+	})
+
+	It("convicts a part at the third crash, and not the part that shares its requests", func() {
+		for i := range 3 {
+			Expect(table.Check(prompt("next", "first", "bad"))).To(Succeed())
+			crashed(fmt.Sprint("crash", i), prompt(fmt.Sprint("own", i), "first", "bad"))
+			clock.Advance(time.Second)
+		}
+		Expect(table.Check(prompt("next", "first", "bad"))).NotTo(Succeed())
+		Expect(table.Check(prompt("sound", "first"))).To(Succeed(), "the other part explains the crashes")
+		succeeded(prompt("sound", "first"))
+		Expect(table.Check(prompt("other", "second", "bad"))).NotTo(Succeed())
+		Expect(table.Lookup(prompt("other", "second", "bad")).Part).To(BeTrue())
+	})
+
+	It("counts one crash that several processes report once", func() {
+		for i := range 5 {
+			crashed("one", prompt(fmt.Sprint("own", i), "bad"))
+			clock.Advance(time.Second)
+		}
+		Expect(table.Check(prompt("next", "bad"))).To(Succeed())
+		Expect(table.Recurring(prompt("next", "bad"))).To(BeFalse())
+		crashed("two", prompt("own5", "bad"))
+		Expect(table.Recurring(prompt("next", "bad"))).To(BeTrue())
+	})
+
+	It("doesn't convict for upstreams that crash at the same moment", func() {
+		for i := range 10 {
+			crashed(fmt.Sprint("crash", i), prompt(fmt.Sprint("own", i), "popular"))
+		}
+		Expect(table.Check(prompt("next", "popular"))).To(Succeed())
+	})
+
+	It("clears a part that succeeds, also a convicted one", func() {
+		for i := range 4 {
+			crashed(fmt.Sprint("crash", i), prompt(fmt.Sprint("own", i), "unlucky"))
+			clock.Advance(time.Second)
+		}
+		Expect(table.Check(prompt("next", "unlucky"))).NotTo(Succeed())
+		succeeded(prompt("sent before the conviction", "unlucky"))
+		Expect(table.Check(prompt("next", "unlucky"))).To(Succeed())
+		Expect(table.CrashedWith(prompt("next", "unlucky"))).To(BeEmpty())
+	})
+
+	// Requests with one bad part come beside sound ones that share their other parts, and
+	// at each crash sound requests are in flight too.
+	It("refuses the bad part and no sound request on random schedules", func() {
+		for seed := range uint64(500) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			table = quarantine.NewTable(clock)
+			shared := func() string { return fmt.Sprint("shared", rng.IntN(1+rng.IntN(20))) }
+			crashes := 0
+			for i := range 30 {
+				bad := prompt(fmt.Sprint(seed, "bad", i), shared(), "bad")
+				if table.Check(bad) == nil {
+					suspects := []quarantine.Suspect{bad}
+					for j := range rng.IntN(4) {
+						suspects = append(suspects, prompt(fmt.Sprint(seed, "suspect", i, j), shared()))
+					}
+					crashes++
+					crashed(fmt.Sprint(seed, "crash", i), suspects...)
+				}
+				for j := range rng.IntN(6) {
+					sound := prompt(fmt.Sprint(seed, "sound", i, j), shared())
+					Expect(table.Check(sound)).To(Succeed(), "seed %d, request %d", seed, i)
+					succeeded(sound)
+				}
+				clock.Advance(time.Duration(rng.IntN(4000)) * time.Millisecond)
+			}
+			Expect(crashes).To(BeNumerically("<=", 5), "seed %d", seed)
+		}
+	})
+})
+
+var _ = Describe("InFlight", func() {
+	It("reports no parts of a request whose answer has begun", func() {
+		f := quarantine.NewInFlight()
+		begun := f.Start(prompt("begun", "part"), func() bool { return true })
+		f.Start(prompt("waiting", "part"), func() bool { return false })
+		var got []quarantine.Suspect
+		f.Crashed(begun, func(s []quarantine.Suspect) { got = s })
+		begunSuspect := prompt("begun", "part")
+		begunSuspect.Parts = nil
+		Expect(got).To(ConsistOf(begunSuspect, prompt("waiting", "part")))
+	})
+})
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -4,12 +4,16 @@
 // convicted and refused until the conviction expires. A suspect that succeeds
 // is cleared.
 //
+// The parts of prompts that requests share are suspects too, whatever else the
+// requests hold (see parts.go).
+//
 // A request is identified by its fingerprint, a hash of its client account and
 // content, because a caller that sends it again gives it a new ID. The package
 // opens no sockets; reports are exchanged by the messages of package wire.
 package quarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
@@ -48,10 +52,26 @@
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:16]))
 }
 
+// PartFingerprints returns the fingerprints of parts of a prompt, which requests of all
+// client accounts may share.
+func PartFingerprints(parts []string) []Fingerprint {
+	var list []Fingerprint
+	for _, part := range parts {
+		h := sha256.Sum256([]byte(part))
+		list = append(list, Fingerprint(hex.EncodeToString(h[:8])))
+	}
+	return list
+}
+
 // Suspect is a request that was in flight at a crash.
 type Suspect struct {
+	// Fingerprint is empty for a request whose content says nothing, such as one without
+	// a body.
 	Fingerprint Fingerprint
 	Account     string
+	// Parts are the parts of its prompt that other requests may share, if the answer had
+	// not begun.
+	Parts []Fingerprint
 }
 
 // Report describes one crash, or requests that were cleared.
@@ -60,6 +80,9 @@
 	ID string
 	// Upstream is the upstream whose engine crashed.
 	Upstream string
+	// Crash identifies the crash, since several processes may report the same one.
+	// Empty means that no other report describes it.
+	Crash string
 	// AtMS is the time by the sender's wall clock, in Unix milliseconds.
 	AtMS     int64
 	Suspects []Suspect
@@ -80,15 +103,21 @@
 	Convicted State = "convicted"
 )
 
-// Record is a table's state of one request.
+// Record is a table's state of one request, or of one part of prompts.
 type Record struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
-	Account     string      `json:"account"`
-	State       State       `json:"state"`
+	// Part is set for a part of prompts.
+	Part    bool   `json:"part"`
+	Account string `json:"account"`
+	State   State  `json:"state"`
 	// CrashedUpstreams are the upstreams whose engines crashed while they ran
 	// the request, with one element for each crash.
 	CrashedUpstreams []string  `json:"crashed"`
 	Expires          time.Time `json:"expires"`
+	// crashes identifies the crashes, in the order of CrashedUpstreams. firstCrash and
+	// lastCrash are their earliest and latest times.
+	crashes               []string
+	firstCrash, lastCrash time.Time
 }
 
 // Table holds the requests that were in flight at crashes. It is safe for
@@ -122,10 +151,15 @@
 	t.storeReport(r)
 	for _, s := range r.Suspects {
 		if r.Cleared {
-			t.clear(s.Fingerprint)
+			t.clear(s)
 			continue
 		}
-		t.recordCrash(s, r.Upstream, expires)
+		if s.Fingerprint != "" {
+			t.recordCrash(&Record{Fingerprint: s.Fingerprint, Account: s.Account}, r)
+		}
+		for _, part := range s.Parts {
+			t.recordCrash(&Record{Fingerprint: part, Part: true}, r)
+		}
 	}
 	return true
 }
@@ -141,25 +175,40 @@
 	}
 }
 
-// recordCrash counts a crash against a request. The caller must hold mu.
-func (t *Table) recordCrash(s Suspect, upstream string, expires time.Time) {
-	rec := t.unexpired(s.Fingerprint)
+// recordCrash counts a crash against a request or a part, whose record is created if there
+// is none. The caller must hold mu.
+func (t *Table) recordCrash(created *Record, r Report) {
+	rec := t.unexpired(created.Fingerprint)
 	if rec == nil {
-		rec = &Record{Fingerprint: s.Fingerprint, Account: s.Account, State: Suspected}
+		rec = created
+		rec.State = Suspected
 		t.insert(rec)
 	}
-	rec.CrashedUpstreams = append(rec.CrashedUpstreams, upstream)
-	rec.Expires = expires
-	if len(rec.CrashedUpstreams) >= ConvictionThreshold {
+	crash, at := cmp.Or(r.Crash, r.ID), time.UnixMilli(r.AtMS)
+	if slices.Contains(rec.crashes, crash) {
+		return
+	}
+	if len(rec.crashes) == 0 || at.Before(rec.firstCrash) {
+		rec.firstCrash = at
+	}
+	if at.After(rec.lastCrash) {
+		rec.lastCrash, rec.Expires = at, at.Add(Expiry)
+	}
+	rec.crashes = append(rec.crashes, crash)
+	rec.CrashedUpstreams = append(rec.CrashedUpstreams, r.Upstream)
+	if rec.Part && rec.recurs() || !rec.Part && len(rec.crashes) >= ConvictionThreshold {
 		rec.State = Convicted
 	}
 }
 
-// clear deletes a suspect's record; a conviction stays. The caller must hold
-// mu.
-func (t *Table) clear(f Fingerprint) {
-	if rec := t.records[f]; rec != nil && rec.State == Suspected {
-		delete(t.records, f)
+// clear deletes the records of a request that has succeeded and of its parts; a
+// conviction of the request itself stays. The caller must hold mu.
+func (t *Table) clear(s Suspect) {
+	if rec := t.records[s.Fingerprint]; rec != nil && rec.State == Suspected {
+		delete(t.records, s.Fingerprint)
+	}
+	for _, part := range s.Parts {
+		delete(t.records, part)
 	}
 }
 
@@ -185,14 +234,19 @@
 	}
 }
 
-// Lookup returns a copy of a request's record. Its State is Clear if there is
-// no record.
-func (t *Table) Lookup(f Fingerprint) Record {
+// Lookup returns a copy of the record that says how a request may be run: its own, or that
+// of a part to blame. The State is Clear if there is none.
+func (t *Table) Lookup(s Suspect) Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rec := t.unexpired(f)
+	rec := t.unexpired(s.Fingerprint)
+	if rec == nil || rec.State != Convicted {
+		if part := t.partToBlame(s.Parts); part != nil {
+			rec = part
+		}
+	}
 	if rec == nil {
-		return Record{Fingerprint: f, State: Clear}
+		return Record{Fingerprint: s.Fingerprint, State: Clear}
 	}
 	out := *rec
 	out.CrashedUpstreams = slices.Clone(rec.CrashedUpstreams)
@@ -209,6 +263,20 @@
 	})
 }
 
+// newReport is the age up to which every report is relevant.
+const newReport = 3 * time.Second
+
+// Relevant returns the reports, oldest first, that another process needs: the new ones, and
+// those of crashes with a request or a part that was in flight at several.
+func (t *Table) Relevant() []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	return slices.DeleteFunc(slices.Clone(t.reports), func(r Report) bool {
+		return now.Sub(time.UnixMilli(r.AtMS)) > newReport && (r.Cleared || !slices.ContainsFunc(r.Suspects, t.recurring))
+	})
+}
+
 // Empty reports whether the table holds no requests.
 func (t *Table) Empty() bool {
 	t.mu.Lock()
@@ -216,15 +284,18 @@
 	return len(t.records) == 0
 }
 
-// Check returns an error for a convicted request and nil for any other. The
-// error carries the time until the conviction expires.
-func (t *Table) Check(f Fingerprint) error {
-	rec := t.Lookup(f)
+// Check returns an error for a convicted request, or one with a convicted part, and nil for
+// any other. The error carries the time until the conviction expires.
+func (t *Table) Check(s Suspect) error {
+	rec := t.Lookup(s)
 	if rec.State != Convicted {
 		return nil
 	}
-	remedy := "change the request; it is on the quarantine list that operators see"
-	return fault.New(fault.Quarantined, remedy, "the request is in quarantine: %d upstreams crashed while running it", len(rec.CrashedUpstreams)).After(rec.Expires.Sub(t.clock.Now()))
+	remedy, what := "change the request; it is on the quarantine list that operators see", "the request"
+	if rec.Part {
+		remedy, what = "change the prompt; the part is on the quarantine list that operators see", "part "+string(rec.Fingerprint)+" of the prompt"
+	}
+	return fault.New(fault.Quarantined, remedy, "%s is in quarantine: %d upstreams crashed while running it", what, len(rec.CrashedUpstreams)).After(rec.Expires.Sub(t.clock.Now()))
 }
 
 // List returns the unexpired records, sorted by state, convicted ones first,
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -21,7 +21,7 @@
 	crash := func(id, upstream string, suspects ...quarantine.Suspect) quarantine.Report {
 		return quarantine.Report{ID: id, Upstream: upstream, AtMS: clock.Now().UnixMilli(), Suspects: suspects}
 	}
-	state := func(s quarantine.Suspect) quarantine.State { return table.Lookup(s.Fingerprint).State }
+	state := func(s quarantine.Suspect) quarantine.State { return table.Lookup(s).State }
 	BeforeEach(func() {
 		clock = clockwork.NewFakeClockAt(time.UnixMilli(0))
 		table = quarantine.NewTable(clock)
@@ -31,11 +31,11 @@
 		Expect(table.Empty()).To(BeTrue())
 		Expect(table.Add(crash("1", "e1", poison, innocent))).To(BeTrue())
 		Expect(state(poison)).To(Equal(quarantine.Suspected))
-		Expect(table.Check(poison.Fingerprint)).To(Succeed())
+		Expect(table.Check(poison)).To(Succeed())
 		Expect(table.Add(crash("2", "e2", poison))).To(BeTrue())
 		Expect(state(poison)).To(Equal(quarantine.Convicted))
 		Expect(state(innocent)).To(Equal(quarantine.Suspected))
-		e := fault.As(table.Check(poison.Fingerprint))
+		e := fault.As(table.Check(poison))
 		Expect(e.Kind).To(Equal(fault.Quarantined))
 		Expect(e.RetryAfter).To(Equal(quarantine.Expiry))
 		Expect(table.List()[0].CrashedUpstreams).To(Equal([]string{"e1", "e2"}))
@@ -80,15 +80,16 @@
 	suspect := func(name string) quarantine.Suspect {
 		return quarantine.Suspect{Fingerprint: quarantine.Fingerprint(name)}
 	}
+	notStarted := func() bool { return false }
 	It("attributes a crash once to the requests that were in flight", func() {
 		f := quarantine.NewInFlight()
 		var reports [][]quarantine.Suspect
 		report := func(s []quarantine.Suspect) { reports = append(reports, s) }
-		before := f.Start(suspect("before"))
+		before := f.Start(suspect("before"), notStarted)
 		f.End(before)
-		a, b := f.Start(suspect("a")), f.Start(suspect("b"))
+		a, b := f.Start(suspect("a"), notStarted), f.Start(suspect("b"), notStarted)
 		f.Crashed(b, report)
-		after := f.Start(suspect("after"))
+		after := f.Start(suspect("after"), notStarted)
 		f.Crashed(a, report)
 		Expect(reports).To(HaveLen(1))
 		Expect(reports[0]).To(ConsistOf(suspect("a"), suspect("b")))
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 )
 
@@ -117,6 +118,8 @@
 	// Isolated makes the attempt wait until no other isolated one runs at the
 	// agent.
 	Isolated bool
+	// PromptParts are the parts of the prompt that other requests may share.
+	PromptParts []quarantine.Fingerprint
 }
 
 // Accepted means that the agent has queued the attempt, or, in answer to an
