--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/gateway"
 	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 	"github.com/kingcupreel/kingcupreel/internal/settings"
 	"github.com/kingcupreel/kingcupreel/internal/upstream"
@@ -49,6 +50,7 @@
 	transport *upstream.Transport
 	gateway   *gateway.Gateway
 	exchange  *fleet.Exchange
+	crashes   *fleet.CrashReports
 	// reachability is updated by the datagrams of other processes and by answers.
 	reachability *fleet.Reachability
 }
@@ -101,7 +103,7 @@
 		Routes: g.routes, Directory: g.directory, Codec: platform.Headers{}, Transport: g.transport,
 		Pools:       gateway.NewPools(p.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		RetryLimits: retryLimits(p.node), MinOutage: p.node.MaxPartition,
-		Reachability: g.reachability, OnDeparture: func() { g.exchange.TriggerDigest() },
+		Reachability: g.reachability, OnDeparture: func() { g.exchange.TriggerDigest() }, OnCrashReport: func(r quarantine.Report) { g.crashes.Send(r) },
 		Clock: p.clock, Log: p.log, Metrics: p.metrics,
 	})
 	var err error
@@ -130,6 +132,7 @@
 		Self: g.fleet.self.Name, View: g.fleet.view, Datagrams: g.fleet.datagrams, Clock: g.clock, Log: g.log,
 		SharedState: &sharedState{routes: g.routes, directory: g.directory, fleet: g.fleet, applyConfiguration: g.configurationSink().ApplyConfiguration},
 	}
+	g.crashes = &fleet.CrashReports{Self: g.fleet.self.Name, View: g.fleet.view, Datagrams: g.fleet.datagrams, Table: g.gateway.Quarantine, Clock: g.clock, Log: g.log}
 	g.routes.OnChange(func(*routing.Table) { g.exchange.TriggerDigest() })
 	g.directory.OnDeparture(g.exchange.TriggerDigest)
 	mux := &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){
@@ -141,10 +144,11 @@
 	}
 	go g.fleet.datagrams.Run(work, func(from netip.AddrPort, m wire.Message) { g.handleDatagram(work, from, m) })
 	go g.exchange.Run(work)
+	go g.crashes.Run(work)
 	return nil
 }
 
-// handleDatagram handles another entry's digest or a rank's load report.
+// handleDatagram handles another entry's digest or crash report, or a rank's load report.
 func (g *gatewayProcess) handleDatagram(work context.Context, from netip.AddrPort, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.EntryDigest:
@@ -154,6 +158,8 @@
 		g.exchange.HandleDigest(work, from, m)
 	case *wire.RankLoad:
 		g.handleLoad(m)
+	case *wire.CrashReport:
+		g.crashes.Handle(m)
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/crashreports.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+const (
+	// crashReportInterval is how often an entry repeats one of its crash reports, for
+	// entries that have started since or have missed it.
+	crashReportInterval = 1 * time.Second
+	// crashReportFanout is how many entries get each repetition.
+	crashReportFanout = 4
+)
+
+// CrashReports tells other entries which requests were in flight at crashes, and learns it
+// from them.
+type CrashReports struct {
+	Self      string
+	View      *View
+	Datagrams *Datagrams
+	Table     *quarantine.Table
+	Clock     clockwork.Clock
+	Log       *zap.Logger
+}
+
+// Send sends a report to every entry.
+func (c *CrashReports) Send(r quarantine.Report) {
+	m := wire.CrashReport(r)
+	for _, p := range c.View.Members(RoleEntry) {
+		if p.Name != c.Self {
+			c.Datagrams.Send(p.Address, &m)
+		}
+	}
+}
+
+// Handle adds another entry's report.
+func (c *CrashReports) Handle(m *wire.CrashReport) {
+	if c.Table.Add(quarantine.Report(*m)) {
+		c.Log.Info("crash report received", zap.String("report", m.ID), zap.String("upstream", m.Upstream), zap.String("crash", m.Crash), zap.Int64("at_ms", m.AtMS), zap.Bool("cleared", m.Cleared), zap.Int("suspects", len(m.Suspects)))
+	}
+}
+
+// Run repeats the relevant reports one after the other until ctx is done.
+func (c *CrashReports) Run(ctx context.Context) {
+	ticker := c.Clock.NewTicker(crashReportInterval)
+	defer ticker.Stop()
+	for next := 0; ; next++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		reports := c.Table.Relevant()
+		if len(reports) == 0 {
+			continue
+		}
+		m := wire.CrashReport(reports[next%len(reports)])
+		peers := c.View.Members(RoleEntry)
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, p := range peers[:min(crashReportFanout, len(peers))] {
+			if p.Name != c.Self {
+				c.Datagrams.Send(p.Address, &m)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/crashreports_test.go
@@ -0,0 +1,74 @@
+package fleet_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fleet"
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
+)
+
+// reporter is one entry's exchange of crash reports.
+type reporter struct {
+	*fleet.CrashReports
+	address string
+}
+
+func newReporter(t *testing.T, ctx context.Context, name string) *reporter {
+	t.Helper()
+	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := probe.LocalAddr().String()
+	probe.Close()
+	datagrams, err := fleet.ListenDatagrams(address, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := clockwork.NewRealClock()
+	r := &reporter{address: address, CrashReports: &fleet.CrashReports{
+		Self: name, View: fleet.NewView(clock, zap.NewNop()), Datagrams: datagrams, Table: quarantine.NewTable(clock), Clock: clock, Log: zap.NewNop(),
+	}}
+	go datagrams.Run(ctx, func(_ netip.AddrPort, m wire.Message) { r.Handle(m.(*wire.CrashReport)) })
+	return r
+}
+
+func (r *reporter) knows(others ...*reporter) {
+	var items []kvstore.Item
+	for _, o := range append(others, r) {
+		value, _ := json.Marshal(fleet.Member{Name: o.Self, Role: fleet.RoleEntry, Address: o.address})
+		items = append(items, kvstore.Item{Key: "kingcupreel/members/" + o.Self, Value: value})
+	}
+	r.View.Replace(kvstore.Listing{Items: items})
+}
+
+// What one entry sees of crashes reaches the others at once, and one that starts later soon.
+func TestCrashReportsReachOtherEntries(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a, b, late := newReporter(t, ctx, "a"), newReporter(t, ctx, "b"), newReporter(t, ctx, "late")
+	a.knows(b)
+	bad := quarantine.Suspect{Parts: quarantine.PartFingerprints([]string{"bad"})}
+	first := time.Now().Add(-time.Minute)
+	for i, crash := range []string{"u1/1", "u2/1", "u3/1"} {
+		r := quarantine.Report{ID: crash, Upstream: crash, Crash: crash, AtMS: first.Add(time.Duration(i) * time.Second).UnixMilli(), Suspects: []quarantine.Suspect{bad}}
+		a.Table.Add(r)
+		a.Send(r)
+	}
+	g.Eventually(func() error { return b.Table.Check(bad) }, "5s").Should(HaveOccurred())
+	b.knows(late)
+	go b.Run(ctx)
+	g.Eventually(func() error { return late.Table.Check(bad) }, "10s").Should(HaveOccurred())
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,6 +45,8 @@
 	reply *bufferedResponse
 	// sent is set if the attempt counts toward the route's maximum.
 	sent bool
+	// crashed is set if the upstream ended with the request before its answer began.
+	crashed bool
 	// refused is set if the upstream refused the request, for example because
 	// it is full or leaving; this doesn't count as its failure.
 	refused bool
@@ -135,6 +137,9 @@
 	if last.attemptStatus == attemptNotRun {
 		return true
 	}
+	if last.crashed && q.g.Quarantine.Recurring(q.suspect()) {
+		return false
+	}
 	return q.route.Retryable()
 }
 
@@ -160,7 +165,10 @@
 		zap.String("upstream", m.ID), zap.String("address", m.Address), zap.String("fate", attemptStatusNames[res.attemptStatus]), zap.Error(res.cause),
 		zap.Int("attempt", q.attempts), zap.Bool("answer_started", q.answerStarted), zap.Duration("took", time.Since(start)), zap.Duration("left", q.remaining()),
 		zap.String("resume_after", q.resumeAfter()), zap.Int64("configuration", q.configurationVersion()))
-	q.crashedBeforeAnswer(m, res)
+	if q.crashedBeforeAnswer(m, res) {
+		q.reportCrash(m)
+		res.crashed = true
+	}
 	return res
 }
 
@@ -340,6 +348,7 @@
 	if reply.Status >= http.StatusInternalServerError {
 		return result{attemptStatus: attemptFailed, sent: true, reply: resp, cause: fault.New(fault.Crashed, "see the upstream's logs", "the upstream answered with status %d", reply.Status)}
 	}
+	q.clearSuspicion()
 	q.writeResponse(resp)
 	return result{attemptStatus: attemptDelivered, sent: true}
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,10 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 )
 
 // crashCheckTimeout bounds the check whether an upstream still listens. A host that is
@@ -33,3 +37,50 @@
 func connectionEnded(err error) bool {
 	return errors.Is(err, errEndsWithinEvent) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
+
+// suspect returns the quarantine's identification of the request. Requests without a body
+// are alike, so that only their parts tell them apart.
+func (q *request) suspect() quarantine.Suspect {
+	s := quarantine.Suspect{Account: q.account, Parts: quarantine.PartFingerprints(q.PromptParts)}
+	if len(q.body) > 0 {
+		s.Fingerprint = quarantine.FingerprintOf(q.account, q.r.RequestURI, q.body)
+	}
+	return s
+}
+
+// checkQuarantine returns an error for a request that crashes upstreams.
+func (q *request) checkQuarantine() error {
+	if q.g.Quarantine.Empty() {
+		return nil
+	}
+	return q.g.Quarantine.Check(q.suspect())
+}
+
+// reportCrash records that an upstream crashed with the request, and tells other entries.
+func (q *request) reportCrash(m *Member) {
+	q.g.shareReport(quarantine.Report{
+		ID: uuid.NewString(), Upstream: m.ID, Crash: m.ID + "/" + strconv.FormatInt(m.Started, 10),
+		AtMS: q.g.Clock.Now().UnixMilli(), Suspects: []quarantine.Suspect{q.suspect()},
+	})
+}
+
+// clearSuspicion records that the request's answer has begun, if an upstream had crashed
+// with it or with a part of it.
+func (q *request) clearSuspicion() {
+	if q.g.Quarantine.Empty() {
+		return
+	}
+	s := q.suspect()
+	if crashed := q.g.Quarantine.CrashedWith(s); len(crashed) > 0 {
+		q.log.Info("request in flight at crashes has succeeded", zap.Strings("crashed", crashed), zap.Strings("parts", q.PromptParts))
+		q.g.shareReport(quarantine.Report{ID: uuid.NewString(), AtMS: q.g.Clock.Now().UnixMilli(), Suspects: []quarantine.Suspect{s}, Cleared: true})
+	}
+}
+
+// shareReport adds a report to the quarantine and passes it on to other entries.
+func (g *Gateway) shareReport(r quarantine.Report) {
+	g.Quarantine.Add(r)
+	if g.OnCrashReport != nil {
+		g.OnCrashReport(r)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/directory"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 	"github.com/kingcupreel/kingcupreel/internal/upstream"
 )
@@ -96,9 +97,15 @@
 	// OnDeparture, if not nil, is called after an answer has shown that an upstream is
 	// leaving and the directory has recorded it.
 	OnDeparture func()
-	Clock       clockwork.Clock
-	Log         *zap.Logger
-	Metrics     metrics.Registry
+	// Quarantine holds the requests that were in flight at crashes; nil means a table of
+	// the gateway's own.
+	Quarantine *quarantine.Table
+	// OnCrashReport, if not nil, is called with each report that the gateway has added to
+	// the quarantine. It must not block.
+	OnCrashReport func(quarantine.Report)
+	Clock         clockwork.Clock
+	Log           *zap.Logger
+	Metrics       metrics.Registry
 }
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -126,6 +133,9 @@
 		startedAt:    o.Clock.Now(),
 		bodyMemory:   newBodyBudget(maxBodyMemory),
 	}
+	if g.Quarantine == nil {
+		g.Quarantine = quarantine.NewTable(o.Clock)
+	}
 	if g.MinOutage == 0 {
 		g.MinOutage = defaultMinOutage
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -108,6 +108,10 @@
 		return err
 	}
 	q.g.retryBudget(q.service).RecordRequest()
+	if err := q.checkQuarantine(); err != nil {
+		q.finish()
+		return err
+	}
 	return nil
 }
 
@@ -220,13 +224,14 @@
 
 // answer sends the gateway's own final answer. A request that may have run
 // never gets a status that promises that it has not: that status becomes 502.
-// For a request that has not run, every 5xx status becomes 503, which says so.
+// For a request that has not run, every 5xx status becomes 503, which says so, and so does
+// that of a request in quarantine, which may run once the quarantine ends.
 func (q *request) answer(f *fault.Error, o outcome.Outcome) {
 	status := f.Status()
 	if o != outcome.NotRun && promisesNotRun(status) {
 		status = http.StatusBadGateway
 	}
-	if o == outcome.NotRun && status >= http.StatusInternalServerError {
+	if o == outcome.NotRun && (status >= http.StatusInternalServerError || f.Kind == fault.Quarantined) {
 		status = http.StatusServiceUnavailable
 	}
 	q.g.stats.recordAnswer(q.service, q.account, o, status, time.Since(q.startedAt))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,6 +48,7 @@
 		m.Hear()
 		if !q.answerStarted {
 			q.answerStarted = true
+			q.clearSuspicion()
 			m.MarkAnswered(time.Since(q.attemptStartedAt))
 		}
 		if id := eventID(event); id != "" {
