--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -160,6 +160,7 @@
 		g.handleLoad(m)
 	case *wire.CrashReport:
 		g.crashes.Handle(m)
+		g.gateway.EnforceQuarantine()
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,14 +63,9 @@
 func (q *request) run() {
 	var last result
 	for {
-		var m *Member
-		if errors.Is(last.cause, errSilentUpstream) {
-			m = q.pickAfterSilence()
-		} else {
-			m = q.pick()
-		}
-		if m == nil {
-			q.conclude(last, errNoUpstream.After(q.retryAfter()))
+		m, err := q.nextUpstream(last)
+		if err != nil {
+			q.conclude(last, err)
 			return
 		}
 		retry := q.attempts > 0
@@ -90,6 +85,28 @@
 	}
 }
 
+// nextUpstream chooses the upstream for the attempt after the last one. It may wait for one;
+// the request may be put into quarantine before or meanwhile.
+func (q *request) nextUpstream(last result) (*Member, error) {
+	if err := q.checkQuarantine(); err != nil {
+		return nil, err
+	}
+	var m *Member
+	if errors.Is(last.cause, errSilentUpstream) {
+		m = q.pickAfterSilence()
+	} else {
+		m = q.pick()
+	}
+	if m == nil {
+		return nil, errNoUpstream.After(q.retryAfter())
+	}
+	if err := q.checkQuarantine(); err != nil {
+		m.Finish(false, false)
+		return nil, err
+	}
+	return m, nil
+}
+
 var (
 	errNoUpstream  = fault.New(fault.Unavailable, "try again shortly", "no upstream of the service can take the request")
 	errRetryBudget = fault.New(fault.Unavailable, "try again shortly", "the service's retry budget is exhausted").After(overloadRetryAfter)
@@ -158,7 +175,7 @@
 	if res.attemptStatus != attemptNotRun && res.attemptStatus != attemptDelivered {
 		q.mayHaveRun = true
 	}
-	upstreamFailed := (res.attemptStatus == attemptUnknown || res.attemptStatus == attemptBroken || res.attemptStatus == attemptNotRun && !res.refused) && q.ctx.Err() == nil
+	upstreamFailed := fault.KindOf(res.cause) != fault.Quarantined && (res.attemptStatus == attemptUnknown || res.attemptStatus == attemptBroken || res.attemptStatus == attemptNotRun && !res.refused) && q.ctx.Err() == nil
 	m.Finish(q.answerStarted, upstreamFailed)
 	q.g.stats.recordAttempt(q.service, res.attemptStatus, time.Since(start))
 	q.log.Info("attempt ended",
@@ -182,6 +199,15 @@
 	return ctx
 }
 
+// endAttemptWith ends the attempt in progress, if there is one.
+func (q *request) endAttemptWith(cause error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.attemptAt != nil {
+		q.cancelAttempt(cause)
+	}
+}
+
 func (q *request) endAttempt() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -41,11 +41,13 @@
 // suspect returns the quarantine's identification of the request. Requests without a body
 // are alike, so that only their parts tell them apart.
 func (q *request) suspect() quarantine.Suspect {
-	s := quarantine.Suspect{Account: q.account, Parts: quarantine.PartFingerprints(q.PromptParts)}
-	if len(q.body) > 0 {
-		s.Fingerprint = quarantine.FingerprintOf(q.account, q.r.RequestURI, q.body)
-	}
-	return s
+	q.suspectOnce.Do(func() {
+		q.suspectValue = quarantine.Suspect{Account: q.account, Parts: quarantine.PartFingerprints(q.PromptParts)}
+		if len(q.body) > 0 {
+			q.suspectValue.Fingerprint = quarantine.FingerprintOf(q.account, q.r.RequestURI, q.body)
+		}
+	})
+	return q.suspectValue
 }
 
 // checkQuarantine returns an error for a request that crashes upstreams.
@@ -77,9 +79,24 @@
 	}
 }
 
+// EnforceQuarantine ends the attempts of requests in quarantine if there are new
+// convictions: an upstream that has not begun with such a request doesn't crash then.
+func (g *Gateway) EnforceQuarantine() {
+	n := int64(g.Quarantine.Convictions())
+	if g.enforcedConvictions.Swap(n) == n {
+		return
+	}
+	for _, r := range g.inProgress() {
+		if err := r.checkQuarantine(); err != nil {
+			r.endAttemptWith(err)
+		}
+	}
+}
+
 // shareReport adds a report to the quarantine and passes it on to other entries.
 func (g *Gateway) shareReport(r quarantine.Report) {
 	g.Quarantine.Add(r)
+	g.EnforceQuarantine()
 	if g.OnCrashReport != nil {
 		g.OnCrashReport(r)
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +13,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kingcupreel/kingcupreel/internal/directory"
+	"github.com/kingcupreel/kingcupreel/internal/dispatch"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 )
 
 // crashPart is the part of a prompt that crashes upstreams.
@@ -108,3 +111,64 @@
 	g.Expect(c.crashCount()).To(BeNumerically("<=", enoughCrashes))
 	g.Expect(refused).To(BeNumerically(">=", rounds-enoughCrashes))
 }
+
+// convict reports three crashes with the part, as other entries would.
+func (f *fixture) convict(part string) {
+	first := time.Now().Add(-time.Minute)
+	for i := range 3 {
+		f.gateway.Quarantine.Add(quarantine.Report{
+			ID: fmt.Sprint("report", i), AtMS: first.Add(time.Duration(i) * time.Second).UnixMilli(),
+			Suspects: []quarantine.Suspect{{Parts: quarantine.PartFingerprints([]string{part})}},
+		})
+	}
+	f.gateway.EnforceQuarantine()
+}
+
+// Guards against a crash that is known to come: a request with a part that is convicted
+// while the request waits in an upstream's queue is withdrawn, and not sent again.
+func TestRequestInAnUpstreamsQueueIsWithdrawnAtAConviction(t *testing.T) {
+	g := NewWithT(t)
+	ended := make(chan struct{}, 2)
+	queue := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices a closed connection after the body
+		<-r.Context().Done()
+		ended <- struct{}{}
+	}
+	f := newFixture(t, queue, queue)
+	r := f.request(http.MethodPost, "/stream/x", "prompt")
+	r.Header.Set("Deadline-Ms", "20000")
+	r.Header.Set("Prefix-Hash", "aa:40,bad1:30,own:500")
+	status := make(chan int, 1)
+	go func() {
+		s, _, _, _ := f.send(r)
+		status <- s
+	}()
+	g.Eventually(f.arrived, "10s").Should(HaveLen(1))
+	f.convict("bad1")
+	g.Eventually(status, "10s").Should(Receive(Equal(http.StatusBadGateway)))
+	g.Eventually(ended, "10s").Should(Receive())
+	g.Expect(f.arrived()).To(HaveLen(1))
+}
+
+// Guards against a crash that is known to come, at the end of an outage: a request with a
+// part that is convicted while the request waits for its group isn't sent.
+func TestRequestThatWaitsForItsGroupIsRefusedAfterAConviction(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, abort)
+	f.gateway.MinOutage = -1
+	f.routes.Apply(groupConfiguration(), time.Now())
+	f.report(dispatch.Load{GroupServing: false})
+	r := f.request(http.MethodPost, "/stream/x", "prompt")
+	r.Header.Set("Deadline-Ms", "100000")
+	r.Header.Set("Prefix-Hash", "aa:40,bad1:30,own:500")
+	status := make(chan int, 1)
+	go func() {
+		s, _, _, _ := f.send(r)
+		status <- s
+	}()
+	g.Eventually(func() int { return f.gateway.Pools.Waiting("s") }, "10s").Should(Equal(1))
+	f.convict("bad1")
+	f.report(dispatch.Load{GroupServing: true, Slowness: 1})
+	g.Eventually(status, "10s").Should(Receive(Equal(http.StatusServiceUnavailable)))
+	g.Expect(f.arrived()).To(BeEmpty())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,8 @@
 	stats     *stats
 	draining  atomic.Bool
 	startedAt time.Time
+	// enforcedConvictions is the quarantine's number of convictions that have been acted on.
+	enforcedConvictions atomic.Int64
 
 	mu           sync.Mutex
 	running      map[*request]struct{}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 )
 
@@ -41,6 +42,10 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
+	// suspectValue is set under suspectOnce.
+	suspectOnce  sync.Once
+	suspectValue quarantine.Suspect
+
 	mu        sync.Mutex // leaf; guards the fields up to cancelAttempt
 	timer     *time.Timer
 	expiresAt time.Time
@@ -108,10 +113,6 @@
 		return err
 	}
 	q.g.retryBudget(q.service).RecordRequest()
-	if err := q.checkQuarantine(); err != nil {
-		q.finish()
-		return err
-	}
 	return nil
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -132,6 +132,8 @@
 	order     []Fingerprint
 	reports   []Report
 	reportIDs map[string]bool
+	// convictions counts the convictions so far.
+	convictions int
 }
 
 // NewTable returns an empty table.
@@ -196,8 +198,9 @@
 	}
 	rec.crashes = append(rec.crashes, crash)
 	rec.CrashedUpstreams = append(rec.CrashedUpstreams, r.Upstream)
-	if rec.Part && rec.recurs() || !rec.Part && len(rec.crashes) >= ConvictionThreshold {
+	if rec.State != Convicted && (rec.Part && rec.recurs() || !rec.Part && len(rec.crashes) >= ConvictionThreshold) {
 		rec.State = Convicted
+		t.convictions++
 	}
 }
 
@@ -277,6 +280,13 @@
 	})
 }
 
+// Convictions returns the number of convictions so far, for a caller that acts on new ones.
+func (t *Table) Convictions() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.convictions
+}
+
 // Empty reports whether the table holds no requests.
 func (t *Table) Empty() bool {
 	t.mu.Lock()
