--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -192,15 +192,12 @@
 // relayBody sends the body in chunks.
 func relayBody(r *run, body io.Reader) error {
 	for {
-		part := make([]byte, bodyChunkSize)
-		n, err := io.ReadFull(body, part)
-		if n > 0 {
-			r.sendChunk(part[:n])
+		// io.ReadFull gives an answer that was cut off the error of one that has ended.
+		part, err := io.ReadAll(io.LimitReader(body, bodyChunkSize))
+		if len(part) > 0 {
+			r.sendChunk(part)
 		}
-		if err == io.EOF || err == io.ErrUnexpectedEOF {
-			return nil
-		}
-		if err != nil {
+		if err != nil || len(part) < bodyChunkSize {
 			return err
 		}
 	}
