--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -35,7 +35,7 @@
 // connectionEnded reports whether an answer broke off since the upstream closed or reset its
 // connection.
 func connectionEnded(err error) bool {
-	return errors.Is(err, errEndsWithinEvent) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return errors.Is(err, errEndsTooSoon) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // suspect returns the quarantine's identification of the request. Requests without a body
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,7 +23,7 @@
 	maxEventBytes = 128 << 10
 )
 
-var errEndsWithinEvent = fault.New(fault.Crashed, "no action needed if the route is resumable; otherwise send the request again if it may run twice", "the upstream's stream ended within an event")
+var errEndsTooSoon = fault.New(fault.Crashed, "no action needed if the route is resumable; otherwise send the request again if it may run twice", "the upstream's stream ended within an event or before the first")
 
 // forwardStream forwards a stream to the caller in complete events only: an
 // upstream may stop in the middle of an event, and a stream that resumes at
@@ -73,7 +73,9 @@
 // finishStream returns the result of a stream that ended with err. partial is
 // the data after the last complete event.
 func (q *request) finishStream(reply *upstream.Reply, partial []byte, err error) result {
-	if errors.Is(err, io.EOF) && len(partial) == 0 {
+	// An upstream that has ended closes its connection too.
+	begun := q.answerStarted || reply.Delimited() || q.resumeAfter() != ""
+	if errors.Is(err, io.EOF) && len(partial) == 0 && begun {
 		if !q.headSent {
 			q.writeHead(reply.Status, reply.Header)
 		}
@@ -81,7 +83,7 @@
 		return result{attemptStatus: attemptDelivered, sent: true}
 	}
 	if errors.Is(err, io.EOF) {
-		err = errEndsWithinEvent
+		err = errEndsTooSoon
 	}
 	if q.headSent {
 		return result{attemptStatus: attemptBroken, sent: true, cause: err}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -160,11 +160,17 @@
 	c.reusableUntil = time.Now().Add(timeout)
 }
 
+// delimited reports whether a response states where its body ends. Otherwise the body ends
+// with the connection.
+func delimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // discardBody reads and drops the rest of a response body so that the next
 // response can be read from the connection. It fails if the body's end is not
 // marked by a length or by chunks, or if the body exceeds limit bytes.
 func discardBody(resp *http.Response, limit int64) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if !delimited(resp) {
 		return errMismatched
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -248,6 +248,10 @@
 // ContentLength returns the length that the response states for its body, -1 if none.
 func (r *Reply) ContentLength() int64 { return r.resp.ContentLength }
 
+// Delimited reports whether the response states where its body ends. Without that, the end
+// of the connection ends the body, whether or not the upstream had finished.
+func (r *Reply) Delimited() bool { return delimited(r.resp) }
+
 // Discard reads the rest of a short body, so that Close can keep the connection.
 func (r *Reply) Discard() {
 	// Without the end of the body, Close resets the connection.
