--- /dev/null
+++ b/test/soak/badpart_test.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/standin/link"
+)
+
+const (
+	// badPart is the part of a prompt that crashes the upstream which begins to answer.
+	// Sound requests share soundPart with it.
+	badPart, soundPart = "bad1:30", "50a1:40"
+	// badFraction is the fraction of the streams that have badPart.
+	badFraction = 0.04
+	// badRequestPrefix begins the ids of such requests.
+	badRequestPrefix = "bad-"
+	// inTouchTime is how long a process must have been without a fault, and the time after
+	// the fifth crash from which requests with the part are counted.
+	inTouchTime = 3 * time.Second
+	// maxCrashes is the number of crashes after which such requests should be known, and
+	// maxLateBad the number of them that may still reach upstreams.
+	maxCrashes, maxLateBad = 5, 3
+	// crashTime is how long an upstream that has crashed is away.
+	crashTime = 600 * time.Millisecond
+)
+
+// badRequests tracks the requests with badPart.
+type badRequests struct {
+	mu sync.Mutex
+	// sent holds the process and the time to which and at which each was sent.
+	sent    map[string]sentRequest
+	crashes []time.Time
+	// late counts those that reached upstreams although they should have been known.
+	late int
+}
+
+type sentRequest struct {
+	process *process
+	at      time.Time
+}
+
+func (b *badRequests) send(id string, p *process) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sent[id] = sentRequest{p, time.Now()}
+}
+
+// arrive records that a request with badPart has reached an upstream.
+func (b *badRequests) arrive(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.sent[id]
+	if len(b.crashes) >= maxCrashes && s.at.After(b.crashes[maxCrashes-1].Add(inTouchTime)) && s.process.inTouch() {
+		b.late++
+	}
+}
+
+func (b *badRequests) crash() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crashes = append(b.crashes, time.Now())
+}
+
+func (b *badRequests) check(r *recorder) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.late > maxLateBad {
+		r.recordViolation("%d requests with a part under which %d upstreams had crashed reached upstreams later; %d crashed in all", b.late, maxCrashes, len(b.crashes))
+	}
+}
+
+// sendToCalmProcesses sends requests with badPart through all processes once these have been
+// without faults for a while. They come too slowly to crash all upstreams at once.
+func (b *badRequests) sendToCalmProcesses(c *caller) {
+	const rounds, pause = 12, 200 * time.Millisecond
+	time.Sleep(inTouchTime + pause)
+	for n := range rounds {
+		for i, p := range c.d.processes {
+			_, _ = c.send(p, "/stream/", fmt.Sprintf("%scalm-%d-%d", badRequestPrefix, n, i)) // these requests earn nothing
+		}
+		time.Sleep(pause)
+	}
+}
+
+// disturb marks the process as disturbed until the returned function is called.
+func (p *process) disturb() (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.disturbances++
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.disturbances--
+		p.disturbedAt = time.Now()
+	}
+}
+
+func (p *process) inTouch() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.disturbances == 0 && time.Since(p.disturbedAt) > inTouchTime
+}
+
+// listener is a link's listener that can be closed and opened again.
+type listener struct {
+	link    *link.Link
+	address string
+	close   func()
+}
+
+// crash ends the upstream's connections and refuses new ones for crashTime. It comes back
+// as another incarnation.
+func (u *upstream) crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.crashed {
+		return
+	}
+	u.crashed = true
+	u.d.bad.crash()
+	u.listener.close()
+	_ = u.listener.link.SetMode(link.Drop) // every mode used is valid
+	_ = u.listener.link.SetMode(link.Pass)
+	time.AfterFunc(crashTime, u.restart)
+}
+
+func (u *upstream) restart() {
+	ln, err := net.Listen("tcp", u.address)
+	if err != nil {
+		u.d.recorder.recordViolation("harness: upstream %s can't listen again: %v", u.address, err)
+		return
+	}
+	u.mu.Lock()
+	u.crashed = false
+	u.listener.close = u.d.forward(u.listener.link, ln)
+	u.mu.Unlock()
+	u.registerIncarnation()
+}
+
+// answerBad begins an answer and crashes.
+func (u *upstream) answerBad(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_ = http.NewResponseController(w).Flush()
+	u.crash()
+	panic(http.ErrAbortHandler)
+}
+
+func isBad(r *http.Request) bool { return strings.Contains(r.Header.Get("Prefix-Hash"), badPart) }
+
+// unframed sends an answer with neither a length nor chunks and ends the connection. With
+// truncate it ends a stream within its last event.
+func unframed(w http.ResponseWriter, body string, truncate bool) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	if truncate {
+		body = body[:len(body)-3]
+	}
+	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\n") // a failed write shows as a broken answer
+	_ = w.Header().Write(buf)
+	_, _ = buf.WriteString("\r\n" + body)
+	_ = buf.Flush()
+}
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -40,6 +40,7 @@
 	dir      string
 	kvStore  *kv.Store
 	recorder *recorder
+	bad      *badRequests
 
 	upstreams     []*upstream
 	processes     []*process
@@ -60,6 +61,9 @@
 	exitErr error
 	// stopping is true while the test stops the process.
 	stopping bool
+	// disturbances is the number of faults in progress, disturbedAt the end of the last.
+	disturbances int
+	disturbedAt  time.Time
 	// accepted is true once the process has accepted a connection, testEnded
 	// once the test has ended.
 	accepted, testEnded bool
@@ -72,16 +76,25 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	l := link.New(target)
+	d.forward(l, ln)
+	return l, ln.Addr().String()
+}
+
+// forward serves a link on a listener until the returned function is called.
+func (d *deployment) forward(l *link.Link, ln net.Listener) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.t.Cleanup(cancel)
-	l := link.New(target)
 	go func() { _ = l.Serve(ctx, ln) }()
-	return l, ln.Addr().String()
+	return func() {
+		cancel()
+		ln.Close()
+	}
 }
 
 func newDeployment(t *testing.T, seed uint64) *deployment {
 	t.Helper()
-	d := &deployment{t: t, seed: seed, dir: t.TempDir(), kvStore: kv.NewStore(clockwork.NewRealClock()), recorder: newRecorder()}
+	d := &deployment{t: t, seed: seed, dir: t.TempDir(), kvStore: kv.NewStore(clockwork.NewRealClock()), recorder: newRecorder(), bad: &badRequests{sent: map[string]sentRequest{}}}
 	store := httptest.NewServer(kv.NewServer(d.kvStore).Handler())
 	t.Cleanup(store.CloseClientConnections)
 	for i := range 3 {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -85,13 +85,20 @@
 			status, _ := probe.send(p, "/safe/", fmt.Sprintf("probe-%d", n))
 			return status
 		}, recoveryTimeout).Should(Equal(http.StatusOK), "%s serves again", p.name)
+		g.Eventually(func() int {
+			n++
+			status, _ := probe.send(p, "/stream/", fmt.Sprintf("probe-%d", n))
+			return status
+		}, recoveryTimeout).Should(Equal(http.StatusOK), "%s serves streams that share a part with those that crash upstreams", p.name)
 	}
 	close(stop)
 	running.Wait()
+	d.bad.sendToCalmProcesses(probe)
 	expected.check(d.recorder)
+	d.bad.check(d.recorder)
 	d.recorder.mu.Lock()
 	defer d.recorder.mu.Unlock()
-	t.Logf("%d requests ran, %d were reported as not run", len(d.recorder.runs), len(expected.notRun))
+	t.Logf("%d requests ran, %d were reported as not run; %d crashes, %d late requests with the part", len(d.recorder.runs), len(expected.notRun), len(d.bad.crashes), d.bad.late)
 	g.Expect(d.recorder.violations).To(BeEmpty())
 	g.Expect(len(d.recorder.runs)).To(BeNumerically(">", 20), "the callers were served")
 }
@@ -124,6 +131,13 @@
 
 // injectFault injects one fault and ends it after the duration.
 func (d *deployment) injectFault(kind int, p *process, u *upstream, duration time.Duration) {
+	disturbed := []*process{p}
+	if kind >= 8 {
+		disturbed = d.processes // the store, which all processes read
+	}
+	for _, p := range disturbed {
+		defer p.disturb()()
+	}
 	setMode := func(l *link.Link, m link.Mode) {
 		_ = l.SetMode(m) // every mode used is valid
 		time.Sleep(duration)
@@ -220,6 +234,9 @@
 	p := c.d.processes[c.rand.IntN(gateways)]
 	prefix := []string{"/safe/", "/unsafe/", "/stream/"}[c.rand.IntN(3)]
 	id := fmt.Sprintf("r-%d-%d", c.id, n)
+	if prefix == "/stream/" && c.rand.Float64() < badFraction {
+		id = badRequestPrefix + id
+	}
 	status, body := c.send(p, prefix, id)
 	r := c.d.recorder
 	c.expected.mu.Lock()
@@ -248,7 +265,7 @@
 func fullStream(id string) string {
 	var b strings.Builder
 	for i := 1; i <= streamEvents; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", i, id, i)
+		b.WriteString(streamEvent(id, i))
 	}
 	return b.String()
 }
@@ -265,6 +282,14 @@
 	r.Header.Set("Request-Id", id)
 	r.Header.Set("Deadline-Ms", "3000")
 	r.Header.Set("Authorization", "Bearer "+apiKey)
+	if prefix == "/stream/" {
+		parts := soundPart
+		if strings.HasPrefix(id, badRequestPrefix) {
+			parts += "," + badPart
+			c.d.bad.send(id, p)
+		}
+		r.Header.Set("Prefix-Hash", parts+","+id+":500")
+	}
 	resp, err := c.client.Do(r)
 	if err != nil {
 		time.Sleep(20 * time.Millisecond) // a process that has exited refuses connections at once
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -62,17 +63,25 @@
 	link    *link.Link
 	address string
 
-	mu   sync.Mutex
-	id   string
-	born int64
-	rand *rand.Rand
+	mu sync.Mutex
+	// crashed is true while the upstream is away after a crash.
+	crashed  bool
+	listener listener
+	id       string
+	born     int64
+	rand     *rand.Rand
 }
 
 func (d *deployment) addUpstream(i int) {
 	u := &upstream{d: d, rand: rand.New(rand.NewPCG(d.seed, uint64(100+i)))}
 	srv := httptest.NewServer(u)
 	d.t.Cleanup(srv.CloseClientConnections)
-	u.link, u.address = d.serveLink("127.0.0.1", srv.Listener.Addr().String())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	u.link, u.address = link.New(srv.Listener.Addr().String()), ln.Addr().String()
+	u.listener = listener{link: u.link, address: u.address, close: d.forward(u.link, ln)}
 	d.upstreams = append(d.upstreams, u)
 	u.registerIncarnation()
 }
@@ -150,10 +159,18 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if isBad(r) {
+		u.d.bad.arrive(request)
+	}
 	u.d.recorder.recordRun(request)
 	time.Sleep(pause)
 	w.Header().Set("Server-Stamp", "stamp")
+	if isBad(r) {
+		u.answerBad(w)
+	}
 	switch {
+	case x > 0.9 && x < 1:
+		u.answerUnframed(w, r, body, x > 0.96)
 	case x < 0.10:
 		panic(http.ErrAbortHandler) // the request has run and its answer is lost
 	case x < 0.13:
@@ -165,6 +182,26 @@
 	}
 }
 
+// answerUnframed answers without a length or chunks.
+func (u *upstream) answerUnframed(w http.ResponseWriter, r *http.Request, body []byte, truncate bool) {
+	if !strings.HasPrefix(r.URL.Path, "/stream/") {
+		unframed(w, fmt.Sprintf("%s %s", r.Header.Get("Request-Id"), body), false)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without the header
+	text := ""
+	for i := last + 1; i <= streamEvents; i++ {
+		text += streamEvent(r.Header.Get("Request-Id"), i)
+	}
+	unframed(w, text, truncate && text != "")
+}
+
+// streamEvent returns event i of a request's stream.
+func streamEvent(id string, i int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, id, i)
+}
+
 // stream sends the events after the caller's last one. With truncate it breaks
 // the connection off within an event.
 func (u *upstream) stream(w http.ResponseWriter, r *http.Request, truncate bool) {
@@ -176,7 +213,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, r.Header.Get("Request-Id"), i)
+		_, _ = io.WriteString(w, streamEvent(r.Header.Get("Request-Id"), i)) // the caller may have left
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(5 * time.Millisecond)
 	}
