--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -185,6 +185,9 @@
 	if q.crashedBeforeAnswer(m, res) {
 		q.reportCrash(m)
 		res.crashed = true
+		if q.isRankGroup() {
+			m.SuspendGroup()
+		}
 	}
 	return res
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -172,3 +172,16 @@
 	g.Eventually(status, "10s").Should(Receive(Equal(http.StatusServiceUnavailable)))
 	g.Expect(f.arrived()).To(BeEmpty())
 }
+
+// Guards against a wait for a group that is known to have lost a rank: another rank would
+// refuse the request only once the group has noticed, and counts as reached.
+func TestRequestIsNotSentToTheGroupOfACrashedRank(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrashingFleet(t, 3)
+	c.gateway.MinOutage = time.Hour
+	c.routes.Apply(groupConfiguration(), time.Now())
+	c.report(dispatch.Load{GroupServing: true, Slowness: 1, Group: "g", GroupSize: 3})
+	status, _ := c.stream("aa:40," + crashPart + ":30,own:500")
+	g.Expect(status).To(Equal(http.StatusBadGateway))
+	g.Expect(c.arrived()).To(HaveLen(1))
+}
