--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -104,12 +104,24 @@
 		Pools:       gateway.NewPools(p.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		RetryLimits: retryLimits(p.node), MinOutage: p.node.MaxPartition,
 		Reachability: g.reachability, OnDeparture: func() { g.exchange.TriggerDigest() }, OnCrashReport: func(r quarantine.Report) { g.crashes.Send(r) },
+		OnConviction: func(list []quarantine.Fingerprint) {
+			for _, f := range list {
+				go g.crashes.Store(work, f)
+			}
+		},
 		Clock: p.clock, Log: p.log, Metrics: p.metrics,
 	})
+	// Stored evidence may arrive before the rest is known.
+	g.crashes = &fleet.CrashReports{KV: p.store, Table: g.gateway.Quarantine, Clock: p.clock, Log: p.log}
+	onEvidence := func(value []byte) {
+		g.crashes.Load(value)
+		go g.gateway.EnforceQuarantine()
+	}
 	var err error
-	if g.fleet, err = p.join(work, fleet.RoleEntry); err != nil {
+	if g.fleet, err = p.join(work, fleet.RoleEntry, onEvidence); err != nil {
 		return nil, err
 	}
+	g.crashes.Self, g.crashes.View, g.crashes.Datagrams = g.fleet.self.Name, g.fleet.view, g.fleet.datagrams
 	return g, p.registerGauges(map[string]func() int64{
 		"configuration.version": (&sharedState{routes: g.routes}).Version,
 		"configuration.age_ms":  func() int64 { return configurationAgeMS(p.clock, g.routes) },
@@ -132,7 +144,6 @@
 		Self: g.fleet.self.Name, View: g.fleet.view, Datagrams: g.fleet.datagrams, Clock: g.clock, Log: g.log,
 		SharedState: &sharedState{routes: g.routes, directory: g.directory, fleet: g.fleet, applyConfiguration: g.configurationSink().ApplyConfiguration},
 	}
-	g.crashes = &fleet.CrashReports{Self: g.fleet.self.Name, View: g.fleet.view, Datagrams: g.fleet.datagrams, Table: g.gateway.Quarantine, Clock: g.clock, Log: g.log}
 	g.routes.OnChange(func(*routing.Table) { g.exchange.TriggerDigest() })
 	g.directory.OnDeparture(g.exchange.TriggerDigest)
 	mux := &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -187,8 +187,9 @@
 }
 
 // join registers the process in the fleet and follows the other members'
-// registrations.
-func (p *platformProcess) join(ctx context.Context, role fleet.Role) (*fleetMembership, error) {
+// registrations. onEvidence, if not nil, is called with stored evidence of crashes; see
+// fleet.View.OnEvidence.
+func (p *platformProcess) join(ctx context.Context, role fleet.Role, onEvidence func(value []byte)) (*fleetMembership, error) {
 	f := &fleetMembership{
 		self: fleet.Member{
 			Name: p.node.Name, Role: role, DataCentre: p.node.DataCentre,
@@ -196,6 +197,7 @@
 		},
 		view: fleet.NewView(p.clock, p.log),
 	}
+	f.view.OnEvidence(onEvidence)
 	f.reads = relay.NewClient(ctx, p.store, f.self, f.view, p.clock, p.log)
 	if role == fleet.RoleEntry {
 		f.mirrors = &relay.Server{Client: f.reads, Clock: p.clock}
--- a/internal/daemon/rank.go
+++ b/internal/daemon/rank.go
@@ -30,7 +30,7 @@
 	// work outlives ctx, so that background work continues during the drain.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	f, err := p.join(work, fleet.RoleRank)
+	f, err := p.join(work, fleet.RoleRank, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/crashreports.go
+++ b/internal/fleet/crashreports.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
@@ -21,11 +24,13 @@
 )
 
 // CrashReports tells other entries which requests were in flight at crashes, and learns it
-// from them.
+// from them. The evidence against those in quarantine is stored, so that entries that all
+// end at once find it again.
 type CrashReports struct {
 	Self      string
 	View      *View
 	Datagrams *Datagrams
+	KV        kvstore.KV
 	Table     *quarantine.Table
 	Clock     clockwork.Clock
 	Log       *zap.Logger
@@ -48,6 +53,37 @@
 	}
 }
 
+// Store stores the evidence against a request or part until its quarantine ends.
+func (c *CrashReports) Store(ctx context.Context, f quarantine.Fingerprint) {
+	err := func() error {
+		value, err := json.Marshal(c.Table.Evidence(f))
+		if err != nil {
+			return fault.Wrap(fault.Internal, err, "report this as a bug", "encoding the evidence")
+		}
+		lease, err := kvstore.Grant(ctx, c.KV, quarantine.Expiry)
+		if err != nil {
+			return err
+		}
+		_, err = c.KV.Put(ctx, kvstore.Put{Key: quarantinePrefix + string(f), Value: value, Expect: kvstore.AnyRevision, Lease: lease.ID})
+		return err
+	}()
+	if err != nil {
+		c.Log.Warn("evidence not stored; other entries still learn it from this one", zap.String("fingerprint", string(f)), zap.Error(err))
+	}
+}
+
+// Load adds stored evidence.
+func (c *CrashReports) Load(value []byte) {
+	var reports []quarantine.Report
+	if err := json.Unmarshal(value, &reports); err != nil {
+		c.Log.Warn("invalid evidence in the key-value service; ignoring it", zap.Error(err))
+		return
+	}
+	for _, r := range reports {
+		c.Table.Add(r)
+	}
+}
+
 // Run repeats the relevant reports one after the other until ctx is done.
 func (c *CrashReports) Run(ctx context.Context) {
 	ticker := c.Clock.NewTicker(crashReportInterval)
--- a/internal/fleet/crashreports_test.go
+++ b/internal/fleet/crashreports_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -15,7 +17,9 @@
 	"github.com/kingcupreel/kingcupreel/internal/fleet"
 	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 	"github.com/kingcupreel/kingcupreel/internal/quarantine"
+	"github.com/kingcupreel/kingcupreel/internal/standin/kv"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
+	"github.com/kingcupreel/kingcupreel/platform"
 )
 
 // reporter is one entry's exchange of crash reports.
@@ -72,3 +76,31 @@
 	go b.Run(ctx)
 	g.Eventually(func() error { return late.Table.Check(bad) }, "10s").Should(HaveOccurred())
 }
+
+// All entries end at once, for instance by a loss of power, after a part was convicted: they
+// find the evidence in the key-value service when they start again.
+func TestEvidenceOutlivesAllEntries(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	state := kv.NewStore(clockwork.NewRealClock())
+	srv := httptest.NewServer(kv.NewServer(state).Handler())
+	defer srv.Close()
+	before, after := newReporter(t, ctx, "before"), newReporter(t, ctx, "after")
+	before.KV = platform.NewStore(srv.URL, time.Second)
+	bad := quarantine.Suspect{Fingerprint: "request", Parts: quarantine.PartFingerprints([]string{"bad", "innocent"})}
+	for i := range 3 {
+		crash := fmt.Sprint("u", i)
+		before.Table.Add(quarantine.Report{ID: crash, Upstream: crash, Crash: crash, AtMS: time.Now().Add(time.Duration(i-4) * time.Second).UnixMilli(), Suspects: []quarantine.Suspect{bad}})
+	}
+	part := bad.Parts[0]
+	g.Expect(before.Table.TakeConvicted()).To(ContainElement(part))
+	before.Store(ctx, part)
+	after.View.OnEvidence(after.Load)
+	listing := state.List("kingcupreel/")
+	g.Expect(listing.Items).To(HaveLen(1))
+	g.Expect(listing.Items[0].Lease).NotTo(BeZero(), "it ends with the quarantine")
+	after.View.Replace(kvstore.Listing{Items: append(listing.Items, kvstore.Item{Key: "kingcupreel/quarantine/x", Value: []byte("?")})})
+	g.Expect(after.Table.Check(quarantine.Suspect{Parts: []quarantine.Fingerprint{part}})).NotTo(Succeed())
+	g.Expect(after.Table.Check(quarantine.Suspect{Parts: bad.Parts[1:]})).To(Succeed())
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -23,6 +23,9 @@
 	Prefix       = "kingcupreel/"
 	memberPrefix = Prefix + "members/"
 	leaderPrefix = Prefix + "leaders/"
+	// quarantinePrefix is the prefix of the evidence against requests and parts of prompts
+	// in quarantine, by fingerprint.
+	quarantinePrefix = Prefix + "quarantine/"
 )
 
 // LeaderKey returns the key that the leader of a rank group holds.
@@ -65,8 +68,10 @@
 	// onRegistrationEnd is called with the name of each process whose registration
 	// ends.
 	onRegistrationEnd func(name string)
-	syncedAt          time.Time
-	entryPeak         recentMax
+	// onEvidence is called with the evidence against each request or part in quarantine.
+	onEvidence func(value []byte)
+	syncedAt   time.Time
+	entryPeak  recentMax
 }
 
 // NewView returns an empty view.
@@ -100,6 +105,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, e := range b.Events {
+		if e.Deleted && strings.HasPrefix(e.Item.Key, quarantinePrefix) {
+			continue // the table lets the evidence expire itself
+		}
 		if e.Deleted {
 			v.markExpired(strings.TrimPrefix(e.Item.Key, memberPrefix))
 			delete(v.leaders, strings.TrimPrefix(e.Item.Key, leaderPrefix))
@@ -121,6 +129,10 @@
 		v.log.Info("group has a new leader", zap.String("group", group), zap.String("leader", string(item.Value)), zap.Int64("fence", item.CreateRevision))
 		return
 	}
+	if strings.HasPrefix(item.Key, quarantinePrefix) && v.onEvidence != nil {
+		v.onEvidence(item.Value)
+		return
+	}
 	name, ok := strings.CutPrefix(item.Key, memberPrefix)
 	if !ok {
 		return
@@ -162,6 +174,11 @@
 // ends. It is set before the view is used. f must not block or call the view.
 func (v *View) OnRegistrationEnd(f func(name string)) { v.onRegistrationEnd = f }
 
+// OnEvidence sets the function that is called with the evidence that processes store of
+// requests and parts in quarantine. It is set before the view is used. f must not block or
+// call the view.
+func (v *View) OnEvidence(f func(value []byte)) { v.onEvidence = f }
+
 // Members returns the processes with a role, sorted by name.
 func (v *View) Members(role Role) []Member {
 	v.mu.Lock()
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -79,25 +79,31 @@
 	}
 }
 
-// EnforceQuarantine ends the attempts of requests in quarantine if there are new
-// convictions: an upstream that has not begun with such a request doesn't crash then.
-func (g *Gateway) EnforceQuarantine() {
-	n := int64(g.Quarantine.Convictions())
-	if g.enforcedConvictions.Swap(n) == n {
-		return
+// EnforceQuarantine ends the attempts of requests that have just been put into quarantine:
+// an upstream that has not begun with such a request doesn't crash then. It returns what
+// was convicted.
+func (g *Gateway) EnforceQuarantine() []quarantine.Fingerprint {
+	convicted := g.Quarantine.TakeConvicted()
+	if len(convicted) == 0 {
+		return nil
 	}
+	g.Log.Info("put into quarantine", zap.Any("fingerprints", convicted))
 	for _, r := range g.inProgress() {
 		if err := r.checkQuarantine(); err != nil {
 			r.endAttemptWith(err)
 		}
 	}
+	return convicted
 }
 
 // shareReport adds a report to the quarantine and passes it on to other entries.
 func (g *Gateway) shareReport(r quarantine.Report) {
 	g.Quarantine.Add(r)
-	g.EnforceQuarantine()
+	convicted := g.EnforceQuarantine()
 	if g.OnCrashReport != nil {
 		g.OnCrashReport(r)
 	}
+	if g.OnConviction != nil && len(convicted) > 0 {
+		g.OnConviction(convicted)
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,9 +103,12 @@
 	// OnCrashReport, if not nil, is called with each report that the gateway has added to
 	// the quarantine. It must not block.
 	OnCrashReport func(quarantine.Report)
-	Clock         clockwork.Clock
-	Log           *zap.Logger
-	Metrics       metrics.Registry
+	// OnConviction, if not nil, is called with the requests and parts that a report of the
+	// gateway's own has put into quarantine. It must not block.
+	OnConviction func([]quarantine.Fingerprint)
+	Clock        clockwork.Clock
+	Log          *zap.Logger
+	Metrics      metrics.Registry
 }
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -114,8 +117,6 @@
 	stats     *stats
 	draining  atomic.Bool
 	startedAt time.Time
-	// enforcedConvictions is the quarantine's number of convictions that have been acted on.
-	enforcedConvictions atomic.Int64
 
 	mu           sync.Mutex
 	running      map[*request]struct{}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -91,6 +91,9 @@
 	Cleared bool
 }
 
+// crash returns the identity of the crash.
+func (r *Report) crash() string { return cmp.Or(r.Crash, r.ID) }
+
 // State is how a request may be run.
 type State string
 
@@ -132,8 +135,8 @@
 	order     []Fingerprint
 	reports   []Report
 	reportIDs map[string]bool
-	// convictions counts the convictions so far.
-	convictions int
+	// convicted lists the requests and parts convicted since the last TakeConvicted.
+	convicted []Fingerprint
 }
 
 // NewTable returns an empty table.
@@ -186,7 +189,7 @@
 		rec.State = Suspected
 		t.insert(rec)
 	}
-	crash, at := cmp.Or(r.Crash, r.ID), time.UnixMilli(r.AtMS)
+	crash, at := r.crash(), time.UnixMilli(r.AtMS)
 	if slices.Contains(rec.crashes, crash) {
 		return
 	}
@@ -200,7 +203,7 @@
 	rec.CrashedUpstreams = append(rec.CrashedUpstreams, r.Upstream)
 	if rec.State != Convicted && (rec.Part && rec.recurs() || !rec.Part && len(rec.crashes) >= ConvictionThreshold) {
 		rec.State = Convicted
-		t.convictions++
+		t.convicted = append(t.convicted, rec.Fingerprint)
 	}
 }
 
@@ -280,11 +283,37 @@
 	})
 }
 
-// Convictions returns the number of convictions so far, for a caller that acts on new ones.
-func (t *Table) Convictions() int {
+// TakeConvicted returns the requests and parts that were convicted since its last call.
+func (t *Table) TakeConvicted() []Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.convictions
+	convicted := t.convicted
+	t.convicted = nil
+	return convicted
+}
+
+// Evidence returns reports that convict a request or part in another table: one for each of
+// its crashes, with it as the only suspect.
+func (t *Table) Evidence(f Fingerprint) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var evidence []Report
+	for _, r := range t.reports {
+		known := slices.ContainsFunc(evidence, func(e Report) bool { return e.crash() == r.crash() })
+		for _, s := range r.Suspects {
+			if known || r.Cleared || s.Fingerprint != f && !slices.Contains(s.Parts, f) {
+				continue
+			}
+			suspect := Suspect{Parts: []Fingerprint{f}}
+			if s.Fingerprint == f {
+				suspect = Suspect{Fingerprint: f, Account: s.Account}
+			}
+			// The ID differs from that of the whole report, which may arrive too.
+			evidence = append(evidence, Report{ID: r.ID + "/" + string(f), Upstream: r.Upstream, Crash: r.crash(), AtMS: r.AtMS, Suspects: []Suspect{suspect}})
+			break
+		}
+	}
+	return evidence
 }
 
 // Empty reports whether the table holds no requests.
