--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -125,11 +125,11 @@
 	// silenceCheckedAt is the time of the last check for silence. Before silenceKnownFrom
 	// no upstream falls silent.
 	silenceCheckedAt, silenceKnownFrom time.Time
+	// mostReport is set if at least half of the upstreams had reported at that check.
+	mostReport bool
 	// answerDelay is the moving average of the time from a request's sending to the first
 	// part of its answer, 0 while unknown.
 	answerDelay time.Duration
-	// mostReport is set if at least half of the upstreams had reported at that check.
-	mostReport bool
 }
 
 // NewPool returns an empty pool.
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -28,9 +28,6 @@
 // Hear records a sign of life from an upstream other than a load report.
 func (n *Node) Hear(now time.Time) { n.heardAt = now }
 
-// Silent reports whether the upstream was silent at the last check.
-func (n *Node) Silent() bool { return n.silent }
-
 // silentAt reports whether the upstream has shown no sign of life for too long. One whose
 // last report is older than silenceWindow has no load reports to miss.
 func (n *Node) silentAt(now time.Time) bool {
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -46,7 +46,10 @@
 	c := s.advance(200*time.Millisecond, 1, 2, 3)
 	g.Expect(c).NotTo(BeNil())
 	g.Expect(c.Silent).To(BeTrue())
-	g.Expect(s.nodes[0].Silent()).To(BeTrue())
+	g.Expect(s.pool.Pick(s.now, []string{"rank-1", "rank-2", "rank-3"})).To(Equal(s.nodes[0]), "the last choice")
+	for range 20 {
+		g.Expect(s.pool.Pick(s.now, nil)).NotTo(Equal(s.nodes[0]))
+	}
 	g.Expect(s.advance(100*time.Millisecond, 0, 1, 2, 3).Silent).To(BeFalse())
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -204,6 +204,9 @@
 	if rec.State != Convicted && (rec.Part && rec.recurs() || !rec.Part && len(rec.crashes) >= ConvictionThreshold) {
 		rec.State = Convicted
 		t.convicted = append(t.convicted, rec.Fingerprint)
+		if len(t.convicted) > MaxReports { // nobody takes them
+			t.convicted = t.convicted[1:]
+		}
 	}
 }
 
