--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -104,11 +104,16 @@
 		Pools:       gateway.NewPools(p.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		RetryLimits: retryLimits(p.node), MinOutage: p.node.MaxPartition,
 		Reachability: g.reachability, OnDeparture: func() { g.exchange.TriggerDigest() }, OnCrashReport: func(r quarantine.Report) { g.crashes.Send(r) },
-		OnConviction: func(list []quarantine.Fingerprint) {
-			for _, f := range list {
+		OnConviction: func(convicted []quarantine.Fingerprint) {
+			for _, f := range convicted {
 				go g.crashes.Store(work, f)
 			}
 		},
+		OnAcquittal: func(acquitted []quarantine.Fingerprint) {
+			for _, f := range acquitted {
+				go g.crashes.Remove(work, f)
+			}
+		},
 		Clock: p.clock, Log: p.log, Metrics: p.metrics,
 	})
 	// Stored evidence may arrive before the rest is known.
--- a/internal/fleet/crashreports.go
+++ b/internal/fleet/crashreports.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// Remove removes the stored evidence against a part that has been cleared.
+func (c *CrashReports) Remove(ctx context.Context, f quarantine.Fingerprint) {
+	if _, err := c.KV.Delete(ctx, quarantinePrefix+string(f), kvstore.AnyRevision); err != nil && fault.KindOf(err) != fault.NotFound {
+		c.Log.Warn("stored evidence not removed; it expires by itself", zap.String("fingerprint", string(f)), zap.Error(err))
+	}
+}
+
 // Load adds stored evidence.
 func (c *CrashReports) Load(value []byte) {
 	var reports []quarantine.Report
--- a/internal/fleet/crashreports_test.go
+++ b/internal/fleet/crashreports_test.go
@@ -103,4 +103,6 @@
 	after.View.Replace(kvstore.Listing{Items: append(listing.Items, kvstore.Item{Key: "kingcupreel/quarantine/x", Value: []byte("?")})})
 	g.Expect(after.Table.Check(quarantine.Suspect{Parts: []quarantine.Fingerprint{part}})).NotTo(Succeed())
 	g.Expect(after.Table.Check(quarantine.Suspect{Parts: bad.Parts[1:]})).To(Succeed())
+	before.Remove(ctx, part)
+	g.Expect(state.List("kingcupreel/").Items).To(BeEmpty())
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -38,14 +38,13 @@
 	return errors.Is(err, errEndsTooSoon) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// suspect returns the quarantine's identification of the request. Requests without a body
-// are alike, so that only their parts tell them apart.
+// suspect returns the quarantine's identification of the request. Its whole content counts as
+// a part: requests with equal contents may be in flight at several upstreams, which crash at
+// one moment for another reason.
 func (q *request) suspect() quarantine.Suspect {
 	q.suspectOnce.Do(func() {
-		q.suspectValue = quarantine.Suspect{Account: q.account, Parts: quarantine.PartFingerprints(q.PromptParts)}
-		if len(q.body) > 0 {
-			q.suspectValue.Fingerprint = quarantine.FingerprintOf(q.account, q.r.RequestURI, q.body)
-		}
+		content := quarantine.FingerprintOf(q.account, q.r.RequestURI, q.body)
+		q.suspectValue = quarantine.Suspect{Account: q.account, Parts: append(quarantine.PartFingerprints(q.PromptParts), content)}
 	})
 	return q.suspectValue
 }
@@ -75,7 +74,11 @@
 	s := q.suspect()
 	if crashed := q.g.Quarantine.CrashedWith(s); len(crashed) > 0 {
 		q.log.Info("request in flight at crashes has succeeded", zap.Strings("crashed", crashed), zap.Strings("parts", q.PromptParts))
+		acquitted := q.g.Quarantine.ConvictedParts(s)
 		q.g.shareReport(quarantine.Report{ID: uuid.NewString(), AtMS: q.g.Clock.Now().UnixMilli(), Suspects: []quarantine.Suspect{s}, Cleared: true})
+		if q.g.OnAcquittal != nil && len(acquitted) > 0 {
+			q.g.OnAcquittal(acquitted)
+		}
 	}
 }
 
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -185,3 +185,28 @@
 	g.Expect(status).To(Equal(http.StatusBadGateway))
 	g.Expect(c.arrived()).To(HaveLen(1))
 }
+
+// A part that was convicted beside the one to blame is acquitted by a request without that
+// one, and those who store evidence are told.
+func TestSuccessAcquitsAConvictedPart(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, threeEvents)
+	var acquitted []quarantine.Fingerprint
+	f.gateway.OnAcquittal = func(parts []quarantine.Fingerprint) { acquitted = parts }
+	r := f.request(http.MethodPost, "/stream/x", "prompt")
+	r.Header.Set("Prefix-Hash", "unlucky:30,own:500")
+	first := time.Now().Add(-time.Minute)
+	for i := range 3 {
+		f.gateway.Quarantine.Add(quarantine.Report{
+			ID: fmt.Sprint("report", i), AtMS: first.Add(time.Duration(i) * time.Second).UnixMilli(),
+			// Another part explains the crashes, so that the request is sent.
+			Suspects: []quarantine.Suspect{{Parts: quarantine.PartFingerprints([]string{"unlucky", "bad1"})}},
+		})
+	}
+	status, _, body, err := f.send(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(body).To(Equal(threeEventsBody))
+	g.Expect(acquitted).To(Equal(quarantine.PartFingerprints([]string{"unlucky"})))
+	g.Expect(f.gateway.Quarantine.ConvictedParts(quarantine.Suspect{Parts: acquitted})).To(BeEmpty())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,9 +106,12 @@
 	// OnConviction, if not nil, is called with the requests and parts that a report of the
 	// gateway's own has put into quarantine. It must not block.
 	OnConviction func([]quarantine.Fingerprint)
-	Clock        clockwork.Clock
-	Log          *zap.Logger
-	Metrics      metrics.Registry
+	// OnAcquittal, if not nil, is called with the parts in quarantine of a request that has
+	// succeeded. It must not block.
+	OnAcquittal func([]quarantine.Fingerprint)
+	Clock       clockwork.Clock
+	Log         *zap.Logger
+	Metrics     metrics.Registry
 }
 
 // Gateway serves callers. It is safe for concurrent use.
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -65,6 +65,16 @@
 	})
 }
 
+// ConvictedParts returns the parts of a request that are in quarantine, to blame or not.
+func (t *Table) ConvictedParts(s Suspect) []Fingerprint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(s.Parts), func(f Fingerprint) bool {
+		rec := t.unexpired(f)
+		return rec == nil || rec.State != Convicted
+	})
+}
+
 // CrashedWith returns the upstreams that crashed while they ran the request, or one with a
 // part of it, since that was last cleared.
 func (t *Table) CrashedWith(s Suspect) []string {
