--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -138,14 +138,10 @@
 	r := f.request(http.MethodPost, "/stream/x", "prompt")
 	r.Header.Set("Deadline-Ms", "20000")
 	r.Header.Set("Prefix-Hash", "aa:40,bad1:30,own:500")
-	status := make(chan int, 1)
-	go func() {
-		s, _, _, _ := f.send(r)
-		status <- s
-	}()
+	answers := f.sendAsync(r)
 	g.Eventually(f.arrived, "10s").Should(HaveLen(1))
 	f.convict("bad1")
-	g.Eventually(status, "10s").Should(Receive(Equal(http.StatusBadGateway)))
+	g.Eventually(answers, "10s").Should(Receive(HaveField("Status", http.StatusBadGateway)))
 	g.Eventually(ended, "10s").Should(Receive())
 	g.Expect(f.arrived()).To(HaveLen(1))
 }
@@ -161,15 +157,11 @@
 	r := f.request(http.MethodPost, "/stream/x", "prompt")
 	r.Header.Set("Deadline-Ms", "100000")
 	r.Header.Set("Prefix-Hash", "aa:40,bad1:30,own:500")
-	status := make(chan int, 1)
-	go func() {
-		s, _, _, _ := f.send(r)
-		status <- s
-	}()
+	answers := f.sendAsync(r)
 	g.Eventually(func() int { return f.gateway.Pools.Waiting("s") }, "10s").Should(Equal(1))
 	f.convict("bad1")
 	f.report(dispatch.Load{GroupServing: true, Slowness: 1})
-	g.Eventually(status, "10s").Should(Receive(Equal(http.StatusServiceUnavailable)))
+	g.Eventually(answers, "10s").Should(Receive(HaveField("Status", http.StatusServiceUnavailable)))
 	g.Expect(f.arrived()).To(BeEmpty())
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -69,8 +69,18 @@
 
 // answer is what a caller got.
 type answer struct {
-	status int
-	body   string
+	Status int
+	Body   string
+}
+
+// sendAsync sends a request in the background.
+func (f *fixture) sendAsync(r *http.Request) <-chan answer {
+	answers := make(chan answer, 1)
+	go func() {
+		status, _, body, _ := f.send(r)
+		answers <- answer{status, body}
+	}()
+	return answers
 }
 
 // sendLong sends a request whose caller waits long, and lets rank 0 fall silent once it
@@ -78,12 +88,8 @@
 func (s *silentRank) sendLong(g *WithT, path string) <-chan answer {
 	r := s.request(http.MethodPost, path, "")
 	r.Header.Set("Deadline-Ms", "20000")
-	answers := make(chan answer, 1)
 	before := len(s.arrived())
-	go func() {
-		status, _, body, _ := s.send(r)
-		answers <- answer{status, body}
-	}()
+	answers := s.sendAsync(r)
 	g.Eventually(s.arrived, "10s").Should(HaveLen(before + 1))
 	g.Expect(s.arrived()[before].upstream).To(Equal("u0"))
 	s.silent.Store(true)
@@ -128,7 +134,7 @@
 	s := newSilentRank(t, 4, block, threeEvents)
 	var a answer
 	g.Eventually(s.sendLong(g, "/stream/x"), "10s").Should(Receive(&a))
-	g.Expect(a.status).To(Equal(http.StatusBadGateway))
+	g.Expect(a.Status).To(Equal(http.StatusBadGateway))
 	g.Expect(s.arrived()).To(HaveLen(1))
 }
 
@@ -151,10 +157,24 @@
 	g.Expect(status).To(Equal(http.StatusOK))
 	var a answer
 	g.Eventually(s.sendLong(g, "/stream/x"), "10s").Should(Receive(&a))
-	g.Expect(a.status).To(Equal(http.StatusBadGateway))
+	g.Expect(a.Status).To(Equal(http.StatusBadGateway))
 	g.Expect(s.arrived()).To(HaveLen(2))
 }
 
+// A request that isn't a stream waits until its deadline, not until an event is due: it goes
+// to another upstream however late the silence is noticed.
+func TestWholeAnswerIsFetchedElsewhereAfterALateSilence(t *testing.T) {
+	g := NewWithT(t)
+	s := newSilentRank(t, 2, block, func(w http.ResponseWriter, r *http.Request) { stamped(w, r, http.StatusOK, "done") })
+	r := s.request(http.MethodPost, "/safe/x", "")
+	r.Header.Set("Deadline-Ms", "20000")
+	answers := s.sendAsync(r)
+	g.Eventually(s.arrived, "10s").Should(HaveLen(1))
+	time.Sleep(1800 * time.Millisecond) // little of the time is left that callers wait for an event
+	s.silent.Store(true)
+	g.Eventually(answers, "10s").Should(Receive(Equal(answer{http.StatusOK, "done"})))
+}
+
 // A request that may not run twice stays at a silent upstream, whose answer is delivered
 // when it is heard again.
 func TestRequestThatMayRunOnceStaysAtASilentUpstream(t *testing.T) {
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -119,8 +119,12 @@
 	return q.startedAt
 }
 
-// patienceLeft returns how long the caller goes on waiting for an event.
+// patienceLeft returns how long the caller goes on waiting for an event, or for an answer
+// that isn't a stream.
 func (q *request) patienceLeft() time.Duration {
+	if q.route.Kind != routing.Stream {
+		return q.remaining()
+	}
 	return eventPatience(q.route) - time.Since(q.lastProgressAt())
 }
 
