--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -102,9 +102,7 @@
 	}
 	d.writeConfiguration()
 	for i := range gateways {
-		// Each process has a loopback address of its own, so that ports don't clash
-		// between processes and between seeds.
-		p := &process{name: fmt.Sprint("edge-", i), ip: fmt.Sprintf("127.%d.%d.%d", 10+d.seed%200, 1+d.seed/200%200, 1+i)}
+		p := &process{name: fmt.Sprint("edge-", i), ip: d.loopback(1 + i)}
 		var address string
 		p.store, address = d.serveLink(p.ip, store.Listener.Addr().String())
 		p.settingsFile = filepath.Join(d.dir, p.name+".toml")
@@ -124,6 +122,13 @@
 	return d
 }
 
+// loopback returns a loopback address of the seed's own. Each process and each upstream has
+// one, so that ports don't clash between them and between seeds, also while an upstream that
+// has crashed doesn't listen.
+func (d *deployment) loopback(host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 10+d.seed%200, 1+d.seed/200%200, host)
+}
+
 func (d *deployment) writeSettings(p *process, storeAddress string) {
 	text := fmt.Sprintf(`node-name = %q
 ip = %q
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -60,6 +60,7 @@
 // upstream is a replica that chooses its behaviour at random for each request.
 type upstream struct {
 	d       *deployment
+	name    string
 	link    *link.Link
 	address string
 
@@ -73,10 +74,10 @@
 }
 
 func (d *deployment) addUpstream(i int) {
-	u := &upstream{d: d, rand: rand.New(rand.NewPCG(d.seed, uint64(100+i)))}
+	u := &upstream{d: d, name: fmt.Sprint("u", i), rand: rand.New(rand.NewPCG(d.seed, uint64(100+i)))}
 	srv := httptest.NewServer(u)
 	d.t.Cleanup(srv.CloseClientConnections)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", net.JoinHostPort(d.loopback(101+i), "0"))
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -91,7 +92,7 @@
 func (u *upstream) registerIncarnation() {
 	u.mu.Lock()
 	previous := u.id
-	u.id, u.born = fmt.Sprintf("i-%s-%d", u.address[len(u.address)-5:], u.rand.Uint32()), time.Now().UnixMilli()
+	u.id, u.born = fmt.Sprintf("i-%s-%d", u.name, u.rand.Uint32()), time.Now().UnixMilli()
 	u.mu.Unlock()
 	u.register()
 	if previous != "" {
@@ -117,7 +118,7 @@
 	id := u.id
 	u.mu.Unlock()
 	for _, item := range u.d.kvStore.List("servers/").Items {
-		if strings.HasPrefix(item.Key, "servers/i-"+u.address[len(u.address)-5:]+"-") && item.Key != "servers/"+id {
+		if strings.HasPrefix(item.Key, "servers/i-"+u.name+"-") && item.Key != "servers/"+id {
 			_, _ = u.d.kvStore.Delete(item.Key, item.ModRevision) // only this test removes records
 		}
 	}
