--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -192,8 +192,7 @@
 	return res
 }
 
-// beginAttempt returns the context of an attempt that withdrawFrom may end before the
-// request ends.
+// beginAttempt returns the context of an attempt, which may be ended before the request is.
 func (q *request) beginAttempt(m *Member) context.Context {
 	ctx, cancel := context.WithCancelCause(q.ctx)
 	q.mu.Lock()
@@ -211,6 +210,7 @@
 	}
 }
 
+// endAttempt releases the context of the attempt in progress.
 func (q *request) endAttempt() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -112,13 +112,13 @@
 	g.Expect(refused).To(BeNumerically(">=", rounds-enoughCrashes))
 }
 
-// convict reports three crashes with the part, as other entries would.
-func (f *fixture) convict(part string) {
+// convict reports three crashes with requests that have the parts, as other entries would.
+func (f *fixture) convict(parts ...string) {
 	first := time.Now().Add(-time.Minute)
 	for i := range 3 {
 		f.gateway.Quarantine.Add(quarantine.Report{
 			ID: fmt.Sprint("report", i), AtMS: first.Add(time.Duration(i) * time.Second).UnixMilli(),
-			Suspects: []quarantine.Suspect{{Parts: quarantine.PartFingerprints([]string{part})}},
+			Suspects: []quarantine.Suspect{{Parts: quarantine.PartFingerprints(parts)}},
 		})
 	}
 	f.gateway.EnforceQuarantine()
@@ -187,14 +187,7 @@
 	f.gateway.OnAcquittal = func(parts []quarantine.Fingerprint) { acquitted = parts }
 	r := f.request(http.MethodPost, "/stream/x", "prompt")
 	r.Header.Set("Prefix-Hash", "unlucky:30,own:500")
-	first := time.Now().Add(-time.Minute)
-	for i := range 3 {
-		f.gateway.Quarantine.Add(quarantine.Report{
-			ID: fmt.Sprint("report", i), AtMS: first.Add(time.Duration(i) * time.Second).UnixMilli(),
-			// Another part explains the crashes, so that the request is sent.
-			Suspects: []quarantine.Suspect{{Parts: quarantine.PartFingerprints([]string{"unlucky", "bad1"})}},
-		})
-	}
+	f.convict("unlucky", "bad1")
 	status, _, body, err := f.send(r)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(status).To(Equal(http.StatusOK))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -65,8 +65,7 @@
 
 // Suspect is a request that was in flight at a crash.
 type Suspect struct {
-	// Fingerprint is empty for a request whose content says nothing, such as one without
-	// a body.
+	// Fingerprint identifies the whole request; empty where its content is one of Parts.
 	Fingerprint Fingerprint
 	Account     string
 	// Parts are the parts of its prompt that other requests may share, if the answer had
--- a/test/soak/badpart_test.go
+++ b/test/soak/badpart_test.go
@@ -32,7 +32,7 @@
 // badRequests tracks the requests with badPart.
 type badRequests struct {
 	mu sync.Mutex
-	// sent holds the process and the time to which and at which each was sent.
+	// sent says to which process each was sent, and when.
 	sent    map[string]sentRequest
 	crashes []time.Time
 	// late counts those that reached upstreams although they should have been known.
@@ -106,13 +106,6 @@
 	return p.disturbances == 0 && time.Since(p.disturbedAt) > inTouchTime
 }
 
-// listener is a link's listener that can be closed and opened again.
-type listener struct {
-	link    *link.Link
-	address string
-	close   func()
-}
-
 // crash ends the upstream's connections and refuses new ones for crashTime. It comes back
 // as another incarnation.
 func (u *upstream) crash() {
@@ -123,9 +116,9 @@
 	}
 	u.crashed = true
 	u.d.bad.crash()
-	u.listener.close()
-	_ = u.listener.link.SetMode(link.Drop) // every mode used is valid
-	_ = u.listener.link.SetMode(link.Pass)
+	u.stopListening()
+	_ = u.link.SetMode(link.Drop) // every mode used is valid
+	_ = u.link.SetMode(link.Pass)
 	time.AfterFunc(crashTime, u.restart)
 }
 
@@ -137,7 +130,7 @@
 	}
 	u.mu.Lock()
 	u.crashed = false
-	u.listener.close = u.d.forward(u.listener.link, ln)
+	u.stopListening = u.d.forward(u.link, ln)
 	u.mu.Unlock()
 	u.registerIncarnation()
 }
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -66,11 +66,12 @@
 
 	mu sync.Mutex
 	// crashed is true while the upstream is away after a crash.
-	crashed  bool
-	listener listener
-	id       string
-	born     int64
-	rand     *rand.Rand
+	crashed bool
+	// stopListening closes the listener of the link.
+	stopListening func()
+	id            string
+	born          int64
+	rand          *rand.Rand
 }
 
 func (d *deployment) addUpstream(i int) {
@@ -82,7 +83,7 @@
 		d.t.Fatal(err)
 	}
 	u.link, u.address = link.New(srv.Listener.Addr().String()), ln.Addr().String()
-	u.listener = listener{link: u.link, address: u.address, close: d.forward(u.link, ln)}
+	u.stopListening = d.forward(u.link, ln)
 	d.upstreams = append(d.upstreams, u)
 	u.registerIncarnation()
 }
