directory: a mass loss of registrations keeps no upstream past the bound on leaving ones

The grace is now at most 0.6 of the bound on leaving upstreams, so that learning of the loss, the next check and a request on its way fit into the rest. The store's real outages that a process notices keep their grace of 2.2 s.

The test fails without the limit.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -98,6 +98,7 @@
 	if p.node.Heartbeat > 0 {
 		g.directory.SetHeartbeat(p.node.Heartbeat)
 	}
+	g.directory.SetDepartureBound(p.node.DrainBound)
 	g.transport = upstream.NewTransport(upstream.Options{Codec: platform.Headers{}})
 	g.gateway = gateway.New(gateway.Options{
 		Routes: g.routes, Directory: g.directory, Codec: platform.Headers{}, Transport: g.transport,
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -46,6 +46,10 @@
 	// minMassLoss is the smallest number of lost upstreams that counts as a
 	// mass loss.
 	minMassLoss = 3
+	// massLossGraceFraction limits the grace after a mass loss, which may be a departure
+	// after all, to that fraction of the bound on leaving upstreams. The rest is for
+	// learning of the loss and for requests that are already on their way.
+	massLossGraceFraction = 0.6
 	// lossWindow is the time within which losses count as simultaneous.
 	lossWindow = 300 * time.Millisecond
 	// DefaultHeartbeat is the interval at which upstreams renew their registrations,
@@ -99,6 +103,9 @@
 	// renew their registrations.
 	era       int64
 	heartbeat time.Duration
+	// departureBound is the longest time for which a leaving upstream may get requests, 0
+	// for no bound.
+	departureBound time.Duration
 	// onDeparture is called without the lock after the store has shown a new
 	// departure.
 	onDeparture func()
@@ -128,6 +135,10 @@
 // be called before the directory is used.
 func (d *Directory) SetHeartbeat(interval time.Duration) { d.heartbeat = interval }
 
+// SetDepartureBound sets the longest time for which a leaving upstream may get requests; 0
+// means no bound. It must be called before the directory is used.
+func (d *Directory) SetDepartureBound(bound time.Duration) { d.departureBound = bound }
+
 // Put stores an upstream's registration as of a position of the store. It ignores a
 // position that is not after the stored one.
 func (d *Directory) Put(u Upstream, at kvstore.Position) {
@@ -209,11 +220,19 @@
 func (d *Directory) extendGrace(service string, now time.Time) {
 	for _, r := range d.records {
 		if r.Service == service && !r.absentSince.IsZero() && now.Sub(r.absentSince) < lossWindow {
-			r.graceUntil = now.Add(RecoveryGrace)
+			r.graceUntil = now.Add(d.massLossGrace())
 		}
 	}
 }
 
+// massLossGrace is how long upstreams that were lost together stay in use.
+func (d *Directory) massLossGrace() time.Duration {
+	if d.departureBound == 0 {
+		return RecoveryGrace
+	}
+	return min(RecoveryGrace, time.Duration(massLossGraceFraction*float64(d.departureBound)))
+}
+
 // isMassLoss reports whether so many upstreams of a service were lost within
 // lossWindow that an outage of the store is the likelier cause. The caller
 // holds mu.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -127,6 +127,22 @@
 	g.Expect(usable(d)).To(Equal([]string{"5", "6"}))
 }
 
+// Guards against requests to upstreams that have left together without reporting it: their
+// loss looks like an outage of the store, but the bound on leaving upstreams holds for them.
+func TestMassLossEndsWithinTheBoundOnLeavingUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := fixture(6)
+	const bound, onTheWay = 2 * time.Second, 500 * time.Millisecond
+	d.SetDepartureBound(bound)
+	for i := range 4 {
+		d.Delete(fmt.Sprint(i+1), at(int64(20+i)))
+		clock.Advance(10 * time.Millisecond)
+	}
+	g.Expect(usable(d)).To(HaveLen(6))
+	clock.Advance(bound - onTheWay)
+	g.Expect(usable(d)).To(Equal([]string{"5", "6"}))
+}
+
 // Only the process that started last can use an address. After a power loss
 // the old IDs stayed in the store for three more heartbeats, and requests for
 // them were refused as misdirected.
