directory: departures that upstreams report don't turn a few losses into an outage

Requests went on to upstreams that had left although the store was well: three of twelve registrations were removed while the other nine reported that they were leaving. Those nine weren't counted among the upstreams of the service, so that three of three seemed lost.

A registered upstream counts now whether it is leaving or not: its registration shows that the store hasn't lost the service. An outage removes those registrations too. The test fails before: the three stay usable.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -234,17 +234,19 @@
 }
 
 // isMassLoss reports whether so many upstreams of a service were lost within
-// lossWindow that an outage of the store is the likelier cause. The caller
-// holds mu.
+// lossWindow that an outage of the store is the likelier cause. An upstream whose
+// registration says that it is leaving counts as present: the store has kept that one. The
+// caller holds mu.
 func (d *Directory) isMassLoss(service string, now time.Time) bool {
 	all, lost := 0, 0
 	for _, r := range d.records {
-		if r.Service != service || r.Leaving {
+		if r.Service != service {
 			continue
 		}
-		if r.absentSince.IsZero() {
+		switch {
+		case r.absentSince.IsZero():
 			all++
-		} else if now.Sub(r.absentSince) < lossWindow {
+		case !r.Leaving && now.Sub(r.absentSince) < lossWindow:
 			all++
 			lost++
 		}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -143,6 +143,24 @@
 	g.Expect(usable(d)).To(Equal([]string{"5", "6"}))
 }
 
+// Guards against the use of upstreams that have left: while most of a service report in the
+// store that they are leaving, the store isn't away, and those without registrations have
+// left too.
+func TestLossBesideReportedDeparturesTakesEffectAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := fixture(12)
+	for i := range 12 {
+		u := upstream(fmt.Sprint(i+1), 100)
+		if i >= 9 {
+			d.Delete(u.ID, at(int64(20+i)))
+			continue
+		}
+		u.Leaving = true
+		d.Put(u, at(int64(20+i)))
+	}
+	g.Expect(usable(d)).To(BeEmpty())
+}
+
 // Only the process that started last can use an address. After a power loss
 // the old IDs stayed in the store for three more heartbeats, and requests for
 // them were refused as misdirected.
