entry: a leaving agent stays out of use when its connection is replaced

On the product's own interface an entry gave attempts to an agent that had announced its departure: after a reconnection the agent greets first and announces the departure on that connection only once the entry's own greeting has arrived. In between the entry took it for usable; the agent refused what came, and the callers' requests were sent once more.

The entry forgets an announced departure only when another incarnation answers. The test fails before: the upstream is usable after the second greeting.

--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -152,8 +152,9 @@
 	}
 	l.mu.Lock()
 	l.conn = c
+	// An agent that leaves announces it on each connection, but after its Hello.
+	l.leaving = l.leaving && hello.Incarnation == l.hello.Incarnation
 	l.hello = hello
-	l.leaving = false
 	l.updateUsable()
 	l.mu.Unlock()
 	l.entry.updateAdmissionCapacity(l.member.pool)
--- a/internal/entry/link_test.go
+++ b/internal/entry/link_test.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"net"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
@@ -39,3 +42,24 @@
 	idle.retire()
 	g.Expect(stopped).To(BeTrue(), "nothing is in flight")
 }
+
+// Guards against attempts that are sent to a leaving upstream when its agent is connected
+// again: the agent greets first and announces its departure after that.
+func TestALeavingAgentStaysUnusableOverAReconnection(t *testing.T) {
+	g := NewWithT(t)
+	e := &Entry{admitter: newAdmitter(), opts: Options{Events: timeline.NewRing("entry", 8, clockwork.NewFakeClock())}}
+	l := newLink(e, &config.Upstream{Name: "u"}, func() {})
+	l.member = newUpstreamPool("p", "dc1").addMember(l)
+	connect := func(incarnation string) {
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		l.handleHello(wire.NewConn(near, l, wire.Options{}), wire.Hello{Upstream: "u", Incarnation: incarnation})
+	}
+	connect("first")
+	g.Expect(l.usable()).To(BeTrue())
+	l.Receive(l.conn, &wire.Leaving{})
+	connect("first")
+	g.Expect(l.usable()).To(BeFalse())
+	connect("second")
+	g.Expect(l.usable()).To(BeTrue(), "another incarnation of the agent isn't leaving")
+}
