quarantine: a content that crashes upstreams is known whoever sends it, whatever its query

Callers were refused for most of a minute while a plain request ended every upstream of its service: the quarantine knew a request without parts of a prompt by its client account and its whole content, so that each account and each query paid for three crashes of its own.

Two more parts stand for a request on both interfaces: its content without the account, and its account, path and body without the query. The line about a crash names the fingerprints.

--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -12,7 +12,7 @@
 
 // suspectOf returns the quarantine's identification of the dispatched request.
 func suspectOf(d *wire.Dispatch) quarantine.Suspect {
-	return quarantine.Suspect{Fingerprint: quarantine.FingerprintOf(d.Account, d.Path, d.Body), Account: d.Account, Parts: d.PromptParts}
+	return quarantine.Suspect{Fingerprint: quarantine.FingerprintOf(d.Account, d.Path, d.Body), Account: d.Account, Parts: d.SharedParts}
 }
 
 // isolate waits, if the run is marked as isolated, until no other isolated run
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -105,7 +105,9 @@
 	p.req.account = account
 	p.req.dispatch.Method = (*r).Method
 	p.req.dispatch.ContentType = (*r).Header.Get("Content-Type")
-	p.req.dispatch.Body = body
+	d := &p.req.dispatch
+	d.Body = body
+	d.SharedParts = append(d.SharedParts, quarantine.ContentFingerprints(account.Name, d.Path, body)...)
 	ctx, cancel := context.WithTimeout((*r).Context(), timeout)
 	*r = (*r).WithContext(ctx)
 	return p, cancel, nil
@@ -170,7 +172,7 @@
 	prompt := call.PromptText()
 	req := &request{
 		prefix:   prompt[:min(len(prompt), routingPrefixBytes)],
-		dispatch: wire.Dispatch{Path: r.URL.Path, Model: call.Model, Stream: call.Stream, PromptParts: quarantine.PartFingerprints(call.SharedParts())},
+		dispatch: wire.Dispatch{Path: r.URL.Path, Model: call.Model, Stream: call.Stream, SharedParts: quarantine.PartFingerprints(call.SharedParts())},
 		pool:     modelPool(call.Model),
 	}
 	return parsedRequest{req: req, stream: call.Stream}, nil
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -59,7 +59,7 @@
 	if x.fingerprint == "" {
 		x.fingerprint = quarantine.FingerprintOf(x.req.account.Name, d.Path, d.Body)
 	}
-	return quarantine.Suspect{Fingerprint: x.fingerprint, Account: x.req.account.Name, Parts: d.PromptParts}
+	return quarantine.Suspect{Fingerprint: x.fingerprint, Account: x.req.account.Name, Parts: d.SharedParts}
 }
 
 // checkQuarantine updates quarantineRecord and returns an error for a convicted
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -28,7 +28,7 @@
 	defer cancel()
 	crashed := q.g.Transport.Refuses(ctx, m.Address)
 	q.log.Info("connection ended before the answer began", zap.String("upstream", m.ID), zap.Bool("crashed", crashed),
-		zap.String("account", q.account), zap.Strings("parts", q.PromptParts), zap.Error(res.cause))
+		zap.String("account", q.account), zap.Strings("parts", q.PromptParts), zap.Any("fingerprints", q.suspect().Parts), zap.Error(res.cause))
 	return crashed
 }
 
@@ -43,8 +43,8 @@
 // one moment for another reason.
 func (q *request) suspect() quarantine.Suspect {
 	q.suspectOnce.Do(func() {
-		content := quarantine.FingerprintOf(q.account, q.r.RequestURI, q.body)
-		q.suspectValue = quarantine.Suspect{Account: q.account, Parts: append(quarantine.PartFingerprints(q.PromptParts), content)}
+		parts := append(quarantine.PartFingerprints(q.PromptParts), quarantine.FingerprintOf(q.account, q.r.RequestURI, q.body))
+		q.suspectValue = quarantine.Suspect{Account: q.account, Parts: append(parts, quarantine.ContentFingerprints(q.account, q.r.RequestURI, q.body)...)}
 	})
 	return q.suspectValue
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -15,10 +15,15 @@
 	"github.com/kingcupreel/kingcupreel/internal/directory"
 	"github.com/kingcupreel/kingcupreel/internal/dispatch"
 	"github.com/kingcupreel/kingcupreel/internal/quarantine"
+	"github.com/kingcupreel/kingcupreel/internal/routing"
 )
 
-// crashPart is the part of a prompt that crashes upstreams.
-const crashPart = "bad1"
+const (
+	// crashPart is the part of a prompt that crashes upstreams, crashPath the path of a
+	// request without a prompt that does.
+	crashPart = "bad1"
+	crashPath = "/safe/crash"
+)
 
 // crashingFleet is a fixture whose upstreams crash at prompts with crashPart. The head of
 // the answer is sent first. A crashed upstream comes back at another address.
@@ -46,12 +51,18 @@
 	id := fmt.Sprint("c", c.started)
 	var srv *httptest.Server
 	srv = httptest.NewServer(c.record(id, func(w http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.Header.Get("Prefix-Hash"), crashPart+":") {
+		switch {
+		case r.URL.Path == crashPath:
+		case strings.Contains(r.Header.Get("Prefix-Hash"), crashPart+":"):
+			events(w, r, 1, 0, false)
+			_ = http.NewResponseController(w).Flush()
+		case strings.HasPrefix(r.URL.Path, "/safe/"):
+			stamped(w, r, http.StatusOK, "done")
+			return
+		default:
 			events(w, r, 1, 3, false)
 			return
 		}
-		events(w, r, 1, 0, false)
-		_ = http.NewResponseController(w).Flush()
 		_ = srv.Listener.Close() // a second crash of the same upstream finds it closed
 		srv.CloseClientConnections()
 		c.crashed(id)
@@ -112,6 +123,45 @@
 	g.Expect(refused).To(BeNumerically(">=", rounds-enoughCrashes))
 }
 
+// get sends a plain request of a client account and returns the status.
+func (c *crashingFleet) get(account int, target string) int {
+	r := c.request(http.MethodGet, target, "")
+	r.Header.Set("Authorization", fmt.Sprint("Bearer key", account))
+	status, _, _, _ := c.send(r)
+	return status
+}
+
+// Guards against a request without a prompt that crashes one upstream after the other while
+// its client account, or its query, is another one each time. Sound requests of the same
+// accounts and to other paths are served.
+func TestPlainRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	const accounts, rounds, enoughCrashes = 6, 24, 8
+	for name, send := range map[string]func(c *crashingFleet, i int) int{
+		"of one account":        func(c *crashingFleet, _ int) int { return c.get(0, crashPath) },
+		"of several accounts":   func(c *crashingFleet, i int) int { return c.get(i%accounts, crashPath) },
+		"with changing queries": func(c *crashingFleet, i int) int { return c.get(0, fmt.Sprint(crashPath, "?n=", i)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			c := newCrashingFleet(t, 4)
+			conf := configuration()
+			conf.Version, conf.Accounts = 2, nil
+			for i := range accounts {
+				conf.Accounts = append(conf.Accounts, routing.Account{Name: fmt.Sprint("account", i), Keys: []string{fmt.Sprint("key", i)}})
+			}
+			c.routes.Apply(conf, time.Now())
+			for i := range rounds {
+				send(c, i)
+				g.Expect(c.get(i%accounts, fmt.Sprint("/safe/sound?n=", i))).To(Equal(http.StatusOK), "a sound request")
+				time.Sleep(200 * time.Millisecond) // crashes at one moment may have another cause
+			}
+			g.Expect(c.crashCount()).To(BeNumerically("<=", enoughCrashes))
+			g.Expect(send(c, rounds)).To(Equal(http.StatusServiceUnavailable))
+		})
+	}
+}
+
 // convict reports three crashes with requests that have the parts, as other entries would.
 func (f *fixture) convict(parts ...string) {
 	first := time.Now().Add(-time.Minute)
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -78,6 +78,24 @@
 		Expect(table.CrashedWith(prompt("next", "unlucky"))).To(BeEmpty())
 	})
 
+	It("blames one query and not its path if that query is in flight at all crashes", func() {
+		get := func(account, target string) quarantine.Suspect {
+			own := quarantine.FingerprintOf(account, target, nil)
+			return quarantine.Suspect{Account: account, Parts: append(quarantine.ContentFingerprints(account, target, nil), own)}
+		}
+		for i := range 3 {
+			crashed(fmt.Sprint("crash", i), get("a", "/p?n=bad"))
+			clock.Advance(time.Second)
+		}
+		Expect(table.Check(get("a", "/p?n=bad"))).NotTo(Succeed())
+		Expect(table.Check(get("a", "/p?n=sound"))).To(Succeed())
+		Expect(table.Check(get("b", "/p?n=bad"))).To(Succeed(), "only the account a has crashed upstreams")
+		crashed("crash of b", get("b", "/p?n=bad"))
+		Expect(table.Check(get("b", "/p?n=bad"))).NotTo(Succeed(), "the content crashes upstreams for any account")
+		Expect(table.Check(get("c", "/p?n=bad"))).NotTo(Succeed())
+		Expect(table.Check(get("b", "/p?n=sound"))).To(Succeed())
+	})
+
 	// Requests with one bad part come beside sound ones that share their other parts, and
 	// at each crash sound requests are in flight too.
 	It("refuses the bad part and no sound request on random schedules", func() {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -4,7 +4,7 @@
 // convicted and refused until the conviction expires. A suspect that succeeds
 // is cleared.
 //
-// The parts of prompts that requests share are suspects too, whatever else the
+// What requests share, for example parts of prompts, is a suspect too, whatever else the
 // requests hold (see parts.go).
 //
 // A request is identified by its fingerprint, a hash of its client account and
@@ -41,10 +41,16 @@
 // Fingerprint identifies a request by its client account and content.
 type Fingerprint string
 
-// FingerprintOf returns the fingerprint of a client account's call.
-func FingerprintOf(account, path string, body []byte) Fingerprint {
+// FingerprintOf returns the fingerprint of a client account's call. The target is its path
+// with the query.
+func FingerprintOf(account, target string, body []byte) Fingerprint {
+	return fingerprint(body, account, target)
+}
+
+// fingerprint returns the hash of a body and of what else identifies it.
+func fingerprint(body []byte, fields ...string) Fingerprint {
 	h := sha256.New()
-	for _, s := range []string{account, path} {
+	for _, s := range fields {
 		h.Write([]byte(s))
 		h.Write([]byte{0})
 	}
@@ -52,6 +58,17 @@
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:16]))
 }
 
+// ContentFingerprints returns the fingerprints of what a request may share with others that
+// crash upstreams as it does: its content, whichever client account sends it, and its
+// account, path and body, whatever the query.
+func ContentFingerprints(account, target string, body []byte) []Fingerprint {
+	list := []Fingerprint{fingerprint(body, "any account", "", target)}
+	if path, _, found := strings.Cut(target, "?"); found {
+		list = append(list, fingerprint(body, "any query", account, path))
+	}
+	return list
+}
+
 // PartFingerprints returns the fingerprints of parts of a prompt, which requests of all
 // client accounts may share.
 func PartFingerprints(parts []string) []Fingerprint {
@@ -68,8 +85,8 @@
 	// Fingerprint identifies the whole request; empty where its content is one of Parts.
 	Fingerprint Fingerprint
 	Account     string
-	// Parts are the parts of its prompt that other requests may share, if the answer had
-	// not begun.
+	// Parts are what other requests may share: parts of its prompt and ContentFingerprints.
+	// They are empty if the answer had begun.
 	Parts []Fingerprint
 }
 
@@ -105,10 +122,10 @@
 	Convicted State = "convicted"
 )
 
-// Record is a table's state of one request, or of one part of prompts.
+// Record is a table's state of one request, or of one part of requests.
 type Record struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
-	// Part is set for a part of prompts.
+	// Part is set for a part of requests.
 	Part    bool   `json:"part"`
 	Account string `json:"account"`
 	State   State  `json:"state"`
@@ -334,7 +351,7 @@
 	}
 	remedy, what := "change the request; it is on the quarantine list that operators see", "the request"
 	if rec.Part {
-		remedy, what = "change the prompt; the part is on the quarantine list that operators see", "part "+string(rec.Fingerprint)+" of the prompt"
+		remedy, what = "change the request; the part is on the quarantine list that operators see", "part "+string(rec.Fingerprint)+" of the request"
 	}
 	return fault.New(fault.Quarantined, remedy, "%s is in quarantine: %d upstreams crashed while running it", what, len(rec.CrashedUpstreams)).After(rec.Expires.Sub(t.clock.Now()))
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -118,8 +118,8 @@
 	// Isolated makes the attempt wait until no other isolated one runs at the
 	// agent.
 	Isolated bool
-	// PromptParts are the parts of the prompt that other requests may share.
-	PromptParts []quarantine.Fingerprint
+	// SharedParts are the parts that other requests may share; see quarantine.Suspect.
+	SharedParts []quarantine.Fingerprint
 }
 
 // Accepted means that the agent has queued the attempt, or, in answer to an
