gateway: keep to the request limits that upstreams name

An upstream in need names the requests a second that it takes from all VMs together.

Each entry now has its share of a limit as a series of permits at moments of its own; together the entries use 0.8 of it. A permit expires half a second after it was due, so that many entries with tiny shares don't save permits up. The pick passes over upstreams without a permit; only where no other is left does a request wait for the next one, at most as long as it may wait for a group, and else it is refused at once with the time of that permit. Limits come from answers and, for ranks, from load reports, which reach every entry. A limit ends with an answer that doesn't name it, or if it isn't named for the time of two permits.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -192,6 +192,7 @@
 		g.log.Info("upstream is leaving", zap.String("upstream", u.ID), zap.Int64("started", u.Started), zap.String("source", "load report"))
 		g.exchange.TriggerDigest()
 	}
+	g.gateway.ApplyReportedLimit(u, m.RequestLimit)
 	load := dispatch.Load{Queued: m.Queued, Active: m.Active, Slowness: float64(m.Slowness), GroupServing: m.GroupServing, Group: m.Group, GroupSize: m.GroupSize}
 	if g.gateway.Pools.UpdateLoad(m.Address, m.Started, load) != nil {
 		g.log.Info("rank's group started or stopped serving", zap.String("upstream", u.ID), zap.String("group", m.Group), zap.Bool("group_serves", m.GroupServing),
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -11,6 +11,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/ratelimit"
 )
 
 // Replica holds what a pool needs to know of an upstream.
@@ -110,7 +112,10 @@
 	// unreachable is set if the upstream's data centre is not heard from.
 	unreachable bool
 	// restsUntil is the time until which the upstream wants no requests.
-	restsUntil    time.Time
+	restsUntil time.Time
+	// limit is this entry's share of the limit on the rate of requests that the upstream
+	// has named, nil for none.
+	limit         *ratelimit.Share
 	failureMean   float64
 	failureMeanAt time.Time
 }
@@ -174,7 +179,7 @@
 	UsableUpstreams, TotalSlots int
 	// FreeSlots is the number of slots at usable upstreams, up to
 	// waitingFillFraction of each upstream's slots, that no known request
-	// occupies.
+	// occupies. Upstreams whose limits leave no permit now don't count.
 	FreeSlots int
 	// InFlight is the number of this entry's requests at the upstreams.
 	// Unanswered is the number of those without any part of an answer.
@@ -196,7 +201,9 @@
 		out.Unanswered += n.unanswered
 		if n.usable(now, groups) && !p.unheard(n, now) {
 			out.UsableUpstreams++
-			out.FreeSlots += max(int(waitingFillFraction*float64(n.Slots))-n.load(now), 0)
+			if n.permitWait(now) == 0 {
+				out.FreeSlots += max(int(waitingFillFraction*float64(n.Slots))-n.load(now), 0)
+			}
 		}
 	}
 	return out
@@ -235,7 +242,7 @@
 	compared := 0
 	for _, i := range p.rand.Perm(len(p.nodes)) {
 		n := p.nodes[i]
-		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || !candidate(n) || n.unreachable && now.Sub(p.probedAt) < probeInterval {
+		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || n.permitWait(now) > 0 || !candidate(n) || n.unreachable && now.Sub(p.probedAt) < probeInterval {
 			continue
 		}
 		if c := p.costAt(n, now); best == nil || c < bestCost {
@@ -438,6 +445,39 @@
 	return earliest, all
 }
 
+// SetLimit sets the entry's share of the limit that the upstream has named, nil for none.
+func (n *Node) SetLimit(share *ratelimit.Share) { n.limit = share }
+
+// TakePermit takes a permit of the upstream's limit, if it has named one.
+func (n *Node) TakePermit(now time.Time) {
+	if n.limit != nil {
+		n.limit.Take(now)
+	}
+}
+
+// permitWait returns how long it takes until the upstream's limit allows another request.
+func (n *Node) permitWait(now time.Time) time.Duration {
+	if n.limit == nil {
+		return 0
+	}
+	return n.limit.Wait(now)
+}
+
+// NextPermit returns the upstream, of those that could take the request but for their limits,
+// whose next permit comes first, and the time until then. It returns nil if there is none.
+func (p *Pool) NextPermit(now time.Time, exclude []string) (first *Node, wait time.Duration) {
+	groups := p.groupStates(now)
+	for _, n := range p.nodes {
+		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || p.unheard(n, now) {
+			continue
+		}
+		if w := n.permitWait(now); w > 0 && (first == nil || w < wait) {
+			first, wait = n, w
+		}
+	}
+	return first, wait
+}
+
 // MarkGone skips the upstream for goneDuration because another one has its
 // address. Load reports don't end this early.
 func (n *Node) MarkGone(now time.Time) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -98,7 +98,10 @@
 		m = q.pick()
 	}
 	if m == nil {
-		return nil, errNoUpstream.After(q.retryAfter())
+		m = q.awaitPermit()
+	}
+	if m == nil {
+		return nil, q.noUpstream()
 	}
 	if err := q.checkQuarantine(); err != nil {
 		m.Finish(false, false)
@@ -123,18 +126,27 @@
 	// retryAfterJitter is the largest fraction by which the delay is shortened
 	// at random, so that callers don't all retry at once.
 	retryAfterJitter = 0.1
-	// restReturnWindow is the time over which callers are spread who may come back when
-	// an upstream's rest ends.
-	restReturnWindow = 1 * time.Second
+	// returnWindow is the time over which callers are spread who may come back when an
+	// upstream's rest ends or its limit allows a request.
+	returnWindow = 1 * time.Second
 )
 
-// retryAfter returns the delay that the caller is told when its service has no usable
-// upstream.
-func (q *request) retryAfter() time.Duration {
+// noUpstream returns the error for a request that no upstream can take, with the delay that
+// the caller is told.
+func (q *request) noUpstream() error {
 	limit := maxRetryAfterFraction * float64(q.remaining()) * (1 - retryAfterJitter*rand.Float64())
+	if wait, limited := q.g.Pools.atLimit(q.service, q.attempted); limited {
+		return errLimited.After(time.Duration(min(float64(wait)+rand.Float64()*float64(returnWindow), limit)))
+	}
+	return errNoUpstream.After(q.retryAfter(limit))
+}
+
+// retryAfter returns the delay, at most limit, that the caller is told when its service has
+// no usable upstream.
+func (q *request) retryAfter(limit float64) time.Duration {
 	// A rank group with ranks that don't rest can't serve for another reason.
 	if rest, all := q.g.Pools.restingFor(q.service); rest > 0 && (all || !q.isRankGroup()) {
-		return time.Duration(min(float64(rest)+rand.Float64()*float64(restReturnWindow), limit))
+		return time.Duration(min(float64(rest)+rand.Float64()*float64(returnWindow), limit))
 	}
 	return time.Duration(min(float64(groupRetryAfter)*(1-retryAfterJitter*rand.Float64()), limit))
 }
@@ -304,6 +316,11 @@
 			q.g.OnDeparture()
 		}
 	}
+	if reply.InvalidRequestLimit != "" {
+		q.log.Warn("upstream's request limit can't be read; ignoring it", zap.String("upstream", m.ID), zap.String("limit", truncate(reply.InvalidRequestLimit)))
+	} else {
+		q.applyLimit(m, reply.RequestLimit, q.attemptStartedAt)
+	}
 	if reply.InvalidRetryAfter != "" {
 		q.log.Warn("upstream's retry delay can't be read; ignoring it", zap.String("upstream", m.ID), zap.String("delay", truncate(reply.InvalidRetryAfter)))
 	}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -38,6 +38,9 @@
 	// rests holds the times until which incarnations want no requests. An upstream
 	// keeps its time if its registration changes or is missing for a while.
 	rests map[directory.Departure]time.Time
+	// limits holds the limits that incarnations have named. An upstream keeps its limit as it
+	// keeps its rest.
+	limits map[directory.Departure]*namedLimit
 	// entryShare is this entry's share of the upstreams' capacity, 0 to 1.
 	entryShare float64
 	// reachable reports whether a data centre is heard from.
@@ -53,7 +56,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
 }
 
 // Configure sets the step costs of the services' engines.
@@ -104,6 +107,7 @@
 	}
 	now := p.clock.Now()
 	maps.DeleteFunc(p.rests, func(_ directory.Departure, until time.Time) bool { return !now.Before(until) })
+	p.removeExpiredLimits(now)
 	return changed
 }
 
@@ -128,6 +132,9 @@
 	m := &Member{Upstream: u, pools: p}
 	m.node = p.pool(u.Service).Add(dispatch.Replica{ID: u.ID, Slots: u.Slots})
 	m.node.Rest(p.rests[u.Incarnation()])
+	if l := p.limits[u.Incarnation()]; l != nil {
+		m.node.SetLimit(&l.share)
+	}
 	m.node.SetUnreachable(!p.reachable(u.DataCentre))
 	p.members[u.ID] = m
 	p.byAddress[u.Address] = m
@@ -162,6 +169,7 @@
 		return nil
 	}
 	n.MarkSent()
+	n.TakePermit(p.clock.Now())
 	return p.members[n.ID]
 }
 
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -64,6 +64,9 @@
 	if m != nil {
 		return m
 	}
+	if _, limited := q.g.Pools.atLimit(q.service, q.attempted); limited {
+		return nil
+	}
 	limit := q.waitLimit()
 	if !q.headSent && !o.mayEndWithin(limit, q.g.MinOutage) {
 		q.log.Info("group isn't expected back in time", zap.Duration("outage", o.age), zap.Bool("all_ranks_alive", o.reforming), zap.Bool("served_before", o.servedBefore),
@@ -227,6 +230,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.entryShare = entryShare
+	now := p.clock.Now()
+	for _, l := range p.limits {
+		l.setShare(entryShare, now)
+	}
 }
 
 // Waiting returns the number of requests that wait for a service.
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -97,9 +97,10 @@
 	return min(max(time.Duration(entries)*time.Second/maxLoadReports, loadInterval), maxLoadInterval)
 }
 
-// sameState reports whether two load reports differ at most in the load.
+// sameState reports whether two load reports differ at most in the load and in the rate of
+// a request limit.
 func sameState(a, b *wire.RankLoad) bool {
-	return a.Started == b.Started && a.Group == b.Group && a.GroupSize == b.GroupSize && a.GroupServing == b.GroupServing && a.Leaving == b.Leaving
+	return a.Started == b.Started && a.Group == b.Group && a.GroupSize == b.GroupSize && a.GroupServing == b.GroupServing && a.Leaving == b.Leaving && (a.RequestLimit > 0) == (b.RequestLimit > 0)
 }
 
 // Run reports the rank's load to the entries until ctx is done.
@@ -128,7 +129,7 @@
 			progressing = now
 			a.Log.Info("group's progress changed", zap.String("group", st.Group), zap.Bool("goes_on", now), zap.Int64("step", st.Step), zap.Int("active", st.Active), zap.Int64("held", st.Held))
 		}
-		load := wire.RankLoad{Address: a.Self.Upstream, Started: st.Started, Queued: st.Queued, Active: st.Active, Slowness: float32(st.Slowness), GroupServing: st.GroupServing && progressing, Group: st.Group, GroupSize: st.Size, Leaving: st.Leaving}
+		load := wire.RankLoad{Address: a.Self.Upstream, Started: st.Started, Queued: st.Queued, Active: st.Active, Slowness: float32(st.Slowness), GroupServing: st.GroupServing && progressing, Group: st.Group, GroupSize: st.Size, Leaving: st.Leaving, RequestLimit: st.RequestLimit}
 		entries := a.View.Members(fleet.RoleEntry)
 		sinceSent := a.Clock.Since(sentAt)
 		if load == lastLoad && sinceSent < loadResendInterval || sameState(&load, &lastLoad) && sinceSent < loadReportInterval(len(entries)) {
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -42,6 +42,9 @@
 	Slowness float64
 	// Leaving is set if the engine says that it is leaving.
 	Leaving bool
+	// RequestLimit is the rate of requests, a second, that the engine takes from all entries
+	// together; 0 if it names none.
+	RequestLimit float64
 }
 
 // Op is the operation that an order requests.
--- /dev/null
+++ b/internal/ratelimit/ratelimit.go
@@ -0,0 +1,97 @@
+// Package ratelimit spaces the requests of one entry to an upstream that limits the rate of
+// the requests from all entries together. Entries don't coordinate single requests: each keeps
+// to its share, which may be far below one request a second. The package does no I/O and reads
+// no clock.
+package ratelimit
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// usedFraction is the fraction of a limit that all shares together use. Each entry's
+	// permits fall at moments of its own, so that their number within a few seconds varies.
+	usedFraction = 0.8
+	// maxUnused is how long a permit may be used after it was due. Permits that many entries
+	// keep while the upstream isn't chosen would add up.
+	maxUnused = 500 * time.Millisecond
+	// MinLimit is the lowest limit that entries keep to, in requests a second: only an answer
+	// shows that a limit has ended.
+	MinLimit = 0.1
+	// maxInterval bounds the time between two permits.
+	maxInterval = 24 * time.Hour
+)
+
+// ParseLimit reads a limit in requests a second. A limit below MinLimit counts as MinLimit.
+// It returns false for a text that is no limit.
+func ParseLimit(text string) (float64, bool) {
+	limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+		return 0, false
+	}
+	return max(limit, MinLimit), true
+}
+
+// Share is one entry's share of a limit: a series of permits for one request each. The zero
+// value doesn't limit. It is not safe for concurrent use.
+type Share struct {
+	// interval is the time between two permits, 0 for no limit. nextAt is when the first
+	// permit that isn't taken falls due.
+	interval time.Duration
+	nextAt   time.Time
+}
+
+// Set sets the entry's share of a limit, in requests a second. Its first permit falls due
+// after the given fraction of the interval, which entries draw at random so that their
+// permits spread out.
+func (s *Share) Set(rate, phase float64, now time.Time) {
+	interval := maxInterval
+	if seconds := 1 / (usedFraction * rate); rate > 0 && seconds < maxInterval.Seconds() {
+		interval = time.Duration(seconds * float64(time.Second))
+	}
+	if interval == s.interval {
+		return
+	}
+	first := now.Add(time.Duration(phase * float64(interval)))
+	if s.interval == 0 || first.Before(s.nextAt) {
+		s.nextAt = first
+	}
+	s.interval = interval
+}
+
+// Clear removes the limit.
+func (s *Share) Clear() { *s = Share{} }
+
+// Limited reports whether there is a limit.
+func (s *Share) Limited() bool { return s.interval > 0 }
+
+// Interval returns the time between two permits, 0 without a limit.
+func (s *Share) Interval() time.Duration { return s.interval }
+
+// Wait returns the time until the next permit, 0 if one is due or there is no limit.
+func (s *Share) Wait(now time.Time) time.Duration {
+	if !s.Limited() {
+		return 0
+	}
+	return max(s.next(now).Sub(now), 0)
+}
+
+// Take takes the next permit, which may lie in the future.
+func (s *Share) Take(now time.Time) {
+	if s.Limited() {
+		s.nextAt = s.next(now).Add(s.interval)
+	}
+}
+
+// next returns when the first permit falls due that is neither taken nor expired.
+func (s *Share) next(now time.Time) time.Time {
+	unused := now.Add(-maxUnused).Sub(s.nextAt)
+	if unused <= 0 {
+		return s.nextAt
+	}
+	expired := math.Ceil(float64(unused) / float64(s.interval))
+	return s.nextAt.Add(time.Duration(expired) * s.interval)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -53,6 +53,11 @@
 	// time. InvalidRetryAfter is the text of a time that could not be read.
 	RetryAfter        time.Duration
 	InvalidRetryAfter string
+	// RequestLimit is the rate of requests, a second, that the upstream takes from all
+	// entries together; 0 if it names none. InvalidRequestLimit is the text of a rate that
+	// could not be read.
+	RequestLimit        float64
+	InvalidRequestLimit string
 }
 
 // Codec reads the response headers of the upstreams' protocol.
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -37,6 +37,8 @@
 	Leaving bool
 	// GroupSize is the number of ranks in the group, 0 if not known.
 	GroupSize int
+	// RequestLimit is as in ranks.Status.
+	RequestLimit float64
 }
 
 // EntryDigest tells another entry which configuration and departures the sender
