entry, agent: request limits on the product's own interface

An engine or a plain service of a stand-alone deployment may name the requests a second that it takes, in the header X-Request-Limit of any answer; nothing heeded it. The agent, through which every answer passes, tells each connected entry its share, again when entries come and go. The entries keep to it by the same permits as gateways: pickers pass over upstreams without one, a request waits for the next permit only where no other upstream is left, for at most 0.3 of its time and 2 s, and is refused at once otherwise, with the time of that permit.

The stand-ins of an engine and of a plain service name limits. Scenario limits: an engine at 2 and a service at 1 a second under load through three entries stay within the users' bound and nobody is refused while others have room; with all services at their limits callers are refused.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -83,6 +83,7 @@
 	runs    map[wire.AttemptID]*run
 	leaving bool
 	load    *wire.Load // the last load read, nil before the first
+	limit   namedLimit
 	// configChanged wakes reportLoad after a change of configuration.
 	configChanged chan struct{}
 	active        sync.WaitGroup
@@ -106,6 +107,7 @@
 
 		configChanged: make(chan struct{}, 1),
 	}
+	a.upstream.onAnswer = a.applyLimit
 	a.maps = newMapHandler(a)
 	opts.Store.OnChange(a.configApplied)
 	return a
@@ -138,6 +140,9 @@
 	a.mu.Lock()
 	peer, known := a.conns[c]
 	delete(a.conns, c)
+	if known && a.limit.rate > 0 {
+		a.sendLimitShares()
+	}
 	a.mu.Unlock()
 	if !known {
 		a.count("connections.nameless")
@@ -200,6 +205,9 @@
 	if a.leaving {
 		_ = c.Send(&wire.Leaving{})
 	}
+	if a.limit.rate > 0 {
+		a.sendLimitShares()
+	}
 }
 
 // runWorker executes runs from the queue until ctx is done.
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -42,6 +42,8 @@
 	http         *http.Client
 	stallTimeout time.Duration
 	clock        clockwork.Clock
+	// onAnswer is called with the headers of each answer and the time when its call began.
+	onAnswer func(h http.Header, calledAt time.Time)
 }
 
 // errStalled is the cause with which a run is cancelled when its engine stalls.
@@ -53,7 +55,10 @@
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
-	return &upstream{base: base, http: &http.Client{Transport: transport, CheckRedirect: returnRedirect}, stallTimeout: stallTimeout, clock: clock}
+	return &upstream{
+		base: base, http: &http.Client{Transport: transport, CheckRedirect: returnRedirect}, stallTimeout: stallTimeout, clock: clock,
+		onAnswer: func(http.Header, time.Time) {},
+	}
 }
 
 // run sends an attempt to the upstream and relays the answer through r. It
@@ -64,12 +69,14 @@
 		return outcome.NotRun, err
 	}
 	timer := u.startFirstEventTimer(r)
+	calledAt := u.clock.Now()
 	resp, err := u.http.Do(req)
 	timer.Stop()
 	if err != nil {
 		return callError(r, err)
 	}
 	defer resp.Body.Close()
+	u.onAnswer(resp.Header, calledAt)
 	contentType := resp.Header.Get("Content-Type")
 	r.sendHead(resp.StatusCode, contentType)
 	if strings.HasPrefix(contentType, "text/event-stream") {
@@ -211,11 +218,13 @@
 	if err != nil {
 		return wire.Load{}, err
 	}
+	calledAt := u.clock.Now()
 	resp, err := u.http.Do(req)
 	if err != nil {
 		return wire.Load{}, err
 	}
 	defer resp.Body.Close()
+	u.onAnswer(resp.Header, calledAt)
 	var l engineapi.Load
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxEventSize)).Decode(&l); err != nil {
 		return wire.Load{}, err
--- a/internal/balance/node.go
+++ b/internal/balance/node.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcupreel/kingcupreel/internal/ratelimit"
 )
 
 // Upstream identifies an upstream of a pool.
@@ -81,6 +83,8 @@
 	// awaitsReport is set if the ejection lasts until a load report that isn't
 	// silent.
 	awaitsReport bool
+	// limit is this entry's share of the limit that the upstream has named.
+	limit ratelimit.Share
 }
 
 // group is the state shared by the ranks of a model group.
@@ -103,7 +107,7 @@
 func (n *Node) Ejected() bool { return n.pool.clock.Now().Before(n.ejectedUntil) }
 
 // SetUsable sets whether the upstream is connected and accepts work. A change
-// resets its failures, load reports and ejection.
+// resets its failures, load reports, ejection and limit.
 func (n *Node) SetUsable(usable bool) {
 	if n.usable == usable {
 		return
@@ -117,9 +121,23 @@
 	n.engineSilent = false
 	n.awaitsReport = false
 	n.ejectedUntil = time.Time{}
+	n.limit.Clear()
 	n.pool.rebuildIndex()
 }
 
+// SetLimit sets this entry's share of the limit that the upstream has named, in requests a
+// second; 0 for no limit.
+func (n *Node) SetLimit(rate float64) {
+	if rate == 0 {
+		n.limit.Clear()
+		return
+	}
+	n.limit.Set(rate, n.pool.rand.Float64(), n.pool.clock.Now())
+}
+
+// TakePermit takes a permit of the upstream's limit, if it has named one.
+func (n *Node) TakePermit() { n.limit.Take(n.pool.clock.Now()) }
+
 // MarkSent counts an attempt that was sent to the upstream.
 func (n *Node) MarkSent() {
 	now := n.pool.clock.Now()
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -39,7 +39,7 @@
 	for _, list := range [][]*Node{p.local, p.remote} {
 		for range list {
 			p.nextRoundRobin++
-			if n := list[p.nextRoundRobin%len(list)]; !r.excludes(n) {
+			if n := list[p.nextRoundRobin%len(list)]; !p.passesOver(r, n) {
 				return n
 			}
 		}
@@ -107,7 +107,7 @@
 	}
 	limit := max(cost, min(affinityFactor*cost+affinitySlack, affinityMaxCost))
 	for _, preferred := range p.preferredFor(r.Prefix) {
-		if preferred != nil && !r.excludes(preferred) && preferred.costAt(now) <= limit && !preferred.wouldStraggle(now) {
+		if preferred != nil && !p.passesOver(r, preferred) && preferred.costAt(now) <= limit && !preferred.wouldStraggle(now) {
 			return preferred
 		}
 	}
@@ -138,17 +138,36 @@
 		return nil
 	}
 	for range maxRandomDraws {
-		if n := list[p.rand.IntN(len(list))]; !r.excludes(n) {
+		if n := list[p.rand.IntN(len(list))]; !p.passesOver(r, n) {
 			return n
 		}
 	}
 	start := p.rand.IntN(len(list))
 	for i := range list {
-		if n := list[(start+i)%len(list)]; !r.excludes(n) {
+		if n := list[(start+i)%len(list)]; !p.passesOver(r, n) {
 			return n
 		}
 	}
 	return nil
 }
 
-func (r *Request) excludes(n *Node) bool { return slices.Contains(r.Exclude, n.Name) }
+// passesOver reports whether a request can't go to an upstream now: it is excluded, or its
+// limit leaves no permit.
+func (p *Pool) passesOver(r Request, n *Node) bool {
+	return slices.Contains(r.Exclude, n.Name) || n.limit.Wait(p.clock.Now()) > 0
+}
+
+// NextPermit returns the upstream in use, of those that only their limits keep from taking
+// the request, whose next permit comes first, and the time until then. It returns nil if there
+// is none.
+func (p *Pool) NextPermit(r Request) (first *Node, wait time.Duration) {
+	now := p.clock.Now()
+	for _, list := range [][]*Node{p.local, p.remote} {
+		for _, n := range list {
+			if w := n.limit.Wait(now); w > 0 && !slices.Contains(r.Exclude, n.Name) && (first == nil || w < wait) {
+				first, wait = n, w
+			}
+		}
+	}
+	return first, wait
+}
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -22,6 +22,11 @@
 	HeaderPriority = "X-Priority"
 )
 
+// HeaderRequestLimit is the header of any answer, load reports included, in which an engine
+// or a plain service names the requests a second that it takes, as a decimal number. The
+// limit holds until an answer doesn't name it.
+const HeaderRequestLimit = "X-Request-Limit"
+
 // StreamEnd is the event that ends a stream.
 const StreamEnd = "data: [DONE]\n\n"
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -103,7 +103,7 @@
 // finish counts and records the outcome and writes the end of the answer.
 func (x *exchange) finish(last result) {
 	if last.err == nil && last.outcome == outcome.NotRun {
-		last.err = fault.New(fault.Unavailable, "send the request again after Retry-After", "no upstream can take the request").After(x.entry.retryAfter(x.req.pool))
+		last.err = x.noUpstream()
 	}
 	if last.outcome == outcome.Completed {
 		x.entry.retryBudget.RecordSuccess()
@@ -120,6 +120,9 @@
 // other request does not wait.
 func (x *exchange) pickOrWait(ctx context.Context, priorOutcome outcome.Outcome) *link {
 	l := x.pick()
+	if l == nil {
+		l = x.awaitPermit(ctx)
+	}
 	if l != nil || priorOutcome == "" {
 		return l
 	}
@@ -186,6 +189,7 @@
 func (x *exchange) pick() *link {
 	if x.quarantineRecord.State == quarantine.Suspected {
 		if l := x.pickIsolated(); l != nil {
+			l.member.takePermit()
 			return l
 		}
 	}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -87,6 +88,9 @@
 		l.updateUsable()
 		l.mu.Unlock()
 		l.entry.event(timeline.Event{Kind: timeline.UpstreamLeaving, Object: l.upstream.Name})
+	case *wire.RequestLimit:
+		l.member.setLimit(m.Rate)
+		l.entry.event(timeline.Event{Kind: timeline.UpstreamLimit, Object: l.upstream.Name, Detail: strconv.FormatFloat(m.Rate, 'g', -1, 64)})
 	case *wire.ConfigDigest:
 		l.mu.Lock()
 		l.hello.Revision = m.Revision
--- a/internal/entry/linktable.go
+++ b/internal/entry/linktable.go
@@ -90,15 +90,20 @@
 
 // pick picks a link for a request that is not in exclude, or returns nil.
 func (t *linkTable) pick(picker balance.Picker, req *request, exclude map[string]bool) *link {
-	t.mu.RLock()
-	p := t.pools[req.pool]
-	t.mu.RUnlock()
+	p := t.poolNamed(req.pool)
 	if p == nil {
 		return nil
 	}
 	return p.pick(picker, req.prefix, exclude)
 }
 
+// poolNamed returns a pool, nil if there is none.
+func (t *linkTable) poolNamed(name string) *upstreamPool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.pools[name]
+}
+
 // all returns every link.
 func (t *linkTable) all() []*link {
 	t.mu.RLock()
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,19 +66,42 @@
 
 // pick picks a link that is not in exclude, or returns nil.
 func (p *upstreamPool) pick(picker balance.Picker, prefix string, exclude map[string]bool) *link {
-	var names []string
-	for name := range exclude {
-		names = append(names, name)
-	}
+	names := slices.Collect(maps.Keys(exclude))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := picker.Pick(p.pool, balance.Request{Prefix: prefix, Exclude: names})
 	if n == nil {
 		return nil
 	}
+	n.TakePermit()
 	return p.links[n]
 }
 
+// nextPermit returns the link, of those that only their upstreams' limits keep from taking
+// the request, whose next permit comes first, and the time until then; nil if there is none.
+func (p *upstreamPool) nextPermit(exclude map[string]bool) (*link, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n, wait := p.pool.NextPermit(balance.Request{Exclude: slices.Collect(maps.Keys(exclude))})
+	if n == nil {
+		return nil, 0
+	}
+	return p.links[n], wait
+}
+
+// reservePermit takes the next permit if it comes within maxWait, and returns its link and
+// the time until then.
+func (p *upstreamPool) reservePermit(exclude map[string]bool, maxWait time.Duration) (*link, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n, wait := p.pool.NextPermit(balance.Request{Exclude: slices.Collect(maps.Keys(exclude))})
+	if n == nil || wait > maxWait {
+		return nil, 0
+	}
+	n.TakePermit()
+	return p.links[n], wait
+}
+
 // capacity estimates how many requests all entries together may have in flight
 // at the pool, scaled up from the upstreams that this entry is linked to; 0
 // means unknown.
@@ -132,6 +157,12 @@
 	m.withNode(func(n *balance.Node) { n.SetUsable(usable) })
 }
 
+func (m *member) setLimit(rate float64) {
+	m.withNode(func(n *balance.Node) { n.SetLimit(rate) })
+}
+
+func (m *member) takePermit() { m.withNode((*balance.Node).TakePermit) }
+
 func (m *member) markSent() { m.withNode((*balance.Node).MarkSent) }
 
 func (m *member) finishAttempt(id wire.AttemptID) {
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -3,50 +3,27 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/kingcupreel/kingcupreel/internal/ratelimit"
+	"github.com/kingcupreel/kingcupreel/internal/standin"
 )
 
-const (
-	window = 4 * time.Second
-	// windowFactor and windowExtra are the users' bound: in each window an upstream gets at
-	// most that multiple of its limit and these requests more.
-	windowFactor, windowExtra = 1.5, 5
-)
-
-// bound returns how many requests an upstream with a limit may get in a window.
-func bound(limit float64) float64 { return windowFactor*limit*window.Seconds() + windowExtra }
-
-// mostInWindow returns the largest number of the moments that fall into one window.
-func mostInWindow(moments []time.Duration) int {
-	slices.Sort(moments)
-	most, first := 0, 0
-	for i, at := range moments {
-		for moments[first] <= at-window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // sends returns when entries that share a limit send to the upstream. Each has requests at
 // random moments at the given mean rate.
-func sends(rng *rand.Rand, limit float64, entries int, demand float64, duration time.Duration) []time.Duration {
+func sends(rng *rand.Rand, limit float64, entries int, demand float64, duration time.Duration) []time.Time {
 	start := time.UnixMilli(0)
-	var moments []time.Duration
+	var moments []time.Time
 	for range entries {
 		var s ratelimit.Share
 		s.Set(limit/float64(entries), rng.Float64(), start)
 		for at := time.Duration(0); at < duration; at += time.Duration(rng.ExpFloat64() / demand * float64(time.Second)) {
 			if now := start.Add(at); s.Wait(now) == 0 {
 				s.Take(now)
-				moments = append(moments, at)
+				moments = append(moments, now)
 			}
 		}
 	}
@@ -64,7 +41,8 @@
 					g := NewWithT(t)
 					for seed := range uint64(10) {
 						moments := sends(rand.New(rand.NewPCG(seed, 1)), limit, entries, demand*limit, 20*time.Second)
-						g.Expect(float64(mostInWindow(moments))).To(BeNumerically("<=", bound(limit)), "seed %d", seed)
+						most, allowed := standin.MostInLimitWindow(moments, limit)
+						g.Expect(float64(most)).To(BeNumerically("<=", allowed), "seed %d", seed)
 					}
 				})
 			}
@@ -87,7 +65,8 @@
 			due++
 		}
 	}
-	g.Expect(due).To(BeNumerically("<=", bound(limit)))
+	_, allowed := standin.MostInLimitWindow(nil, limit)
+	g.Expect(float64(due)).To(BeNumerically("<=", allowed))
 }
 
 func TestMostOfALimitIsUsed(t *testing.T) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -68,6 +68,7 @@
 	cache       *cache
 	loadHistory *loadHistory
 	crasher     crasher
+	limit       standin.LimitNamer
 
 	mu   sync.Mutex
 	runs []*Run
@@ -95,7 +96,7 @@
 	mux.HandleFunc("GET /admin/runs", e.showRuns)
 	mux.HandleFunc("GET /admin/crashes", e.showCrashes)
 	mux.HandleFunc("GET /cache/events", e.cache.showEvents)
-	return mux
+	return e.limit.Handler(mux)
 }
 
 // Token returns the i-th token, counted from 0, of the completion of prompt.
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -32,6 +32,8 @@
 	// Delay is the time from recording a call to responding to it.
 	Delay time.Duration
 
+	limit standin.LimitNamer
+
 	mu    sync.Mutex
 	calls []Call
 }
@@ -42,7 +44,7 @@
 	mux.HandleFunc("GET /admin/calls", s.showCalls)
 	mux.HandleFunc("GET "+engineapi.PathLoad, http.NotFound)
 	mux.HandleFunc("/", s.serve)
-	return mux
+	return s.limit.Handler(mux)
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -30,6 +30,7 @@
 	AttemptEnded    Kind = "attempt-ended"
 	Answered        Kind = "answered"
 	UpstreamLeaving Kind = "upstream-leaving"
+	UpstreamLimit   Kind = "upstream-limit"
 	MapActive       Kind = "map-active"
 	MapPlanned      Kind = "map-planned"
 	LeaseAcquired   Kind = "lease-taken"
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -34,6 +34,7 @@
 	KindEventsReply
 	KindAttach
 	KindRelease
+	KindRequestLimit
 )
 
 // Message is a typed message of the inner protocol.
@@ -220,6 +221,10 @@
 // Leaving announces that the sender is draining and accepts no new work.
 type Leaving struct{}
 
+// RequestLimit is the receiving entry's share of the limit that the agent's upstream has
+// named, in requests a second; 0 for no limit.
+type RequestLimit struct{ Rate float64 }
+
 // ConfigDigest announces the configuration revision in force at the sender.
 type ConfigDigest struct{ Revision int64 }
 
@@ -275,6 +280,9 @@
 // Kind implements Message.
 func (*Leaving) Kind() Kind { return KindLeaving }
 
+// Kind implements Message.
+func (*RequestLimit) Kind() Kind { return KindRequestLimit }
+
 // Kind implements Message.
 func (*ConfigDigest) Kind() Kind { return KindConfigDigest }
 
@@ -323,4 +331,5 @@
 	KindEventsReply:   func() Message { return new(EventsReply) },
 	KindAttach:        func() Message { return new(Attach) },
 	KindRelease:       func() Message { return new(Release) },
+	KindRequestLimit:  func() Message { return new(RequestLimit) },
 }
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -57,6 +57,7 @@
 var checks = []check{
 	{"connected", checkConnected},
 	{"runs", checkRuns},
+	{"limit", checkLimit},
 	{"once", checkOnce},
 	{"answer", checkAnswer},
 	{"garbage", checkGarbage},
