soak: plain requests that crash upstreams

A part of the plain requests crashes the upstream, each with another query. Streams and plain requests are counted apart.

--- a/test/soak/badpart_test.go
+++ b/test/soak/badpart_test.go
@@ -15,7 +15,11 @@
 	// badPart is the part of a prompt that crashes the upstream which begins to answer.
 	// Sound requests share soundPart with it.
 	badPart, soundPart = "bad1:30", "50a1:40"
-	// badFraction is the fraction of the streams that have badPart.
+	// badTarget is the path of plain requests that crash the upstream, each with another
+	// query.
+	badTarget = "/safe/bad"
+	// badFraction is the fraction of the streams that have badPart, and of the plain safe
+	// requests with badTarget.
 	badFraction = 0.04
 	// badRequestPrefix begins the ids of such requests.
 	badRequestPrefix = "bad-"
@@ -29,8 +33,11 @@
 	crashTime = 600 * time.Millisecond
 )
 
-// badRequests tracks the requests with badPart.
+// badRequests tracks the requests that crash upstreams and are alike in one thing.
 type badRequests struct {
+	// what they have in common.
+	what string
+
 	mu sync.Mutex
 	// sent says to which process each was sent, and when.
 	sent    map[string]sentRequest
@@ -44,13 +51,17 @@
 	at      time.Time
 }
 
+func newBadRequests(what string) *badRequests {
+	return &badRequests{what: what, sent: map[string]sentRequest{}}
+}
+
 func (b *badRequests) send(id string, p *process) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sent[id] = sentRequest{p, time.Now()}
 }
 
-// arrive records that a request with badPart has reached an upstream.
+// arrive records that such a request has reached an upstream.
 func (b *badRequests) arrive(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -70,18 +81,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.late > maxLateBad {
-		r.recordViolation("%d requests with a part under which %d upstreams had crashed reached upstreams later; %d crashed in all", b.late, maxCrashes, len(b.crashes))
+		r.recordViolation("%d requests with %s under which %d upstreams had crashed reached upstreams later; %d crashed in all", b.late, b.what, maxCrashes, len(b.crashes))
 	}
 }
 
-// sendToCalmProcesses sends requests with badPart through all processes once these have been
+// sendBadToCalmProcesses sends such requests through all processes once these have been
 // without faults for a while. They come too slowly to crash all upstreams at once.
-func (b *badRequests) sendToCalmProcesses(c *caller) {
-	const rounds, pause = 12, 200 * time.Millisecond
+func (c *caller) sendBadToCalmProcesses() {
+	const rounds, pause = 24, 100 * time.Millisecond
 	time.Sleep(inTouchTime + pause)
 	for n := range rounds {
 		for i, p := range c.d.processes {
-			_, _ = c.send(p, "/stream/", fmt.Sprintf("%scalm-%d-%d", badRequestPrefix, n, i)) // these requests earn nothing
+			prefix := []string{"/stream/", "/safe/"}[n%2]
+			_, _ = c.send(p, prefix, fmt.Sprintf("%scalm-%d-%d", badRequestPrefix, n, i)) // these requests earn nothing
 		}
 		time.Sleep(pause)
 	}
@@ -108,14 +120,14 @@
 
 // crash ends the upstream's connections and refuses new ones for crashTime. It comes back
 // as another incarnation.
-func (u *upstream) crash() {
+func (u *upstream) crash(cause *badRequests) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.crashed {
 		return
 	}
 	u.crashed = true
-	u.d.bad.crash()
+	cause.crash()
 	u.stopListening()
 	_ = u.link.SetMode(link.Drop) // every mode used is valid
 	_ = u.link.SetMode(link.Pass)
@@ -135,15 +147,26 @@
 	u.registerIncarnation()
 }
 
-// answerBad begins an answer and crashes.
-func (u *upstream) answerBad(w http.ResponseWriter) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	_ = http.NewResponseController(w).Flush()
-	u.crash()
+// answerBad begins an answer, if it is a stream, and crashes.
+func (u *upstream) answerBad(w http.ResponseWriter, cause *badRequests) {
+	if cause == u.d.badStreams {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(w).Flush()
+	}
+	u.crash(cause)
 	panic(http.ErrAbortHandler)
 }
 
-func isBad(r *http.Request) bool { return strings.Contains(r.Header.Get("Prefix-Hash"), badPart) }
+// badRequestsOf returns what tracks a request that crashes upstreams, nil for a sound one.
+func (d *deployment) badRequestsOf(r *http.Request) *badRequests {
+	switch {
+	case strings.Contains(r.Header.Get("Prefix-Hash"), badPart):
+		return d.badStreams
+	case r.URL.Path == badTarget:
+		return d.badPlain
+	}
+	return nil
+}
 
 // unframed sends an answer with neither a length nor chunks and ends the connection. With
 // truncate it ends a stream within its last event.
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -40,7 +40,8 @@
 	dir      string
 	kvStore  *kv.Store
 	recorder *recorder
-	bad      *badRequests
+	// badStreams and badPlain are the requests with badPart and with badTarget.
+	badStreams, badPlain *badRequests
 
 	upstreams     []*upstream
 	processes     []*process
@@ -94,7 +95,7 @@
 
 func newDeployment(t *testing.T, seed uint64) *deployment {
 	t.Helper()
-	d := &deployment{t: t, seed: seed, dir: t.TempDir(), kvStore: kv.NewStore(clockwork.NewRealClock()), recorder: newRecorder(), bad: &badRequests{sent: map[string]sentRequest{}}}
+	d := &deployment{t: t, seed: seed, dir: t.TempDir(), kvStore: kv.NewStore(clockwork.NewRealClock()), recorder: newRecorder(), badStreams: newBadRequests("a part"), badPlain: newBadRequests("a path")}
 	store := httptest.NewServer(kv.NewServer(d.kvStore).Handler())
 	t.Cleanup(store.CloseClientConnections)
 	for i := range 3 {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -93,12 +93,14 @@
 	}
 	close(stop)
 	running.Wait()
-	d.bad.sendToCalmProcesses(probe)
+	probe.sendBadToCalmProcesses()
 	expected.check(d.recorder)
-	d.bad.check(d.recorder)
+	d.badStreams.check(d.recorder)
+	d.badPlain.check(d.recorder)
 	d.recorder.mu.Lock()
 	defer d.recorder.mu.Unlock()
-	t.Logf("%d requests ran, %d were reported as not run; %d crashes, %d late requests with the part", len(d.recorder.runs), len(expected.notRun), len(d.bad.crashes), d.bad.late)
+	t.Logf("%d requests ran, %d were reported as not run; %d and %d crashes by a part and by a path, %d and %d late requests", len(d.recorder.runs), len(expected.notRun),
+		len(d.badStreams.crashes), len(d.badPlain.crashes), d.badStreams.late, d.badPlain.late)
 	g.Expect(d.recorder.violations).To(BeEmpty())
 	g.Expect(len(d.recorder.runs)).To(BeNumerically(">", 20), "the callers were served")
 }
@@ -234,7 +236,7 @@
 	p := c.d.processes[c.rand.IntN(gateways)]
 	prefix := []string{"/safe/", "/unsafe/", "/stream/"}[c.rand.IntN(3)]
 	id := fmt.Sprintf("r-%d-%d", c.id, n)
-	if prefix == "/stream/" && c.rand.Float64() < badFraction {
+	if prefix != "/unsafe/" && c.rand.Float64() < badFraction {
 		id = badRequestPrefix + id
 	}
 	status, body := c.send(p, prefix, id)
@@ -273,7 +275,13 @@
 // send sends a request and returns the status and the body. The status is 0 if
 // no complete answer arrived.
 func (c *caller) send(p *process, prefix, id string) (int, string) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+p.ip+":8227"+prefix+"x", strings.NewReader("body of "+id))
+	target, text := prefix+"x", "body of "+id
+	bad := strings.HasPrefix(id, badRequestPrefix)
+	if bad && prefix == "/safe/" {
+		target, text = badTarget+"?n="+id, "bad"
+		c.d.badPlain.send(id, p)
+	}
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.ip+":8227"+target, strings.NewReader(text))
 	if err != nil {
 		c.d.t.Error(err)
 		return 0, ""
@@ -284,9 +292,9 @@
 	r.Header.Set("Authorization", "Bearer "+apiKey)
 	if prefix == "/stream/" {
 		parts := soundPart
-		if strings.HasPrefix(id, badRequestPrefix) {
+		if bad {
 			parts += "," + badPart
-			c.d.bad.send(id, p)
+			c.d.badStreams.send(id, p)
 		}
 		r.Header.Set("Prefix-Hash", parts+","+id+":500")
 	}
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -161,14 +161,15 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if isBad(r) {
-		u.d.bad.arrive(request)
+	bad := u.d.badRequestsOf(r)
+	if bad != nil {
+		bad.arrive(request)
 	}
 	u.d.recorder.recordRun(request)
 	time.Sleep(pause)
 	w.Header().Set("Server-Stamp", "stamp")
-	if isBad(r) {
-		u.answerBad(w)
+	if bad != nil {
+		u.answerBad(w, bad)
 	}
 	switch {
 	case x > 0.9 && x < 1:
