soak: limits that upstreams name

Upstreams name limits for some seconds while other faults go on; the requests that they get from processes that know are held to the users' bound.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -42,6 +42,7 @@
 	recorder *recorder
 	// badStreams and badPlain are the requests with badPart and with badTarget.
 	badStreams, badPlain *badRequests
+	limits               *limits
 
 	upstreams     []*upstream
 	processes     []*process
@@ -95,7 +96,7 @@
 
 func newDeployment(t *testing.T, seed uint64) *deployment {
 	t.Helper()
-	d := &deployment{t: t, seed: seed, dir: t.TempDir(), kvStore: kv.NewStore(clockwork.NewRealClock()), recorder: newRecorder(), badStreams: newBadRequests("a part"), badPlain: newBadRequests("a path")}
+	d := &deployment{t: t, seed: seed, dir: t.TempDir(), kvStore: kv.NewStore(clockwork.NewRealClock()), recorder: newRecorder(), badStreams: newBadRequests("a part"), badPlain: newBadRequests("a path"), limits: newLimits()}
 	store := httptest.NewServer(kv.NewServer(d.kvStore).Handler())
 	t.Cleanup(store.CloseClientConnections)
 	for i := range 3 {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -19,7 +19,7 @@
 
 const (
 	// faultCount is the number of faults per seed; they overlap.
-	faultCount = 14
+	faultCount = 16
 	callers    = 8
 	// recoveryTimeout is the time after the last fault within which every
 	// process has to serve.
@@ -97,10 +97,11 @@
 	expected.check(d.recorder)
 	d.badStreams.check(d.recorder)
 	d.badPlain.check(d.recorder)
+	d.limits.check(d.recorder)
 	d.recorder.mu.Lock()
 	defer d.recorder.mu.Unlock()
-	t.Logf("%d requests ran, %d were reported as not run; %d and %d crashes by a part and by a path, %d and %d late requests", len(d.recorder.runs), len(expected.notRun),
-		len(d.badStreams.crashes), len(d.badPlain.crashes), d.badStreams.late, d.badPlain.late)
+	t.Logf("%d requests ran, %d were reported as not run; %d and %d crashes by a part and by a path, %d and %d late requests; %d spells of limits", len(d.recorder.runs), len(expected.notRun),
+		len(d.badStreams.crashes), len(d.badPlain.crashes), d.badStreams.late, d.badPlain.late, len(d.limits.spells))
 	g.Expect(d.recorder.violations).To(BeEmpty())
 	g.Expect(len(d.recorder.runs)).To(BeNumerically(">", 20), "the callers were served")
 }
@@ -119,7 +120,7 @@
 	var running sync.WaitGroup
 	processLocks := make([]sync.Mutex, gateways)
 	for range faultCount {
-		i, kind, duration := rng.IntN(gateways), rng.IntN(10), time.Duration(200+rng.IntN(1300))*time.Millisecond
+		i, kind, duration := rng.IntN(gateways), rng.IntN(11), time.Duration(200+rng.IntN(1300))*time.Millisecond
 		u := d.upstreams[rng.IntN(len(d.upstreams))]
 		running.Go(func() {
 			processLocks[i].Lock()
@@ -133,6 +134,10 @@
 
 // injectFault injects one fault and ends it after the duration.
 func (d *deployment) injectFault(kind int, p *process, u *upstream, duration time.Duration) {
+	if kind == 10 {
+		u.nameLimit(duration)
+		return
+	}
 	disturbed := []*process{p}
 	if kind >= 8 {
 		disturbed = d.processes // the store, which all processes read
@@ -281,6 +286,7 @@
 		target, text = badTarget+"?n="+id, "bad"
 		c.d.badPlain.send(id, p)
 	}
+	c.d.limits.send(id, p)
 	r, err := http.NewRequest(http.MethodPost, "http://"+p.ip+":8227"+target, strings.NewReader(text))
 	if err != nil {
 		c.d.t.Error(err)
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -69,9 +69,11 @@
 	crashed bool
 	// stopListening closes the listener of the link.
 	stopListening func()
-	id            string
-	born          int64
-	rand          *rand.Rand
+	// limit is the limit that the upstream names.
+	limit *spell
+	id    string
+	born  int64
+	rand  *rand.Rand
 }
 
 func (d *deployment) addUpstream(i int) {
@@ -152,6 +154,7 @@
 	if r.Header.Get("Tenant") != account || r.Header.Get("Authorization") != "" {
 		u.d.recorder.recordViolation("request %s reached an upstream with client account %q and credentials %q", request, r.Header.Get("Tenant"), r.Header.Get("Authorization"))
 	}
+	defer u.d.limits.arrive(u, w, request)()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the request has not run
