--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -132,6 +132,7 @@
 		"configuration.version": (&sharedState{routes: g.routes}).Version,
 		"configuration.age_ms":  func() int64 { return configurationAgeMS(p.clock, g.routes) },
 		"upstreams.usable":      func() int64 { return int64(len(g.directory.Usable())) },
+		"upstreams.limited":     func() int64 { return int64(g.gateway.Pools.Limited()) },
 		"requests_in_flight":    func() int64 { return int64(g.gateway.InFlight()) },
 		"entries.known":         func() int64 { return int64(g.fleet.view.EntryCount()) },
 		"connections.opened":    g.transport.ConnectionsOpened,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -136,6 +136,7 @@
 func (q *request) noUpstream() error {
 	limit := maxRetryAfterFraction * float64(q.remaining()) * (1 - retryAfterJitter*rand.Float64())
 	if wait, limited := q.g.Pools.atLimit(q.service, q.attempted); limited {
+		q.g.stats.recordLimited(q.service)
 		return errLimited.After(time.Duration(min(float64(wait)+rand.Float64()*float64(returnWindow), limit)))
 	}
 	return errNoUpstream.After(q.retryAfter(limit))
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -166,6 +166,19 @@
 	}
 }
 
+// Limited returns the number of upstreams in use that name limits.
+func (p *Pools) Limited() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, m := range p.members {
+		if l := p.limits[m.Incarnation()]; l != nil && l.limit > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // removeExpiredLimits forgets the limits of which nothing was heard for too long. The caller
 // holds mu.
 func (p *Pools) removeExpiredLimits(now time.Time) {
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -58,4 +58,6 @@
 	s.observe(took, "wait_ms", service)
 }
 
+func (s *stats) recordLimited(service string) { s.count("limits", service, "refused") }
+
 func (s *stats) recordCallerLeft(service string) { s.count("requests", service, "caller_left") }
