gateway: a leaving upstream is known by its refusal of another one's request

An upstream at the address of a former one answers 421 to what was meant for that, and may say in it that it is leaving. Entries ignored that, since it says nothing about the upstream they had chosen, and went on sending to the one that had said it until its own next answer.

The refusal names its upstream; if that is in use, it departs. The test fails before: the upstream stays usable.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -306,16 +306,17 @@
 }
 
 // applyAnnouncements applies what an answer says about its upstream's availability. An
-// answer from another upstream at the address says nothing about this one.
+// answer from another upstream at the address says nothing about this one, but that the other
+// one is leaving, if it names itself.
 func (q *request) applyAnnouncements(m *Member, reply *upstream.Reply) {
 	if reply.Misdirected {
+		if other := q.g.Pools.named(reply.Instance); reply.Leaving && other != nil {
+			q.applyDeparture(other)
+		}
 		return
 	}
-	if reply.Leaving && q.g.Directory.Depart(m.Incarnation()) {
-		q.log.Info("upstream is leaving", zap.String("upstream", m.ID), zap.Int64("started", m.Started), zap.String("source", "answer"))
-		if q.g.OnDeparture != nil {
-			q.g.OnDeparture()
-		}
+	if reply.Leaving {
+		q.applyDeparture(m)
 	}
 	if reply.InvalidRequestLimit != "" {
 		q.log.Warn("upstream's request limit can't be read; ignoring it", zap.String("upstream", m.ID), zap.String("limit", truncate(reply.InvalidRequestLimit)))
@@ -331,6 +332,18 @@
 	}
 }
 
+// applyDeparture records that an upstream has said in an answer that it is leaving, and lets
+// the other entries know.
+func (q *request) applyDeparture(m *Member) {
+	if !q.g.Directory.Depart(m.Incarnation()) {
+		return
+	}
+	q.log.Info("upstream is leaving", zap.String("upstream", m.ID), zap.Int64("started", m.Started), zap.String("source", "answer"))
+	if q.g.OnDeparture != nil {
+		q.g.OnDeparture()
+	}
+}
+
 // maxLoggedText bounds a text of a peer in a log line, in bytes.
 const maxLoggedText = 64
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -582,6 +582,31 @@
 	g.Expect(announced.Load()).To(Equal(int64(1)))
 }
 
+// Guards against requests to an upstream that has said it is leaving in a refusal of a request
+// that was meant for the former upstream at its address.
+func TestLeavingUpstreamAtAFormerOnesAddress(t *testing.T) {
+	g := NewWithT(t)
+	leavingU1 := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set("Instance-Id", "u1")
+		if r.Header.Get("Expect-Instance") == "u1" {
+			stamped(w, r, http.StatusOK, "done")
+			return
+		}
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}
+	f := newFixture(t, leavingU1)
+	u1 := f.upstreams[0]
+	u1.ID, u1.Started = "u1", 1
+	f.gateway.Directory.Put(u1, kvstore.Position{Revision: 1})
+	f.gateway.Pools.Reconcile([]directory.Upstream{f.upstreams[0], u1})
+	f.gateway.Pools.Get(u1.Address, u1.Started).Rest(time.Minute) // so that u0 is picked
+	f.send(f.request(http.MethodPost, "/unsafe/x", ""))
+	g.Expect(f.gateway.Directory.Usable()).To(BeEmpty())
+	g.Expect(f.gateway.Directory.Departures()).To(ConsistOf(HaveField("ID", "u1")))
+}
+
 // refuseFor writes a refusal that asks for no requests for a while.
 func refuseFor(delay string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -127,23 +127,13 @@
 // ApplySharedLimits applies what another entry has learned of upstreams' limits.
 func (g *Gateway) ApplySharedLimits(limits []wire.UpstreamLimit) {
 	for _, l := range limits {
-		if m := g.Pools.incarnation(directory.Departure{ID: l.ID, Started: l.Started}); m != nil && l.Limit >= 0 && l.AgeMS >= 0 {
+		if m := g.Pools.named(l.ID); m != nil && m.Started == l.Started && l.Limit >= 0 && l.AgeMS >= 0 {
 			saidAt := g.Clock.Now().Add(-time.Duration(l.AgeMS) * time.Millisecond)
 			g.logLimitChange(m, m.nameLimit(l.Limit, saidAt, limitFromEntry), limitFromEntry)
 		}
 	}
 }
 
-// incarnation returns the member that is the given incarnation, nil if it isn't in use.
-func (p *Pools) incarnation(id directory.Departure) *Member {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if m := p.members[id.ID]; m != nil && m.Started == id.Started {
-		return m
-	}
-	return nil
-}
-
 // RecentLimits returns the latest that upstreams have said about their limits in answers, to
 // this entry or to others, at most max. What load reports say reaches every entry anyway.
 func (p *Pools) RecentLimits(max int) []wire.UpstreamLimit {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -184,6 +184,13 @@
 	return nil
 }
 
+// named returns the upstream in use with an ID, nil if there is none.
+func (p *Pools) named(id string) *Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members[id]
+}
+
 // UpdateLoad stores the reported load of the upstream at an address, if the
 // incarnation there started at the given time. It returns the upstream if its
 // group has started or stopped serving with this report, else nil.
