--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -45,7 +45,7 @@
 // which its caller may send it again.
 func (x *exchange) noUpstream() error {
 	if pool := x.entry.links.poolNamed(x.req.pool); pool != nil {
-		if l, wait := pool.nextPermit(x.attempted); l != nil {
+		if wait, limited := pool.atLimit(x.attempted); limited {
 			x.entry.count("limits.refused")
 			return fault.New(fault.Overloaded, "send the request again after Retry-After", "the upstreams have no room within the request limits that they named").After(wait + rand.N(permitReturnWindow))
 		}
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -77,16 +77,20 @@
 	return p.links[n]
 }
 
-// nextPermit returns the link, of those that only their upstreams' limits keep from taking
+// nextPermit returns the node, of those that only their upstreams' limits keep from taking
 // the request, whose next permit comes first, and the time until then; nil if there is none.
-func (p *upstreamPool) nextPermit(exclude map[string]bool) (*link, time.Duration) {
+// The caller holds mu.
+func (p *upstreamPool) nextPermit(exclude map[string]bool) (*balance.Node, time.Duration) {
+	return p.pool.NextPermit(balance.Request{Exclude: slices.Collect(maps.Keys(exclude))})
+}
+
+// atLimit returns the time until the next permit, if some upstreams could take the request
+// but for their limits.
+func (p *upstreamPool) atLimit(exclude map[string]bool) (wait time.Duration, limited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n, wait := p.pool.NextPermit(balance.Request{Exclude: slices.Collect(maps.Keys(exclude))})
-	if n == nil {
-		return nil, 0
-	}
-	return p.links[n], wait
+	n, wait := p.nextPermit(exclude)
+	return wait, n != nil
 }
 
 // reservePermit takes the next permit if it comes within maxWait, and returns its link and
@@ -94,7 +98,7 @@
 func (p *upstreamPool) reservePermit(exclude map[string]bool, maxWait time.Duration) (*link, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n, wait := p.pool.NextPermit(balance.Request{Exclude: slices.Collect(maps.Keys(exclude))})
+	n, wait := p.nextPermit(exclude)
 	if n == nil || wait > maxWait {
 		return nil, 0
 	}
