gateway: a reserved permit isn't used for an upstream that rests or can't serve by then

A request that waited for a permit was sent once the permit fell due, although the upstream might have asked meanwhile for no requests, or its group might have stopped serving; only its departure was looked at. And a permit that fell due between the pick and the search for the next one was passed over, so that the request was refused; requests that start when a group reopens counted all slots of a limited rank as free.

The upstream is asked for again as a pick would, the search includes permits that are due, and a limited upstream counts for one free slot. A limit's change is logged from a tenth on. TestPermitOfAnUpstreamThatRestsMeanwhileIsNotUsed fails before: the request reaches it.

--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -157,14 +157,16 @@
 	return slices.Contains(r.Exclude, n.Name) || n.limit.Wait(p.clock.Now()) > 0
 }
 
-// NextPermit returns the upstream in use, of those that only their limits keep from taking
-// the request, whose next permit comes first, and the time until then. It returns nil if there
-// is none.
+// NextPermit returns the upstream in use, of those that name limits and aren't excluded, whose
+// next permit comes first, and the time until then. It returns nil if there is none.
 func (p *Pool) NextPermit(r Request) (first *Node, wait time.Duration) {
 	now := p.clock.Now()
 	for _, list := range [][]*Node{p.local, p.remote} {
 		for _, n := range list {
-			if w := n.limit.Wait(now); w > 0 && !slices.Contains(r.Exclude, n.Name) && (first == nil || w < wait) {
+			if !n.limit.Limited() || slices.Contains(r.Exclude, n.Name) {
+				continue
+			}
+			if w := n.limit.Wait(now); first == nil || w < wait {
 				first, wait = n, w
 			}
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -179,7 +179,7 @@
 	UsableUpstreams, TotalSlots int
 	// FreeSlots is the number of slots at usable upstreams, up to
 	// waitingFillFraction of each upstream's slots, that no known request
-	// occupies. Upstreams whose limits leave no permit now don't count.
+	// occupies. An upstream that names a limit has as many as it has permits, at most one.
 	FreeSlots int
 	// InFlight is the number of this entry's requests at the upstreams.
 	// Unanswered is the number of those without any part of an answer.
@@ -201,9 +201,7 @@
 		out.Unanswered += n.unanswered
 		if n.usable(now, groups) && !p.unheard(n, now) {
 			out.UsableUpstreams++
-			if n.permitWait(now) == 0 {
-				out.FreeSlots += max(int(waitingFillFraction*float64(n.Slots))-n.load(now), 0)
-			}
+			out.FreeSlots += min(max(int(waitingFillFraction*float64(n.Slots))-n.load(now), 0), n.permits(now))
 		}
 	}
 	return out
@@ -242,7 +240,7 @@
 	compared := 0
 	for _, i := range p.rand.Perm(len(p.nodes)) {
 		n := p.nodes[i]
-		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || n.permitWait(now) > 0 || !candidate(n) || n.unreachable && now.Sub(p.probedAt) < probeInterval {
+		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || n.permits(now) == 0 || !candidate(n) || n.unreachable && now.Sub(p.probedAt) < probeInterval {
 			continue
 		}
 		if c := p.costAt(n, now); best == nil || c < bestCost {
@@ -455,29 +453,39 @@
 	}
 }
 
-// permitWait returns how long it takes until the upstream's limit allows another request.
-func (n *Node) permitWait(now time.Time) time.Duration {
-	if n.limit == nil {
+// permits returns how many requests the upstream's limit allows now, at most one if it has
+// named a limit.
+func (n *Node) permits(now time.Time) int {
+	switch {
+	case n.limit == nil || !n.limit.Limited():
+		return math.MaxInt
+	case n.limit.Wait(now) > 0:
 		return 0
 	}
-	return n.limit.Wait(now)
+	return 1
 }
 
-// NextPermit returns the upstream, of those that could take the request but for their limits,
-// whose next permit comes first, and the time until then. It returns nil if there is none.
+// NextPermit returns the upstream, of those that name limits and could take the request but
+// for these, whose next permit comes first, and the time until then. It returns nil if there
+// is none.
 func (p *Pool) NextPermit(now time.Time, exclude []string) (first *Node, wait time.Duration) {
 	groups := p.groupStates(now)
 	for _, n := range p.nodes {
-		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || p.unheard(n, now) {
+		if n.limit == nil || !n.limit.Limited() || slices.Contains(exclude, n.ID) || !n.usable(now, groups) || p.unheard(n, now) {
 			continue
 		}
-		if w := n.permitWait(now); w > 0 && (first == nil || w < wait) {
+		if w := n.limit.Wait(now); first == nil || w < wait {
 			first, wait = n, w
 		}
 	}
 	return first, wait
 }
 
+// CanTake reports whether the upstream can take a request for which a permit was reserved.
+func (p *Pool) CanTake(n *Node, now time.Time) bool {
+	return slices.Contains(p.nodes, n) && n.usable(now, p.groupStates(now)) && !p.unheard(n, now)
+}
+
 // MarkGone skips the upstream for goneDuration because another one has its
 // address. Load reports don't end this early.
 func (n *Node) MarkGone(now time.Time) {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -150,8 +151,12 @@
 	return list[:min(len(list), max)]
 }
 
+// minLoggedChange is the least relative change of a limit that is logged: an upstream may name
+// another rate in each answer.
+const minLoggedChange = 0.1
+
 func (g *Gateway) logLimitChange(m *Member, c limitChange, source limitSource) {
-	if c.before != c.after {
+	if math.Abs(c.after-c.before) > minLoggedChange*c.before {
 		g.Log.Info("upstream's request limit changed", zap.String("upstream", m.ID), zap.Float64("before", c.before), zap.Float64("after", c.after), zap.String("source", string(source)))
 	}
 }
@@ -181,8 +186,8 @@
 	})
 }
 
-// atLimit returns the time until an upstream of the service gets a permit, if some could take
-// the request but for their limits.
+// atLimit returns the time until the next permit of the service's upstreams, if some name
+// limits and could take the request but for these.
 func (p *Pools) atLimit(service string, exclude []string) (wait time.Duration, limited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -203,11 +208,12 @@
 	return p.member(n), wait
 }
 
-// inUse reports whether the member is still one of the pools'.
-func (m *Member) inUse() bool {
+// canTake reports whether the upstream can take a request for which a permit was reserved: it
+// may have left meanwhile, or want no requests.
+func (m *Member) canTake() bool {
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
-	return m.pools.members[m.ID] == m
+	return m.pools.pool(m.Service).CanTake(m.node, m.pools.clock.Now())
 }
 
 // awaitPermit waits for the next permit of the service's upstreams and returns its upstream,
@@ -226,7 +232,7 @@
 	case <-q.ctx.Done():
 		ended = true
 	}
-	usable := !ended && m.inUse()
+	usable := !ended && m.canTake()
 	q.g.stats.recordWait(q.service, usable, wait)
 	q.log.Info("waited for an upstream's request limit", zap.String("upstream", m.ID), zap.Bool("may_start", usable), zap.Duration("waited", wait), zap.Duration("limit", maxWait))
 	if usable {
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -183,3 +183,30 @@
 	other.sendFor(300*time.Millisecond, 0)
 	g.Expect(limited.requests.Load() - before).To(BeNumerically(">", 20))
 }
+
+// Guards against a request to an upstream that has asked for none, or has left, while the
+// request waited for a permit.
+func TestPermitOfAnUpstreamThatRestsMeanwhileIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	const limit = 2
+	limited := newLimited(limit)
+	f := newFixture(t, limited.ServeHTTP)
+	f.gateway.SetEntryCount(1)
+	for { // until a request waits
+		f.send(f.request(http.MethodGet, "/safe/x", ""))
+		before := limited.requests.Load()
+		r := f.request(http.MethodGet, "/safe/x", "")
+		r.Header.Set("Deadline-Ms", "20000")
+		answers := f.sendAsync(r)
+		member := f.gateway.Pools.Get(f.upstreams[0].Address, f.upstreams[0].Started)
+		time.Sleep(20 * time.Millisecond)
+		if limited.requests.Load() > before {
+			g.Eventually(answers).Should(Receive())
+			continue
+		}
+		member.Rest(time.Minute)
+		g.Eventually(answers, "5s").Should(Receive(HaveField("Status", http.StatusServiceUnavailable)))
+		g.Expect(limited.requests.Load()).To(Equal(before))
+		return
+	}
+}
