ratelimit: larger shares use their whole limit

Where every upstream of a service was at its limit, callers were refused although the upstreams took a quarter more: all shares kept 0.2 of a limit in reserve. That is for the permits of many entries, whose number within a few seconds varies; shares of 0.1 a second and more are few enough.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// usedFraction is the fraction of a limit that all shares together use. Each entry's
-	// permits fall at moments of its own, so that their number within a few seconds varies.
+	// usedFraction is the fraction of a limit that small shares together use, those of less
+	// than fullShare requests a second. Each entry's permits fall at moments of its own: the
+	// more entries, the more the number of all permits within a few seconds varies.
 	usedFraction = 0.8
+	fullShare    = 0.1
 	// maxUnused is how long a permit may be used after it was due. Permits that many entries
 	// keep while the upstream isn't chosen would add up.
 	maxUnused = 500 * time.Millisecond
@@ -48,8 +50,11 @@
 // after the given fraction of the interval, which entries draw at random so that their
 // permits spread out.
 func (s *Share) Set(rate, phase float64, now time.Time) {
+	if rate < fullShare {
+		rate *= usedFraction
+	}
 	interval := maxInterval
-	if seconds := 1 / (usedFraction * rate); rate > 0 && seconds < maxInterval.Seconds() {
+	if seconds := 1 / rate; rate > 0 && seconds < maxInterval.Seconds() {
 		interval = time.Duration(seconds * float64(time.Second))
 	}
 	if interval == s.interval {
