entry: a request limit outlasts a drain of its upstream

An operator who drained a limited upstream and put it back into use, or a VM list that showed its VM as leaving for a while, made the entry forget the limit: it was cleared with the upstream's usability, and the agent names it once on a connection. Now a new connection clears it, on which the agent names it again. The test fails before.

--- a/internal/balance/node.go
+++ b/internal/balance/node.go
@@ -107,7 +107,7 @@
 func (n *Node) Ejected() bool { return n.pool.clock.Now().Before(n.ejectedUntil) }
 
 // SetUsable sets whether the upstream is connected and accepts work. A change
-// resets its failures, load reports, ejection and limit.
+// resets its failures, load reports and ejection.
 func (n *Node) SetUsable(usable bool) {
 	if n.usable == usable {
 		return
@@ -121,7 +121,6 @@
 	n.engineSilent = false
 	n.awaitsReport = false
 	n.ejectedUntil = time.Time{}
-	n.limit.Clear()
 	n.pool.rebuildIndex()
 }
 
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -159,6 +159,7 @@
 	// An agent that leaves announces it on each connection, but after its Hello.
 	l.leaving = l.leaving && hello.Incarnation == l.hello.Incarnation
 	l.hello = hello
+	l.member.setLimit(0) // the agent names a limit after its Hello
 	l.updateUsable()
 	l.mu.Unlock()
 	l.entry.updateAdmissionCapacity(l.member.pool)
--- a/internal/entry/link_test.go
+++ b/internal/entry/link_test.go
@@ -47,19 +47,48 @@
 // again: the agent greets first and announces its departure after that.
 func TestALeavingAgentStaysUnusableOverAReconnection(t *testing.T) {
 	g := NewWithT(t)
-	e := &Entry{admitter: newAdmitter(), opts: Options{Events: timeline.NewRing("entry", 8, clockwork.NewFakeClock())}}
-	l := newLink(e, &config.Upstream{Name: "u"}, func() {})
-	l.member = newUpstreamPool("p", "dc1").addMember(l)
-	connect := func(incarnation string) {
-		near, far := net.Pipe()
-		t.Cleanup(func() { near.Close(); far.Close() })
-		l.handleHello(wire.NewConn(near, l, wire.Options{}), wire.Hello{Upstream: "u", Incarnation: incarnation})
-	}
-	connect("first")
+	l := newTestLink()
+	connect(t, l, "first")
 	g.Expect(l.usable()).To(BeTrue())
 	l.Receive(l.conn, &wire.Leaving{})
-	connect("first")
+	connect(t, l, "first")
 	g.Expect(l.usable()).To(BeFalse())
-	connect("second")
+	connect(t, l, "second")
 	g.Expect(l.usable()).To(BeTrue(), "another incarnation of the agent isn't leaving")
 }
+
+// Guards against requests beyond a limit after an operator has drained the upstream and put it
+// back into use: its agent names the limit once on a connection.
+func TestALimitOutlastsADrain(t *testing.T) {
+	g := NewWithT(t)
+	l := newTestLink()
+	limited := func() bool {
+		_, limited := l.member.pool.atLimit(nil)
+		return limited
+	}
+	connect(t, l, "first")
+	l.Receive(l.conn, &wire.RequestLimit{Rate: 1})
+	g.Expect(limited()).To(BeTrue())
+	l.setDrained(true)
+	l.setDrained(false)
+	g.Expect(limited()).To(BeTrue())
+	connect(t, l, "first")
+	g.Expect(limited()).To(BeFalse(), "the agent names it again, if there still is one")
+	l.Receive(l.conn, &wire.RequestLimit{Rate: 1})
+	l.Receive(l.conn, &wire.RequestLimit{})
+	g.Expect(limited()).To(BeFalse())
+}
+
+func newTestLink() *link {
+	e := &Entry{admitter: newAdmitter(), opts: Options{Events: timeline.NewRing("entry", 8, clockwork.NewFakeClock())}}
+	l := newLink(e, &config.Upstream{Name: "u", DataCentre: "dc1"}, func() {})
+	l.member = newUpstreamPool("p", "dc1").addMember(l)
+	return l
+}
+
+// connect gives the link a new connection to an incarnation of its agent.
+func connect(t *testing.T, l *link, incarnation string) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { near.Close(); far.Close() })
+	l.handleHello(wire.NewConn(near, l, wire.Options{}), wire.Hello{Upstream: "u", Incarnation: incarnation})
+}
