--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -7,8 +7,9 @@
 
 // One part of a prompt may crash every engine that begins to write an answer on it, and one
 // content every upstream, whichever client account sends it. Other parts of the same requests
-// are in flight at the same crashes, also in sound requests. Two things tell them apart: a success clears a part, and a crash is blamed on a part of a
-// request only if no part that the request lacks was in flight at all the same crashes.
+// are in flight at the same crashes, also in sound requests. Two things tell them apart: a
+// success clears a part, and a crash is blamed on a part of a request only if no part that the
+// request lacks was in flight at all the same crashes.
 
 const (
 	// partThreshold is the number of crashes after which a part is convicted. By
