Request limits: small changes of a rate aren't told or logged; comments

An upstream that names another rate in each answer made its agent tell every entry each time and filled the time line.

--- a/internal/agent/limit.go
+++ b/internal/agent/limit.go
@@ -34,11 +34,11 @@
 	if rate == 0 && !calledAt.After(a.limit.namedAt) {
 		return
 	}
-	changed := rate != a.limit.rate
-	a.limit = namedLimit{rate: rate, namedAt: a.opts.Clock.Now()}
-	if !changed {
+	a.limit.namedAt = a.opts.Clock.Now()
+	if !ratelimit.Changed(a.limit.rate, rate) {
 		return
 	}
+	a.limit.rate = rate
 	a.opts.Events.Add(timeline.Event{Kind: timeline.UpstreamLimit, Object: a.opts.Hello.Upstream, Detail: strconv.FormatFloat(rate, 'g', -1, 64)})
 	a.sendLimitShares()
 }
--- a/internal/agent/limit_test.go
+++ b/internal/agent/limit_test.go
@@ -24,6 +24,9 @@
 	r.clock.Advance(time.Second)
 	a.applyLimit(http.Header{"X-Request-Limit": {"many"}}, r.clock.Now())
 	g.Expect(a.limit.rate).To(Equal(2.5), "a limit that can't be read changes nothing")
+	a.applyLimit(http.Header{"X-Request-Limit": {"2.6"}}, r.clock.Now())
+	g.Expect(a.limit.rate).To(Equal(2.5), "the entries aren't told of small changes")
+	r.clock.Advance(time.Second)
 	a.applyLimit(http.Header{}, r.clock.Now())
 	g.Expect(a.limit.rate).To(BeZero())
 }
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -77,15 +77,13 @@
 	return p.links[n]
 }
 
-// nextPermit returns the node, of those that only their upstreams' limits keep from taking
-// the request, whose next permit comes first, and the time until then; nil if there is none.
-// The caller holds mu.
+// nextPermit returns the node, of those whose upstreams name limits, whose next permit comes
+// first, and the time until then; nil if there is none. The caller holds mu.
 func (p *upstreamPool) nextPermit(exclude map[string]bool) (*balance.Node, time.Duration) {
 	return p.pool.NextPermit(balance.Request{Exclude: slices.Collect(maps.Keys(exclude))})
 }
 
-// atLimit returns the time until the next permit, if some upstreams could take the request
-// but for their limits.
+// atLimit returns the time until the next permit, if some upstreams name limits.
 func (p *upstreamPool) atLimit(exclude map[string]bool) (wait time.Duration, limited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -151,12 +150,8 @@
 	return list[:min(len(list), max)]
 }
 
-// minLoggedChange is the least relative change of a limit that is logged: an upstream may name
-// another rate in each answer.
-const minLoggedChange = 0.1
-
 func (g *Gateway) logLimitChange(m *Member, c limitChange, source limitSource) {
-	if math.Abs(c.after-c.before) > minLoggedChange*c.before {
+	if ratelimit.Changed(c.before, c.after) {
 		g.Log.Info("upstream's request limit changed", zap.String("upstream", m.ID), zap.Float64("before", c.before), zap.Float64("after", c.after), zap.String("source", string(source)))
 	}
 }
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -23,6 +23,9 @@
 	// MinLimit is the lowest limit that entries keep to, in requests a second: only an answer
 	// shows that a limit has ended.
 	MinLimit = 0.1
+	// minChange is the least relative change of a limit that matters: an upstream may name
+	// another rate in each answer.
+	minChange = 0.1
 	// maxInterval bounds the time between two permits.
 	maxInterval = 24 * time.Hour
 )
@@ -37,6 +40,11 @@
 	return max(limit, MinLimit), true
 }
 
+// Changed reports whether a limit differs noticeably from the one before; 0 stands for none.
+func Changed(before, after float64) bool {
+	return math.Abs(after-before) > minChange*before
+}
+
 // Share is one entry's share of a limit: a series of permits for one request each. The zero
 // value doesn't limit. It is not safe for concurrent use.
 type Share struct {
