fleet, quarantine: an entry that starts again learns convictions within three seconds

An entry that had started 3.5 s before didn't know the part: the others repeat one of their reports a second, in turn, and with requests that crash upstreams in two ways many reports matter; and nobody had stored the evidence, since every entry had convicted by the reports of others, and only one whose own report convicts stored it.

Since evidence may now arrive after a success, a crash from before a success doesn't count.

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -96,6 +96,20 @@
 		Expect(table.Check(get("b", "/p?n=sound"))).To(Succeed())
 	})
 
+	It("doesn't count a crash from before a success that is reported after it", func() {
+		at := clock.Now()
+		clock.Advance(time.Second)
+		crashed("first", prompt("own1", "unlucky"))
+		clock.Advance(time.Second)
+		succeeded(prompt("own2", "unlucky"))
+		for i := range 4 {
+			count++
+			table.Add(quarantine.Report{ID: fmt.Sprint(count), Crash: fmt.Sprint("late", i), Upstream: "u", AtMS: at.Add(time.Duration(i) * 300 * time.Millisecond).UnixMilli(), Suspects: []quarantine.Suspect{prompt("own", "unlucky")}})
+		}
+		Expect(table.Check(prompt("next", "unlucky"))).To(Succeed())
+		Expect(table.CrashedWith(prompt("next", "unlucky"))).To(BeEmpty())
+	})
+
 	// Requests with one bad part come beside sound ones that share their other parts, and
 	// at each crash sound requests are in flight too.
 	It("refuses the bad part and no sound request on random schedules", func() {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -153,11 +153,14 @@
 	reportIDs map[string]bool
 	// convicted lists the requests and parts convicted since the last TakeConvicted.
 	convicted []Fingerprint
+	// clearedAt holds when parts were last cleared: a report of an earlier crash that arrives
+	// later doesn't count.
+	clearedAt map[Fingerprint]time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock) *Table {
-	return &Table{clock: clock, records: map[Fingerprint]*Record{}, reportIDs: map[string]bool{}}
+	return &Table{clock: clock, records: map[Fingerprint]*Record{}, reportIDs: map[string]bool{}, clearedAt: map[Fingerprint]time.Time{}}
 }
 
 // Add applies a report. It returns false if the report has been added before or
@@ -172,7 +175,7 @@
 	t.storeReport(r)
 	for _, s := range r.Suspects {
 		if r.Cleared {
-			t.clear(s)
+			t.clear(s, time.UnixMilli(r.AtMS))
 			continue
 		}
 		if s.Fingerprint != "" {
@@ -199,6 +202,9 @@
 // recordCrash counts a crash against a request or a part, whose record is created if there
 // is none. The caller must hold mu.
 func (t *Table) recordCrash(created *Record, r Report) {
+	if cleared := t.clearedAt[created.Fingerprint]; !cleared.IsZero() && !time.UnixMilli(r.AtMS).After(cleared) {
+		return
+	}
 	rec := t.unexpired(created.Fingerprint)
 	if rec == nil {
 		rec = created
@@ -226,14 +232,24 @@
 	}
 }
 
-// clear deletes the records of a request that has succeeded and of its parts; a
-// conviction of the request itself stays. The caller must hold mu.
-func (t *Table) clear(s Suspect) {
+// clear deletes the records of a request that has succeeded at the given time and of its
+// parts; a conviction of the request itself stays. The caller must hold mu.
+func (t *Table) clear(s Suspect, at time.Time) {
 	if rec := t.records[s.Fingerprint]; rec != nil && rec.State == Suspected {
 		delete(t.records, s.Fingerprint)
 	}
+	if now := t.clock.Now(); at.After(now) {
+		at = now // the sender's clock is ahead
+	}
 	for _, part := range s.Parts {
+		if t.records[part] == nil {
+			continue
+		}
 		delete(t.records, part)
+		if len(t.clearedAt) >= MaxSuspects {
+			clear(t.clearedAt)
+		}
+		t.clearedAt[part] = at
 	}
 }
 
@@ -311,8 +327,22 @@
 	return convicted
 }
 
-// Evidence returns reports that convict a request or part in another table: one for each of
-// its crashes, with it as the only suspect.
+// Convicted returns the requests and parts in quarantine.
+func (t *Table) Convicted() []Fingerprint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Fingerprint
+	for f := range t.records {
+		if rec := t.unexpired(f); rec != nil && rec.State == Convicted {
+			list = append(list, f)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Evidence returns reports that convict a request or part in another table, with it as the
+// only suspect: one for each of its crashes, or for the first, the last and one between.
 func (t *Table) Evidence(f Fingerprint) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -332,6 +362,10 @@
 			break
 		}
 	}
+	slices.SortStableFunc(evidence, func(a, b Report) int { return cmp.Compare(a.AtMS, b.AtMS) })
+	if excess := len(evidence) - partThreshold; excess > 0 {
+		evidence = slices.Delete(evidence, partThreshold-1, partThreshold-1+excess)
+	}
 	return evidence
 }
 
