ranks: the test of an order fenced by its resend doesn't depend on the order of ranks

Where rank 2 got the fourth, nothing was fenced and the switch went through.

The rank's fence is now above that of any of the four orders and below the later ones, so that rank 2's is always fenced.

--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -386,7 +386,7 @@
 				OnSuperseded: func() { superseded = true },
 				Fence:        func() int64 { n += ranks.MaxSends; return 1<<20 + n },
 			}
-			w.engines[2].fence = 1<<20 + 3*ranks.MaxSends + 1 // above its Prepare, below the next order
+			w.engines[2].fence = 1<<20 + 4*ranks.MaxSends + 1 // above its Prepare, below any later order
 			if c.otherLeader {
 				w.engines[2].fence = 2 << 20
 			}
