fleet: evidence is stored and repeated as before

An entry had convicted it wrongly: it had started again and forgotten a success, and the request that crashed the upstream had been withdrawn at a conviction, so that its part wasn't blamed. Evidence that is made of evidence also got a new ID each time.

Taken back: what others' reports convict isn't stored, and evidence isn't repeated.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -180,11 +180,7 @@
 		g.gateway.ApplySharedLimits(m.Limits)
 	case *wire.CrashReport:
 		g.crashes.Handle(m)
-		for _, f := range g.gateway.EnforceQuarantine() {
-			if g.crashes.Keeps(f) {
-				go g.crashes.Store(work, f)
-			}
-		}
+		g.gateway.EnforceQuarantine()
 	}
 }
 
--- a/internal/fleet/crashreports.go
+++ b/internal/fleet/crashreports.go
@@ -11,15 +11,13 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/kvstore"
-	"github.com/kingcupreel/kingcupreel/internal/membership"
 	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
 const (
-	// crashReportInterval is how often an entry repeats one of its crash reports, and the
-	// evidence against one request or part in quarantine, for entries that have started since
-	// or have missed it.
+	// crashReportInterval is how often an entry repeats one of its crash reports, for
+	// entries that have started since or have missed it.
 	crashReportInterval = 1 * time.Second
 	// crashReportFanout is how many entries get each repetition.
 	crashReportFanout = 4
@@ -93,17 +91,7 @@
 	}
 }
 
-// Keeps reports whether this entry stores the evidence against a request or part that was
-// convicted by the reports of others: one entry does.
-func (c *CrashReports) Keeps(f quarantine.Fingerprint) bool {
-	var names []string
-	for _, m := range c.View.Members(RoleEntry) {
-		names = append(names, m.Name)
-	}
-	return len(names) == 0 || membership.RendezvousOrder("quarantine:"+string(f), names)[0] == c.Self
-}
-
-// Run repeats the relevant reports, and the evidence, one after the other until ctx is done.
+// Run repeats the relevant reports one after the other until ctx is done.
 func (c *CrashReports) Run(ctx context.Context) {
 	ticker := c.Clock.NewTicker(crashReportInterval)
 	defer ticker.Stop()
@@ -113,21 +101,16 @@
 			return
 		case <-ticker.Chan():
 		}
-		var repeated []quarantine.Report
-		if convicted := c.Table.Convicted(); len(convicted) > 0 {
-			repeated = c.Table.Evidence(convicted[next%len(convicted)])
-		}
-		if reports := c.Table.Relevant(); len(reports) > 0 {
-			repeated = append(repeated, reports[next%len(reports)])
+		reports := c.Table.Relevant()
+		if len(reports) == 0 {
+			continue
 		}
+		m := wire.CrashReport(reports[next%len(reports)])
 		peers := c.View.Members(RoleEntry)
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		for _, r := range repeated {
-			m := wire.CrashReport(r)
-			for _, p := range peers[:min(crashReportFanout, len(peers))] {
-				if p.Name != c.Self {
-					c.Datagrams.Send(p.Address, &m)
-				}
+		for _, p := range peers[:min(crashReportFanout, len(peers))] {
+			if p.Name != c.Self {
+				c.Datagrams.Send(p.Address, &m)
 			}
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -327,22 +327,8 @@
 	return convicted
 }
 
-// Convicted returns the requests and parts in quarantine.
-func (t *Table) Convicted() []Fingerprint {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var list []Fingerprint
-	for f := range t.records {
-		if rec := t.unexpired(f); rec != nil && rec.State == Convicted {
-			list = append(list, f)
-		}
-	}
-	slices.Sort(list)
-	return list
-}
-
-// Evidence returns reports that convict a request or part in another table, with it as the
-// only suspect: one for each of its crashes, or for the first, the last and one between.
+// Evidence returns reports that convict a request or part in another table: one for each of
+// its crashes, with it as the only suspect.
 func (t *Table) Evidence(f Fingerprint) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -362,10 +348,6 @@
 			break
 		}
 	}
-	slices.SortStableFunc(evidence, func(a, b Report) int { return cmp.Compare(a.AtMS, b.AtMS) })
-	if excess := len(evidence) - partThreshold; excess > 0 {
-		evidence = slices.Delete(evidence, partThreshold-1, partThreshold-1+excess)
-	}
 	return evidence
 }
 
