--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -90,8 +90,10 @@
 	unanswered int
 	// otherRequests is the reported number of requests from other entries.
 	otherRequests int
-	slowness      float64
-	groupServing  bool
+	// queued and active are the last reported numbers.
+	queued, active int
+	slowness       float64
+	groupServing   bool
 	// group and groupSize are the last reported ones. They are valid once reportedAt
 	// is set.
 	group      string
@@ -349,6 +351,27 @@
 // InFlight returns the number of this entry's requests at the upstream.
 func (n *Node) InFlight() int { return n.inFlight }
 
+// KnownLoad is what an entry knows of an upstream's load.
+type KnownLoad struct {
+	// Load is the number of requests that the upstream is taken to have, InFlight the
+	// number of this entry's own among them.
+	Load, InFlight int
+	// Reported is set if the upstream has reported its load. Queued and Active are the last
+	// reported numbers, and ReportAge is the time since then.
+	Reported       bool
+	Queued, Active int
+	ReportAge      time.Duration
+}
+
+// KnownLoad returns what is known of the upstream's load.
+func (n *Node) KnownLoad(now time.Time) KnownLoad {
+	l := KnownLoad{Load: n.load(now), InFlight: n.inFlight}
+	if !n.reportedAt.IsZero() {
+		l.Reported, l.Queued, l.Active, l.ReportAge = true, n.queued, n.active, now.Sub(n.reportedAt)
+	}
+	return l
+}
+
 // GroupServing reports whether the last report said that the upstream's group
 // accepts requests.
 func (n *Node) GroupServing() bool { return n.groupServing }
@@ -357,6 +380,7 @@
 // group is serving ends a suspension, unless it may have been sent before the
 // suspension began.
 func (n *Node) UpdateLoad(l Load, now time.Time) {
+	n.queued, n.active = l.Queued, l.Active
 	n.otherRequests = max(l.Queued+l.Active-n.inFlight, 0)
 	n.slowness = l.Slowness
 	n.groupServing, n.group, n.groupSize = l.GroupServing, l.Group, l.GroupSize
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -176,9 +176,10 @@
 // attempt sends the request to an upstream once and records the result.
 func (q *request) attempt(m *Member) result {
 	q.attempted = append(q.attempted, m.ID)
-	q.answerStarted = false
+	q.answerStarted, q.firstEventAfter = false, 0
 	start := time.Now()
 	q.attemptStartedAt = start
+	loadFields := q.recordSending(m)
 	ctx := q.beginAttempt(m)
 	res := q.send(ctx, m)
 	q.endAttempt()
@@ -191,10 +192,11 @@
 	upstreamFailed := fault.KindOf(res.cause) != fault.Quarantined && (res.attemptStatus == attemptUnknown || res.attemptStatus == attemptBroken || res.attemptStatus == attemptNotRun && !res.refused) && q.ctx.Err() == nil
 	m.Finish(q.answerStarted, upstreamFailed)
 	q.g.stats.recordAttempt(q.service, res.attemptStatus, time.Since(start))
-	q.log.Info("attempt ended",
+	q.log.Info("attempt ended", append(loadFields,
 		zap.String("upstream", m.ID), zap.String("address", m.Address), zap.String("fate", attemptStatusNames[res.attemptStatus]), zap.Error(res.cause),
 		zap.Int("attempt", q.attempts), zap.Bool("answer_started", q.answerStarted), zap.Duration("took", time.Since(start)), zap.Duration("left", q.remaining()),
-		zap.String("resume_after", q.resumeAfter()), zap.Int64("configuration", q.configurationVersion()))
+		zap.Duration("first_event_after", q.firstEventAfter), zap.Duration("last_event_age", q.lastEventAge()),
+		zap.String("resume_after", q.resumeAfter()), zap.Int64("configuration", q.configurationVersion()))...)
 	if q.crashedBeforeAnswer(m, res) {
 		q.reportCrash(m)
 		res.crashed = true
@@ -205,6 +207,32 @@
 	return res
 }
 
+// recordSending counts an attempt at an upstream whose slots are taken, and returns what is
+// known of the upstream's load, with the request itself, as fields of a log line.
+func (q *request) recordSending(m *Member) []zap.Field {
+	l := m.knownLoad()
+	if m.Slots > 0 && l.Load > m.Slots {
+		q.g.stats.recordBeyondSlots(q.service)
+	}
+	fields := []zap.Field{
+		zap.Int("load", l.Load), zap.Int("slots", m.Slots), zap.Int("own_in_flight", l.InFlight),
+		zap.Duration("usual_delay", q.g.Pools.answerDelay(q.service)), zap.Duration("patience", q.patienceLeft()),
+	}
+	if l.Reported {
+		fields = append(fields, zap.Int("reported_active", l.Active), zap.Int("reported_queued", l.Queued), zap.Duration("report_age", l.ReportAge))
+	}
+	return fields
+}
+
+// lastEventAge returns the time since the attempt delivered its last event, 0 if it has
+// delivered none.
+func (q *request) lastEventAge() time.Duration {
+	if !q.answerStarted {
+		return 0
+	}
+	return time.Since(q.lastEventAt)
+}
+
 // beginAttempt returns the context of an attempt, which may be ended before the request is.
 func (q *request) beginAttempt(m *Member) context.Context {
 	ctx, cancel := context.WithCancelCause(q.ctx)
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -211,6 +211,13 @@
 	return m
 }
 
+// knownLoad returns what is known of the upstream's load.
+func (m *Member) knownLoad() dispatch.KnownLoad {
+	m.pools.mu.Lock()
+	defer m.pools.mu.Unlock()
+	return m.node.KnownLoad(m.pools.clock.Now())
+}
+
 // Hear records a part of an answer as a sign of life of the upstream.
 func (m *Member) Hear() {
 	m.pools.mu.Lock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -68,9 +68,10 @@
 	lastEventID string
 	lastEventAt time.Time
 	// attemptStartedAt is the start of the current attempt. answerStarted is set if it has
-	// delivered an event.
+	// delivered an event, and firstEventAfter is the time from its start to the first one.
 	attemptStartedAt time.Time
 	answerStarted    bool
+	firstEventAfter  time.Duration
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -49,6 +49,9 @@
 	s.observe(took, "attempt_ms", service)
 }
 
+// recordBeyondSlots counts an attempt at an upstream whose slots were taken.
+func (s *stats) recordBeyondSlots(service string) { s.count("attempts", service, "beyond_slots") }
+
 func (s *stats) recordFirstEvent(service string, after time.Duration) {
 	s.observe(after, "first_event_ms", service)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,9 +47,9 @@
 		q.lastEventAt = time.Now()
 		m.Hear()
 		if !q.answerStarted {
-			q.answerStarted = true
+			q.answerStarted, q.firstEventAfter = true, time.Since(q.attemptStartedAt)
 			q.clearSuspicion()
-			m.MarkAnswered(time.Since(q.attemptStartedAt))
+			m.MarkAnswered(q.firstEventAfter)
 		}
 		if id := eventID(event); id != "" {
 			q.lastEventID = id
