--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -122,9 +122,14 @@
 
 // newFixture starts a gateway with one upstream for each handler.
 func newFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
+	t.Helper()
+	return newFixtureWithClock(t, clockwork.NewRealClock(), handlers...)
+}
+
+// newFixtureWithClock is newFixture with a clock for what the gateway knows of its upstreams.
+func newFixtureWithClock(t *testing.T, clock clockwork.Clock, handlers ...http.HandlerFunc) *fixture {
 	t.Helper()
 	f := &fixture{t: t, routes: &routing.Store{}}
-	clock := clockwork.NewRealClock()
 	dir := directory.New(clock)
 	pools := gateway.NewPools(clock, rand.New(rand.NewPCG(1, 1)))
 	f.gateway = gateway.New(gateway.Options{
