--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -33,10 +33,10 @@
 // NextPermit returns the upstream, of those that name limits and could take the request but
 // for these, whose next permit comes first, and the time until then. It returns nil if there
 // is none.
-func (p *Pool) NextPermit(now time.Time, exclude []string) (first *Node, wait time.Duration) {
-	groups := p.groupStates(now)
+func (p *Pool) NextPermit(now time.Time, d Demand) (first *Node, wait time.Duration) {
+	v := p.view(now)
 	for _, n := range p.nodes {
-		if n.limit == nil || !n.limit.Limited() || slices.Contains(exclude, n.ID) || !n.usable(now, groups) || p.unheard(n, now) {
+		if n.limit == nil || !n.limit.Limited() || p.obstacle(n, v, d) < AtLimit {
 			continue
 		}
 		if w := n.limit.Wait(now); first == nil || w < wait {
@@ -47,6 +47,6 @@
 }
 
 // CanTake reports whether the upstream can take a request for which a permit was reserved.
-func (p *Pool) CanTake(n *Node, now time.Time) bool {
-	return slices.Contains(p.nodes, n) && n.usable(now, p.groupStates(now)) && !p.unheard(n, now)
+func (p *Pool) CanTake(n *Node, now time.Time, d Demand) bool {
+	return slices.Contains(p.nodes, n) && p.obstacleBesideLimit(n, p.view(now), d) == None
 }
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -43,9 +43,9 @@
 // returns false if it is refused because that would take longer than maxWait.
 func (f *limitedFleet) send(now time.Time, maxWait time.Duration) (time.Duration, bool) {
 	p := f.pools[f.rng.IntN(len(f.pools))]
-	n, wait := p.Pick(now, nil), time.Duration(0)
+	n, wait := pick(p, now, nil), time.Duration(0)
 	if n == nil {
-		if n, wait = p.NextPermit(now, nil); n == nil || wait > maxWait {
+		if n, wait = p.NextPermit(now, dispatch.Demand{}); n == nil || wait > maxWait {
 			return 0, false
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -120,6 +120,8 @@
 	limit         *ratelimit.Share
 	failureMean   float64
 	failureMeanAt time.Time
+	// acceptedSentAt holds when this entry sent it accepted requests within acceptedWindow.
+	acceptedSentAt []time.Time
 }
 
 // Pool is an entry's view of the upstreams of one service.
@@ -137,6 +139,12 @@
 	// answerDelay is the moving average of the time from a request's sending to the first
 	// part of its answer, 0 while unknown.
 	answerDelay time.Duration
+	// partInterval is the moving average of the time between two parts of an answer, partCount
+	// that of the number of parts after the first.
+	partInterval time.Duration
+	partCount    float64
+	// entryShare is this entry's share of the upstreams' capacity, 0 while it isn't known.
+	entryShare float64
 }
 
 // NewPool returns an empty pool.
@@ -145,6 +153,9 @@
 // SetStepCost sets how requests at the pool's upstreams slow each other.
 func (p *Pool) SetStepCost(c StepCost) { p.cost = c }
 
+// SetEntryShare sets this entry's share of the upstreams' capacity, 0 to 1.
+func (p *Pool) SetEntryShare(share float64) { p.entryShare = share }
+
 // Add adds an upstream and returns its node. Before its first load report the upstream is
 // picked like the others while most of them don't report either.
 func (p *Pool) Add(r Replica) *Node {
@@ -158,19 +169,30 @@
 	p.nodes = slices.DeleteFunc(p.nodes, func(o *Node) bool { return o == n })
 }
 
-// Pick returns the upstream for a request, or nil. Upstreams in exclude are
-// skipped. Pick doesn't count the request: see Node.MarkSent.
-func (p *Pool) Pick(now time.Time, exclude []string) *Node {
-	if n := p.pick(now, exclude, func(n *Node) bool { return !p.unheard(n, now) }); n != nil {
-		return n
+// Pick returns the upstream for a request, or nil with the obstacle that the pool presents.
+// Upstreams that may not answer are used only if no other one serves. Pick doesn't count the
+// request: see Node.MarkSent.
+func (p *Pool) Pick(now time.Time, d Demand) (*Node, Obstacle) {
+	v := p.view(now)
+	obstacles := make(map[*Node]Obstacle, len(p.nodes))
+	least := Unusable
+	for _, n := range p.nodes {
+		obstacles[n] = p.obstacle(n, v, d)
+		least = max(least, obstacles[n])
 	}
-	return p.pick(now, exclude, func(n *Node) bool { return p.unheard(n, now) })
-}
-
-// PickFree is Pick for a request that can't wait in an upstream's queue: it returns only
-// an upstream that is heard from and has a free slot.
-func (p *Pool) PickFree(now time.Time, exclude []string) *Node {
-	return p.pick(now, exclude, func(n *Node) bool { return !p.unheard(n, now) && n.load(now) < n.Slots })
+	if least != None && least != Unheard {
+		return nil, least
+	}
+	best := p.cheapest(now, func(n *Node) bool {
+		return obstacles[n] == least && n.permits(now) > 0 && !(n.unreachable && now.Sub(p.probedAt) < probeInterval)
+	})
+	if best == nil {
+		return nil, least
+	}
+	if best.unreachable {
+		p.probedAt = now
+	}
+	return best, None
 }
 
 // Capacity describes how many requests a pool's upstreams can run at once.
@@ -234,15 +256,15 @@
 	return int(math.Ceil(entryShare*float64(promptsPerUpstream*c.UsableUpstreams))) - c.Unanswered
 }
 
-// pick compares the usable upstreams that candidate accepts.
-func (p *Pool) pick(now time.Time, exclude []string, candidate func(*Node) bool) *Node {
+// cheapest returns the upstream with the lowest cost of a random sample of those that
+// candidate accepts, or nil.
+func (p *Pool) cheapest(now time.Time, candidate func(*Node) bool) *Node {
 	var best *Node
 	bestCost := 0.0
-	groups := p.groupStates(now)
 	compared := 0
 	for _, i := range p.rand.Perm(len(p.nodes)) {
 		n := p.nodes[i]
-		if slices.Contains(exclude, n.ID) || !n.usable(now, groups) || n.permits(now) == 0 || !candidate(n) || n.unreachable && now.Sub(p.probedAt) < probeInterval {
+		if !candidate(n) {
 			continue
 		}
 		if c := p.costAt(n, now); best == nil || c < bestCost {
@@ -252,9 +274,6 @@
 			break
 		}
 	}
-	if best != nil && best.unreachable {
-		p.probedAt = now
-	}
 	return best
 }
 
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -26,13 +26,19 @@
 	return p, nodes
 }
 
+// pick picks an upstream for a new request that may wait for long.
+func pick(p *dispatch.Pool, now time.Time, exclude []string) *dispatch.Node {
+	n, _ := p.Pick(now, dispatch.Demand{Exclude: exclude, MaxWait: time.Hour})
+	return n
+}
+
 // Ranks of a group step together, so the busiest rank slows all of them. A
 // steady load must be spread almost evenly.
 func TestSteadyLoadIsSpreadOverTheRanks(t *testing.T) {
 	g := NewWithT(t)
 	p, nodes := group(12)
 	for range 96 {
-		p.Pick(start, nil).MarkSent()
+		pick(p, start, nil).MarkSent()
 	}
 	for _, n := range nodes {
 		g.Expect(n.InFlight()).To(And(BeNumerically(">=", 7), BeNumerically("<=", 9)))
@@ -53,7 +59,7 @@
 			}
 			p.Add(dispatch.Replica{ID: fmt.Sprint("rank-", r), Slots: 12}).UpdateLoad(load, start)
 		}
-		sent[p.Pick(start, nil).ID]++
+		sent[pick(p, start, nil).ID]++
 	}
 	g.Expect(sent["rank-0"]).To(BeNumerically("<=", 7))
 }
@@ -65,13 +71,13 @@
 	g := NewWithT(t)
 	p, nodes := group(2)
 	p.SuspendGroup(nodes[0], start)
-	g.Expect(p.Pick(start, nil)).To(BeNil())
+	g.Expect(pick(p, start, nil)).To(BeNil())
 	nodes[0].UpdateLoad(dispatch.Load{GroupServing: true, Slowness: 1}, start.Add(100*time.Millisecond))
-	g.Expect(p.Pick(start.Add(100*time.Millisecond), nil)).To(BeNil(), "the report may be older than the refusal")
+	g.Expect(pick(p, start.Add(100*time.Millisecond), nil)).To(BeNil(), "the report may be older than the refusal")
 	nodes[0].UpdateLoad(dispatch.Load{GroupServing: false, Slowness: 1}, start.Add(500*time.Millisecond))
-	g.Expect(p.Pick(start.Add(500*time.Millisecond), nil)).To(BeNil())
+	g.Expect(pick(p, start.Add(500*time.Millisecond), nil)).To(BeNil())
 	nodes[0].UpdateLoad(dispatch.Load{GroupServing: true, Slowness: 1}, start.Add(550*time.Millisecond))
-	g.Expect(p.Pick(start.Add(550*time.Millisecond), nil)).To(Equal(nodes[0]))
+	g.Expect(pick(p, start.Add(550*time.Millisecond), nil)).To(Equal(nodes[0]))
 }
 
 // A service has two groups and one of them can't serve. The other one's ranks, whether
@@ -88,16 +94,16 @@
 	}
 	p.SuspendGroup(nodes[0], start)
 	for range 20 {
-		g.Expect(p.Pick(start, nil)).To(Or(Equal(nodes[1]), Equal(nodes[3])))
+		g.Expect(pick(p, start, nil)).To(Or(Equal(nodes[1]), Equal(nodes[3])))
 	}
 	g.Expect(p.Capacity(start).UsableUpstreams).To(Equal(2))
 	later := start.Add(1300 * time.Millisecond) // the reports of ranks 2 and 3 have expired
 	nodes[0].UpdateLoad(dispatch.Load{GroupServing: false, Group: "a"}, later)
 	nodes[1].UpdateLoad(dispatch.Load{GroupServing: true, Slowness: 1, Group: "b"}, later)
 	p.Add(dispatch.Replica{ID: "new", Slots: 12})
-	g.Expect(p.Pick(later, nil)).To(Equal(nodes[1]))
-	g.Expect(p.Pick(later, []string{"rank-1"})).To(Equal(nodes[3]))
-	g.Expect(p.Pick(later, []string{"rank-1", "rank-3"})).To(BeNil())
+	g.Expect(pick(p, later, nil)).To(Equal(nodes[1]))
+	g.Expect(pick(p, later, []string{"rank-1"})).To(Equal(nodes[3]))
+	g.Expect(pick(p, later, []string{"rank-1", "rank-3"})).To(BeNil())
 }
 
 // An upstream that fails many of its requests while others don't gets few
@@ -110,11 +116,11 @@
 		nodes[0].Finish(false, true, start)
 	}
 	for range 20 {
-		p.Pick(start, nil).MarkSent()
+		pick(p, start, nil).MarkSent()
 	}
 	g.Expect(nodes[0].InFlight()).To(BeZero())
 	later := start.Add(5 * time.Second)
-	g.Expect(p.Pick(later, nil)).To(Equal(nodes[0]))
+	g.Expect(pick(p, later, nil)).To(Equal(nodes[0]))
 }
 
 // A rank whose VM is frozen or cut off stops reporting and gets no requests
@@ -126,10 +132,10 @@
 	later := start.Add(1300 * time.Millisecond)
 	nodes[1].UpdateLoad(dispatch.Load{GroupServing: true, Slowness: 1, Active: 9}, later)
 	for range 5 {
-		g.Expect(p.Pick(later, nil)).To(Equal(nodes[1]))
+		g.Expect(pick(p, later, nil)).To(Equal(nodes[1]))
 	}
-	g.Expect(p.Pick(later, []string{"rank-1"})).NotTo(BeNil())
-	g.Expect(p.Pick(later.Add(1300*time.Millisecond), nil)).NotTo(BeNil())
+	g.Expect(pick(p, later, []string{"rank-1"})).NotTo(BeNil())
+	g.Expect(pick(p, later.Add(1300*time.Millisecond), nil)).NotTo(BeNil())
 }
 
 // A data centre is cut off and only one upstream of the service is left. It gets all
@@ -147,17 +153,17 @@
 	nodes[0].MarkSent()
 	nodes[0].Finish(false, true, start)
 	for range 20 {
-		g.Expect(p.Pick(start, nil)).To(Equal(nodes[0]))
+		g.Expect(pick(p, start, nil)).To(Equal(nodes[0]))
 	}
 	probes := 0
 	for i := range 100 {
-		if p.Pick(start.Add(time.Duration(i)*100*time.Millisecond), []string{"rank-0"}) != nil {
+		if pick(p, start.Add(time.Duration(i)*100*time.Millisecond), []string{"rank-0"}) != nil {
 			probes++
 		}
 	}
 	g.Expect(probes).To(Equal(5))
 	nodes[1].SetUnreachable(false)
-	g.Expect(p.Pick(start, []string{"rank-0"})).To(Equal(nodes[1]))
+	g.Expect(pick(p, start, []string{"rank-0"})).To(Equal(nodes[1]))
 }
 
 // A slow rank slows the whole group by the work it has, so it gets fewer
@@ -167,7 +173,7 @@
 	p, nodes := group(4)
 	nodes[0].UpdateLoad(dispatch.Load{GroupServing: true, Slowness: 1.5}, start)
 	for range 24 {
-		p.Pick(start, nil).MarkSent()
+		pick(p, start, nil).MarkSent()
 	}
 	g.Expect(nodes[0].InFlight()).To(BeNumerically("<", nodes[1].InFlight()))
 }
@@ -182,12 +188,12 @@
 		n.UpdateLoad(dispatch.Load{GroupServing: false}, start)
 	}
 	back := p.Add(dispatch.Replica{ID: "back", Slots: 12})
-	g.Expect(p.Pick(start, nil)).To(BeNil())
+	g.Expect(pick(p, start, nil)).To(BeNil())
 	g.Expect(p.Capacity(start).FreeSlots).To(BeZero())
 	nodes[0].UpdateLoad(dispatch.Load{GroupServing: true, Slowness: 1}, start)
-	g.Expect(p.Pick(start, []string{"rank-0"})).To(Equal(back))
+	g.Expect(pick(p, start, []string{"rank-0"})).To(Equal(back))
 	later := start.Add(2 * time.Second)
-	g.Expect(p.Pick(later, nil)).NotTo(BeNil(), "no reports at all: the ranks are used")
+	g.Expect(pick(p, later, nil)).NotTo(BeNil(), "no reports at all: the ranks are used")
 }
 
 // A group reopens while nine entries have requests waiting, and no entry knows
@@ -203,7 +209,7 @@
 	g.Expect(p.Capacity(start)).To(Equal(dispatch.Capacity{UsableUpstreams: 11, TotalSlots: 144, FreeSlots: 70}))
 	startRequests := func() (started []*dispatch.Node) {
 		for range p.Capacity(start).StartQuota(entryShare) {
-			n := p.Pick(start, nil)
+			n := pick(p, start, nil)
 			n.MarkSent()
 			started = append(started, n)
 		}
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -46,9 +46,9 @@
 	c := s.advance(200*time.Millisecond, 1, 2, 3)
 	g.Expect(c).NotTo(BeNil())
 	g.Expect(c.Silent).To(BeTrue())
-	g.Expect(s.pool.Pick(s.now, []string{"rank-1", "rank-2", "rank-3"})).To(Equal(s.nodes[0]), "the last choice")
+	g.Expect(pick(s.pool, s.now, []string{"rank-1", "rank-2", "rank-3"})).To(Equal(s.nodes[0]), "the last choice")
 	for range 20 {
-		g.Expect(s.pool.Pick(s.now, nil)).NotTo(Equal(s.nodes[0]))
+		g.Expect(pick(s.pool, s.now, nil)).NotTo(Equal(s.nodes[0]))
 	}
 	g.Expect(s.advance(100*time.Millisecond, 0, 1, 2, 3).Silent).To(BeFalse())
 }
@@ -93,12 +93,12 @@
 	}
 	p.CheckSilence(start)
 	for range 20 {
-		g.Expect(p.Pick(start, nil)).NotTo(Equal(unknown))
+		g.Expect(pick(p, start, nil)).NotTo(Equal(unknown))
 	}
-	g.Expect(p.Pick(start, []string{"rank-0", "rank-1", "rank-2"})).To(Equal(unknown))
+	g.Expect(pick(p, start, []string{"rank-0", "rank-1", "rank-2"})).To(Equal(unknown))
 	later := start.Add(11 * time.Second)
 	for _, n := range nodes {
 		n.UpdateLoad(dispatch.Load{GroupServing: true, Active: 11}, later)
 	}
-	g.Expect(p.Pick(later, nil)).To(Equal(unknown), "its agent is gone, but it serves")
+	g.Expect(pick(p, later, nil)).To(Equal(unknown), "its agent is gone, but it serves")
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -63,7 +62,7 @@
 func (q *request) run() {
 	var last result
 	for {
-		m, err := q.nextUpstream(last)
+		m, err := q.nextUpstream()
 		if err != nil {
 			q.conclude(last, err)
 			return
@@ -87,16 +86,11 @@
 
 // nextUpstream chooses the upstream for the attempt after the last one. It may wait for one;
 // the request may be put into quarantine before or meanwhile.
-func (q *request) nextUpstream(last result) (*Member, error) {
+func (q *request) nextUpstream() (*Member, error) {
 	if err := q.checkQuarantine(); err != nil {
 		return nil, err
 	}
-	var m *Member
-	if errors.Is(last.cause, errSilentUpstream) {
-		m = q.pickAfterSilence()
-	} else {
-		m = q.pick()
-	}
+	m := q.pick()
 	if m == nil {
 		m = q.awaitPermit()
 	}
@@ -135,7 +129,7 @@
 // the caller is told.
 func (q *request) noUpstream() error {
 	limit := maxRetryAfterFraction * float64(q.remaining()) * (1 - retryAfterJitter*rand.Float64())
-	if wait, limited := q.g.Pools.atLimit(q.service, q.attempted); limited {
+	if wait, limited := q.g.Pools.atLimit(q.service, q.demand()); limited {
 		q.g.stats.recordLimited(q.service)
 		return errLimited.After(time.Duration(min(float64(wait)+rand.Float64()*float64(returnWindow), limit)))
 	}
@@ -284,12 +278,15 @@
 	}
 }
 
-// lowestPriority is the lowest priority that upstreams know; 0 is the highest.
-const lowestPriority = 9
+// Priorities that upstreams know.
+const highestPriority, lowestPriority = 0, 9
 
-// priority returns the request's priority at the upstream: that of its client
-// account, or of its route if the account has none.
+// priority returns the request's priority at the upstream: the highest for an accepted one,
+// else that of its client account, or of its route if the account has none.
 func (q *request) priority() int {
+	if q.accepted() {
+		return highestPriority
+	}
 	level := q.route.Priority
 	if a := q.table.Account(q.Key); a != nil && a.HasPriority {
 		level = a.Priority
@@ -330,7 +327,7 @@
 	case q.route.Kind == routing.Stream && reply.Status/100 == 2:
 		return q.forwardStream(m, reply)
 	}
-	return q.forwardResponse(reply)
+	return q.forwardResponse(m, reply)
 }
 
 // applyAnnouncements applies what an answer says about its upstream's availability. An
@@ -426,7 +423,7 @@
 
 // forwardResponse reads an answer to its end and forwards it. A server error
 // is not forwarded yet, since another attempt may follow.
-func (q *request) forwardResponse(reply *upstream.Reply) result {
+func (q *request) forwardResponse(m *Member, reply *upstream.Reply) result {
 	body, err := q.readAnswer(reply)
 	if err != nil {
 		return result{attemptStatus: attemptUnknown, sent: true, cause: err}
@@ -437,6 +434,7 @@
 		return result{attemptStatus: attemptFailed, sent: true, reply: resp, cause: fault.New(fault.Crashed, "see the upstream's logs", "the upstream answered with status %d", reply.Status)}
 	}
 	q.clearSuspicion()
+	m.RecordAnswerDelay(time.Since(q.attemptStartedAt))
 	q.writeResponse(resp)
 	return result{attemptStatus: attemptDelivered, sent: true}
 }
--- a/internal/gateway/callers_left_test.go
+++ b/internal/gateway/callers_left_test.go
@@ -142,6 +142,10 @@
 	}
 	g.Expect(sum(func(e *queueingEngine) int { return e.running })).To(Equal(upstreams * slots))
 	reportLoads()
+	// Answers last far longer than a caller waits for an event.
+	m := f.gateway.Pools.Get(f.upstreams[0].Address, f.upstreams[0].Started)
+	m.RecordPart(300 * time.Millisecond)
+	m.RecordAnswerParts(2000)
 
 	var patient []*patientCaller
 	answered := func() (n int) {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/directory"
+	"github.com/kingcupreel/kingcupreel/internal/dispatch"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/ratelimit"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -183,20 +184,20 @@
 
 // atLimit returns the time until the next permit of the service's upstreams, if some name
 // limits and could take the request but for these.
-func (p *Pools) atLimit(service string, exclude []string) (wait time.Duration, limited bool) {
+func (p *Pools) atLimit(service string, d dispatch.Demand) (wait time.Duration, limited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n, wait := p.pool(service).NextPermit(p.clock.Now(), exclude)
+	n, wait := p.pool(service).NextPermit(p.clock.Now(), d)
 	return wait, n != nil
 }
 
 // reservePermit takes the next permit of the service's upstreams and counts a request to its
 // upstream, which may be sent after the returned time. It returns nil if that is longer than
 // maxWait or no upstream is limited.
-func (p *Pools) reservePermit(service string, exclude []string, maxWait time.Duration) (*Member, time.Duration) {
+func (p *Pools) reservePermit(service string, d dispatch.Demand, maxWait time.Duration) (*Member, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n, wait := p.pool(service).NextPermit(p.clock.Now(), exclude)
+	n, wait := p.pool(service).NextPermit(p.clock.Now(), d)
 	if n == nil || wait > maxWait {
 		return nil, 0
 	}
@@ -205,17 +206,17 @@
 
 // canTake reports whether the upstream can take a request for which a permit was reserved: it
 // may have left meanwhile, or want no requests.
-func (m *Member) canTake() bool {
+func (m *Member) canTake(d dispatch.Demand) bool {
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
-	return m.pools.pool(m.Service).CanTake(m.node, m.pools.clock.Now())
+	return m.pools.pool(m.Service).CanTake(m.node, m.pools.clock.Now(), d)
 }
 
 // awaitPermit waits for the next permit of the service's upstreams and returns its upstream,
 // or nil if that takes too long.
 func (q *request) awaitPermit() *Member {
 	maxWait := q.waitLimit()
-	m, wait := q.g.Pools.reservePermit(q.service, q.attempted, maxWait)
+	m, wait := q.g.Pools.reservePermit(q.service, q.demand(), maxWait)
 	if m == nil {
 		return nil
 	}
@@ -227,7 +228,7 @@
 	case <-q.ctx.Done():
 		ended = true
 	}
-	usable := !ended && m.canTake()
+	usable := !ended && m.canTake(q.demand())
 	q.g.stats.recordWait(q.service, usable, wait)
 	q.log.Info("waited for an upstream's request limit", zap.String("upstream", m.ID), zap.Bool("may_start", usable), zap.Duration("waited", wait), zap.Duration("limit", maxWait))
 	if usable {
@@ -237,5 +238,6 @@
 	if ended {
 		return nil
 	}
-	return q.g.Pools.Pick(q.service, q.attempted)
+	m, _ = q.g.Pools.Pick(q.service, q.demand())
+	return m
 }
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -27,9 +27,6 @@
 	byAddress map[string]*Member
 	// waiting holds the requests that wait for an upstream, by service.
 	waiting map[string]*admission.Waitlist
-	// starting counts, by service, the waiting requests that were started and
-	// have not yet picked an upstream.
-	starting map[string]int
 	// suspensions holds what is known of the outages of each service.
 	suspensions map[string]*suspension
 	// lastSuspendedAt is the last time when requests waited for a service
@@ -56,7 +53,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, starting: map[string]int{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
 }
 
 // Configure sets the step costs of the services' engines.
@@ -75,6 +72,7 @@
 	pool := p.pools[service]
 	if pool == nil {
 		pool = dispatch.NewPool(p.rand)
+		pool.SetEntryShare(p.entryShare)
 		p.pools[service] = pool
 	}
 	return pool
@@ -149,17 +147,22 @@
 	}
 }
 
-// Pick chooses an upstream of the service that is not in exclude and counts a
-// request to it. It returns nil if there is none.
-func (p *Pools) Pick(service string, exclude []string) *Member {
+// Pick chooses an upstream of the service for a request and counts the request to it. Without
+// one it returns nil and the obstacle.
+func (p *Pools) Pick(service string, d dispatch.Demand) (*Member, dispatch.Obstacle) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pickLocked(service, exclude)
+	return p.pickLocked(service, d)
 }
 
 // pickLocked is Pick for a caller that holds mu.
-func (p *Pools) pickLocked(service string, exclude []string) *Member {
-	return p.member(p.pool(service).Pick(p.clock.Now(), exclude))
+func (p *Pools) pickLocked(service string, d dispatch.Demand) (*Member, dispatch.Obstacle) {
+	pool, now := p.pool(service), p.clock.Now()
+	n, obstacle := pool.Pick(now, d)
+	if n != nil && d.Accepted {
+		n.MarkAccepted(now)
+	}
+	return p.member(n), obstacle
 }
 
 // member counts a request to a node and returns the node's member, nil for nil. The caller
@@ -234,6 +237,27 @@
 	m.pools.startWaiting(m.Service, false)
 }
 
+// RecordAnswerDelay records the time to a whole answer.
+func (m *Member) RecordAnswerDelay(delay time.Duration) {
+	m.pools.mu.Lock()
+	defer m.pools.mu.Unlock()
+	m.pools.pool(m.Service).RecordAnswerDelay(delay)
+}
+
+// RecordPart records the time between two parts of an answer.
+func (m *Member) RecordPart(interval time.Duration) {
+	m.pools.mu.Lock()
+	defer m.pools.mu.Unlock()
+	m.pools.pool(m.Service).RecordPart(interval)
+}
+
+// RecordAnswerParts records the number of parts after the first that an attempt brought.
+func (m *Member) RecordAnswerParts(parts int) {
+	m.pools.mu.Lock()
+	defer m.pools.mu.Unlock()
+	m.pools.pool(m.Service).RecordAnswerParts(parts)
+}
+
 // Finish counts the end of an attempt. answered says that MarkAnswered was
 // called for it, and failed that the upstream was at fault.
 func (m *Member) Finish(answered, failed bool) {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -45,14 +45,6 @@
 	return changes
 }
 
-// pickFree chooses an upstream of the service that has a free slot and is not in exclude,
-// and counts a request to it. It returns nil if there is none.
-func (p *Pools) pickFree(service string, exclude []string) *Member {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.member(p.pool(service).PickFree(p.clock.Now(), exclude))
-}
-
 // checkSilence looks for upstreams that have fallen silent or are heard from again. An
 // upstream that has just fallen silent loses the requests that may run elsewhere.
 func (g *Gateway) checkSilence() {
@@ -83,19 +75,3 @@
 	q.cancelAttempt(errSilentUpstream)
 	return true
 }
-
-// pickAfterSilence chooses an upstream for a request that was withdrawn from a silent one,
-// or returns nil. The request has lost time: it waits in no upstream's queue.
-func (q *request) pickAfterSilence() *Member {
-	if left, needed := q.patienceLeft(), q.g.Pools.answerDelay(q.service); left < needed {
-		q.log.Info("no other upstream would answer in time", zap.Duration("usual_delay", needed), zap.Duration("patience", left))
-		return nil
-	}
-	if m := q.g.Pools.pickFree(q.service, q.attempted); m != nil {
-		return m
-	}
-	if !q.await(q.waitLimit()) {
-		return nil
-	}
-	return q.g.Pools.pickStarted(q.service, q.attempted)
-}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,6 +30,12 @@
 // another upstream starts with a new one.
 func (q *request) forwardStream(m *Member, reply *upstream.Reply) result {
 	br := bufio.NewReaderSize(reply, eventBufferSize)
+	parts := 0
+	defer func() {
+		if q.answerStarted {
+			m.RecordAnswerParts(parts)
+		}
+	}()
 	flusher := http.NewResponseController(q.w)
 	for {
 		event, err := readEvent(br)
@@ -44,10 +50,14 @@
 		if _, err := q.w.Write(event); err != nil {
 			return result{attemptStatus: attemptBroken, sent: true, cause: err}
 		}
+		before := q.lastEventAt
 		q.lastEventAt = time.Now()
 		m.Hear()
-		if !q.answerStarted {
-			q.answerStarted, q.firstEventAfter = true, time.Since(q.attemptStartedAt)
+		if q.answerStarted {
+			parts++
+			m.RecordPart(q.lastEventAt.Sub(before))
+		} else {
+			q.answerStarted, q.firstEventAfter = true, q.lastEventAt.Sub(q.attemptStartedAt)
 			q.clearSuspicion()
 			m.MarkAnswered(q.firstEventAfter)
 		}
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -52,23 +52,45 @@
 	return max(minEventPatience, targetPatienceFactor*r.TargetLatency, gapPatienceFactor*r.TargetGap)
 }
 
+// accepted reports whether the request was sent to an upstream before. Its caller has waited
+// for it, and may have a part of its answer.
+func (q *request) accepted() bool { return q.headSent || q.attempts > 0 }
+
+// demand returns what the request asks of its next upstream: to begin before its caller leaves,
+// and an accepted request to be answered again before that.
+func (q *request) demand() dispatch.Demand {
+	d := dispatch.Demand{Exclude: q.attempted, Accepted: q.accepted(), MaxWait: q.patienceLeft()}
+	if d.Accepted {
+		d.MaxWait -= q.g.Pools.answerDelay(q.service)
+	}
+	d.MaxWait = max(d.MaxWait, 0)
+	return d
+}
+
 // pick chooses an upstream for the next attempt, or returns nil. A request to
 // a group that can't serve waits for the group first.
 func (q *request) pick() *Member {
-	if !q.isRankGroup() {
-		return q.g.Pools.Pick(q.service, q.attempted)
+	if left, usual := q.patienceLeft(), q.g.Pools.answerDelay(q.service); q.accepted() && left < usual {
+		q.log.Info("no other upstream would answer in time", zap.Duration("usual_delay", usual), zap.Duration("patience", left))
+		return nil
 	}
-	// A new request is tried before those that wait: it can still get its
-	// first event in time, the waiting ones can't.
-	m, o := q.g.Pools.pickOrOutage(q.service, q.attempted)
+	d := q.demand()
+	m, obstacle := q.g.Pools.Pick(q.service, d)
 	if m != nil {
 		return m
 	}
-	if _, limited := q.g.Pools.atLimit(q.service, q.attempted); limited {
+	q.log.Info("no upstream can take the request", zap.String("obstacle", obstacle.String()), zap.Duration("max_wait", d.MaxWait), zap.Bool("accepted", d.Accepted), zap.Strings("tried", q.attempted))
+	if obstacle > dispatch.Unheard || !q.isRankGroup() {
 		return nil
 	}
+	return q.awaitGroup(d)
+}
+
+// awaitGroup waits for a group that can't serve, if it may be back in time, and chooses an
+// upstream.
+func (q *request) awaitGroup(d dispatch.Demand) *Member {
 	limit := q.waitLimit()
-	if !q.headSent && !o.mayEndWithin(limit, q.g.MinOutage) {
+	if o := q.g.Pools.outage(q.service); !q.headSent && !o.mayEndWithin(limit, q.g.MinOutage) {
 		q.log.Info("group isn't expected back in time", zap.Duration("outage", o.age), zap.Bool("all_ranks_alive", o.reforming), zap.Bool("served_before", o.servedBefore),
 			zap.Duration("longest_outage", o.longest), zap.Duration("limit", limit))
 		return nil
@@ -76,10 +98,7 @@
 	if rest, all := q.g.Pools.restingFor(q.service); all && rest > limit {
 		return nil
 	}
-	if !q.await(limit) {
-		return nil
-	}
-	return q.g.Pools.pickStarted(q.service, q.attempted)
+	return q.await(limit, d)
 }
 
 // outage describes why a service has no usable upstream.
@@ -137,45 +156,46 @@
 	return min(limit, time.Duration(maxWaitRemainingFraction*float64(q.remaining())))
 }
 
-// await waits until the request may start. It returns false if the limit has
+// await waits until an upstream may begin the request and returns it, or nil if the limit has
 // passed or too many requests wait.
-func (q *request) await(limit time.Duration) bool {
+func (q *request) await(limit time.Duration, d dispatch.Demand) *Member {
 	if limit <= 0 {
-		return false
+		return nil
 	}
 	waitStart := time.Now()
 	ctx, cancel := context.WithTimeout(q.ctx, limit)
 	defer cancel()
-	decided := make(chan admission.Decision, 1)
-	ticket := q.g.Pools.enqueue(q.service, admission.Request{
-		Pool: q.service, Account: q.account, Priority: lowestPriority - q.priority(),
-		OnDecision: func(decision admission.Decision) { decided <- decision },
-	})
-	var decision admission.Decision
+	decided := make(chan waitResult, 1)
+	ticket := q.g.Pools.enqueue(q.service, admission.Request{Pool: q.service, Account: q.account, Priority: lowestPriority - q.priority()}, d, decided)
+	var result waitResult
 	select {
-	case decision = <-decided:
+	case result = <-decided:
 	case <-ctx.Done():
 		if !q.g.Pools.withdraw(q.service, ticket) {
-			decision = <-decided
+			result = <-decided
 		}
 	}
-	q.g.stats.recordWait(q.service, decision.Start, time.Since(waitStart))
-	q.log.Info("waited for the group", zap.Bool("may_start", decision.Start), zap.String("reason", string(decision.Reason)),
+	started := result.member != nil
+	q.g.stats.recordWait(q.service, started, time.Since(waitStart))
+	q.log.Info("waited for the group", zap.Bool("may_start", started), zap.String("reason", string(result.reason)),
 		zap.Duration("waited", time.Since(waitStart)), zap.Duration("limit", limit), zap.Strings("tried", q.attempted))
-	return decision.Start
+	return result.member
+}
+
+// waitResult is the upstream of a request that has waited, nil if it is refused for the reason.
+type waitResult struct {
+	member *Member
+	reason admission.Reason
 }
 
 // defaultMinOutage is the shortest expected outage of a group that can't
 // serve, if the platform states no bound on partitions.
 const defaultMinOutage = 5 * time.Second
 
-// pickOrOutage is Pick, but without an upstream it returns why there is none.
-func (p *Pools) pickOrOutage(service string, exclude []string) (*Member, outage) {
+// outage returns why the service has no usable upstream.
+func (p *Pools) outage(service string) outage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m := p.pickLocked(service, exclude); m != nil {
-		return m, outage{}
-	}
 	h := p.trackSuspension(service)
 	now := p.clock.Now()
 	o := outage{servedBefore: h.servedBefore, longest: h.longest}
@@ -183,7 +203,7 @@
 		o.age = now.Sub(h.since)
 	}
 	o.reforming = !h.aliveSince.IsZero() && now.Sub(h.aliveSince) < maxReformTime
-	return nil, o
+	return o
 }
 
 // suspension is what is known of the outages of a service.
@@ -230,6 +250,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.entryShare = entryShare
+	for _, pool := range p.pools {
+		pool.SetEntryShare(entryShare)
+	}
 	now := p.clock.Now()
 	for _, l := range p.limits {
 		l.setShare(entryShare, now)
@@ -246,8 +269,9 @@
 	return 0
 }
 
-// enqueue adds a request to the waitlist of a service.
-func (p *Pools) enqueue(service string, r admission.Request) *admission.Ticket {
+// enqueue adds a request to the waitlist of a service. Its upstream is chosen at the moment of
+// its start, by the same conditions as that of a request that hasn't waited.
+func (p *Pools) enqueue(service string, r admission.Request, d dispatch.Demand, decided chan<- waitResult) *admission.Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.waiting[service]
@@ -255,20 +279,19 @@
 		w = admission.NewWaitlist()
 		p.waiting[service] = w
 	}
+	r.OnDecision = func(decision admission.Decision) {
+		result := waitResult{reason: decision.Reason}
+		if decision.Start {
+			result.member, _ = p.pickLocked(service, d)
+		}
+		decided <- result
+	}
 	totalSlots := float64(p.pool(service).Capacity(p.clock.Now()).TotalSlots)
 	ticket := w.Add(r, max(int(waitlistFactor*p.entryShare*totalSlots), minWaitlist))
 	p.startWaiting(service, false)
 	return ticket
 }
 
-// pickStarted is Pick for a request that was started from the waitlist.
-func (p *Pools) pickStarted(service string, exclude []string) *Member {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.starting[service]--
-	return p.pickLocked(service, exclude)
-}
-
 // withdraw removes a request from the waitlist. It returns false if the
 // request has already been decided on.
 func (p *Pools) withdraw(service string, ticket *admission.Ticket) bool {
@@ -290,14 +313,11 @@
 	if capacity.UsableUpstreams == 0 {
 		p.lastSuspendedAt[service] = now
 	}
-	capacity.InFlight += p.starting[service]
-	capacity.Unanswered += p.starting[service]
-	capacity.FreeSlots = max(capacity.FreeSlots-p.starting[service], 0)
 	quota := capacity.StartQuota(p.entryShare)
 	if leftover && now.Sub(p.lastSuspendedAt[service]) > reopenPromptWindow {
 		quota = max(quota, capacity.LeftoverQuota(p.entryShare))
 	}
-	p.starting[service] += w.Start(quota)
+	w.Start(quota)
 }
 
 // startOnLeftover starts waiting requests on slots that other entries leave
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -47,8 +47,7 @@
 	}
 	outageAt := func(after time.Duration) outage {
 		clock.Advance(after)
-		_, o := p.pickOrOutage("s", nil)
-		return o
+		return p.outage("s")
 	}
 	report(true, "0", "1")
 	report(false, "0", "1")
--- a/internal/gateway/withdrawn_test.go
+++ b/internal/gateway/withdrawn_test.go
@@ -36,7 +36,7 @@
 			p.UpdateLoad(u.Address, 0, load)
 		}
 		for range withdrawnByEach {
-			if m := p.pickFree("s", []string{"u0"}); m != nil {
+			if m, _ := p.Pick("s", dispatch.Demand{Exclude: []string{"u0"}, Accepted: true}); m != nil {
 				sent[m.ID]++
 			}
 		}
