--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -56,14 +56,20 @@
 // for it, and may have a part of its answer.
 func (q *request) accepted() bool { return q.headSent || q.attempts > 0 }
 
-// demand returns what the request asks of its next upstream: to begin before its caller leaves,
-// and an accepted request to be answered again before that.
+// acceptedDelayFactor times the usual delay of an answer is the delay that an accepted request
+// allows for. It won't get another chance.
+const acceptedDelayFactor = 1.5
+
+// demand returns what the request asks of its next upstream: that it begins early enough to be
+// answered while its caller waits.
 func (q *request) demand() dispatch.Demand {
-	d := dispatch.Demand{Exclude: q.attempted, Accepted: q.accepted(), MaxWait: q.patienceLeft()}
+	d := dispatch.Demand{Exclude: q.attempted, Accepted: q.accepted()}
+	usual := q.g.Pools.answerDelay(q.service)
 	if d.Accepted {
-		d.MaxWait -= q.g.Pools.answerDelay(q.service)
+		d.MaxWait = max(q.patienceLeft()-time.Duration(acceptedDelayFactor*float64(usual)), 0)
+	} else {
+		d.MaxWait = max(q.waitLimit()-usual, 0)
 	}
-	d.MaxWait = max(d.MaxWait, 0)
 	return d
 }
 
