--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -184,10 +184,12 @@
 	}
 }
 
-// handleLoad handles the load report of an upstream that is in use.
+// handleLoad handles the load report of an upstream that is in use, or was until it left.
 func (g *gatewayProcess) handleLoad(m *wire.RankLoad) {
+	load := dispatch.Load{Queued: m.Queued, Active: m.Active, Slowness: float64(m.Slowness), GroupServing: m.GroupServing, Group: m.Group, GroupSize: m.GroupSize}
 	u := g.gateway.Pools.Get(m.Address, m.Started)
 	if u == nil {
+		g.gateway.Pools.UpdateLoad(m.Address, m.Started, load)
 		return
 	}
 	g.reachability.Heard(u.DataCentre)
@@ -196,7 +198,6 @@
 		g.exchange.TriggerDigest()
 	}
 	g.gateway.ApplyReportedLimit(u, m.RequestLimit)
-	load := dispatch.Load{Queued: m.Queued, Active: m.Active, Slowness: float64(m.Slowness), GroupServing: m.GroupServing, Group: m.Group, GroupSize: m.GroupSize}
 	if g.gateway.Pools.UpdateLoad(m.Address, m.Started, load) != nil {
 		g.log.Info("rank's group started or stopped serving", zap.String("upstream", u.ID), zap.String("group", m.Group), zap.Bool("group_serves", m.GroupServing),
 			zap.Int64("step", m.Step), zap.Int("queued", m.Queued), zap.Int("active", m.Active))
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -129,6 +129,8 @@
 	rand  *rand.Rand
 	cost  StepCost
 	nodes []*Node
+	// leaving holds removed upstreams that still have requests of this entry in flight.
+	leaving []*Node
 	// probedAt is when an unreachable upstream was last picked.
 	probedAt time.Time
 	// silenceCheckedAt is the time of the last check for silence. Before silenceKnownFrom
@@ -164,9 +166,12 @@
 	return n
 }
 
-// Remove removes an upstream.
+// Remove removes an upstream. While requests are in flight there, it is checked for silence.
 func (p *Pool) Remove(n *Node) {
 	p.nodes = slices.DeleteFunc(p.nodes, func(o *Node) bool { return o == n })
+	if n.inFlight > 0 {
+		p.leaving = append(p.leaving, n)
+	}
 }
 
 // Pick returns the upstream for a request, or nil with the obstacle that the pool presents.
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // An upstream that has been heard from and stops while the others go on is silent: its VM
 // stands still or can't be reached. What runs there can't be ended until it is heard again.
@@ -78,8 +81,9 @@
 	}
 	p.mostReport = reporting > 0 && 2*reporting >= len(p.nodes)
 	trusted := 2*heard >= reporting && !now.Before(p.silenceKnownFrom)
+	p.leaving = slices.DeleteFunc(p.leaving, func(n *Node) bool { return n.inFlight == 0 })
 	var changes []SilenceChange
-	for _, n := range p.nodes {
+	for _, n := range slices.Concat(p.nodes, p.leaving) {
 		if n.firstCheckedAt.IsZero() {
 			n.firstCheckedAt = now
 		}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -25,6 +25,9 @@
 	members map[string]*Member
 	// byAddress holds the member last added at each address.
 	byAddress map[string]*Member
+	// leaving holds the members that were removed with requests in flight, by node, until they
+	// have none.
+	leaving map[*dispatch.Node]*Member
 	// waiting holds the requests that wait for an upstream, by service.
 	waiting map[string]*admission.Waitlist
 	// suspensions holds what is known of the outages of each service.
@@ -53,7 +56,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, leaving: map[*dispatch.Node]*Member{}, waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
 }
 
 // Configure sets the step costs of the services' engines.
@@ -142,6 +145,9 @@
 func (p *Pools) remove(m *Member) {
 	p.pools[m.Service].Remove(m.node)
 	delete(p.members, m.ID)
+	if m.node.InFlight() > 0 {
+		p.leaving[m.node] = m
+	}
 	if p.byAddress[m.Address] == m {
 		delete(p.byAddress, m.Address)
 	}
@@ -202,6 +208,7 @@
 	defer p.mu.Unlock()
 	m := p.byAddress[address]
 	if m == nil || m.Started != started {
+		p.updateLeaving(address, started, load)
 		return nil
 	}
 	before := m.node.GroupServing()
@@ -221,6 +228,15 @@
 	return m.node.KnownLoad(m.pools.clock.Now())
 }
 
+// updateLeaving stores the reported load of a member that was removed. The caller holds mu.
+func (p *Pools) updateLeaving(address string, started int64, load dispatch.Load) {
+	for n, m := range p.leaving {
+		if m.Address == address && m.Started == started {
+			n.UpdateLoad(load, p.clock.Now())
+		}
+	}
+}
+
 // Hear records a part of an answer as a sign of life of the upstream.
 func (m *Member) Hear() {
 	m.pools.mu.Lock()
@@ -264,6 +280,9 @@
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
 	m.node.Finish(answered, failed, m.pools.clock.Now())
+	if m.node.InFlight() == 0 {
+		delete(m.pools.leaving, m.node)
+	}
 	m.pools.startWaiting(m.Service, false)
 }
 
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -39,7 +39,11 @@
 	var changes []silenceChange
 	for _, pool := range p.pools {
 		for _, c := range pool.CheckSilence(p.clock.Now()) {
-			changes = append(changes, silenceChange{member: p.members[c.Node.ID], silent: c.Silent, age: c.Age, inFlight: c.Node.InFlight()})
+			m := p.leaving[c.Node]
+			if m == nil {
+				m = p.members[c.Node.ID]
+			}
+			changes = append(changes, silenceChange{member: m, silent: c.Silent, age: c.Age, inFlight: c.Node.InFlight()})
 		}
 	}
 	return changes
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -127,6 +127,22 @@
 	}
 }
 
+// Guards against runs without callers at an upstream that has announced its departure and
+// falls silent before it has answered what it still had.
+func TestRequestsLeaveASilentUpstreamThatIsLeaving(t *testing.T) {
+	g := NewWithT(t)
+	s := newSilentRank(t, 2, block, threeEvents)
+	r := s.request(http.MethodPost, "/stream/x", "")
+	r.Header.Set("Deadline-Ms", "20000")
+	answers := s.sendAsync(r)
+	g.Eventually(s.arrived, "10s").Should(HaveLen(1))
+	leaving := s.upstreams[0]
+	g.Expect(s.gateway.Directory.Depart(leaving.Incarnation())).To(BeTrue())
+	g.Eventually(func() any { return s.gateway.Pools.Get(leaving.Address, leaving.Started) }, "5s").Should(BeNil())
+	s.silent.Store(true)
+	g.Eventually(answers, "10s").Should(Receive(Equal(answer{http.StatusOK, threeEventsBody})))
+}
+
 // Guards against runs without callers where no other upstream has a free slot: the caller
 // gets the final answer before it leaves, and no queue of a full upstream gets the request.
 func TestRequestAtASilentUpstreamIsAnsweredWhenTheOthersAreFull(t *testing.T) {
