--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -170,7 +170,7 @@
 // attempt sends the request to an upstream once and records the result.
 func (q *request) attempt(m *Member) result {
 	q.attempted = append(q.attempted, m.ID)
-	q.answerStarted, q.firstEventAfter = false, 0
+	q.headReceived, q.answerStarted, q.firstEventAfter = false, false, 0
 	start := time.Now()
 	q.attemptStartedAt = start
 	loadFields := q.recordSending(m)
@@ -312,6 +312,7 @@
 		return sendFailure(err)
 	}
 	defer reply.Close()
+	q.headReceived = true
 	if q.g.Reachability != nil {
 		q.g.Reachability.Heard(m.DataCentre)
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -27,7 +27,7 @@
 	ctx, cancel := context.WithTimeout(q.ctx, crashCheckTimeout)
 	defer cancel()
 	crashed := q.g.Transport.Refuses(ctx, m.Address)
-	q.log.Info("connection ended before the answer began", zap.String("upstream", m.ID), zap.Bool("crashed", crashed),
+	q.log.Info("connection ended before the answer began", zap.String("upstream", m.ID), zap.Bool("crashed", crashed), zap.Bool("head_received", q.headReceived),
 		zap.String("account", q.account), zap.Strings("parts", q.PromptParts), zap.Any("fingerprints", q.suspect().Parts), zap.Error(res.cause))
 	return crashed
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -67,11 +67,12 @@
 	headSent    bool
 	lastEventID string
 	lastEventAt time.Time
-	// attemptStartedAt is the start of the current attempt. answerStarted is set if it has
-	// delivered an event, and firstEventAfter is the time from its start to the first one.
-	attemptStartedAt time.Time
-	answerStarted    bool
-	firstEventAfter  time.Duration
+	// attemptStartedAt is the start of the current attempt. headReceived is set if it has
+	// received the head of an answer, answerStarted if it has delivered an event, and
+	// firstEventAfter is the time from its start to the first one.
+	attemptStartedAt            time.Time
+	headReceived, answerStarted bool
+	firstEventAfter             time.Duration
 }
 
 // ServeHTTP implements http.Handler.
