--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -40,11 +40,12 @@
 
 // suspect returns the quarantine's identification of the request. Its whole content counts as
 // a part: requests with equal contents may be in flight at several upstreams, which crash at
-// one moment for another reason.
+// one moment for another reason, and a success of any of them clears it.
 func (q *request) suspect() quarantine.Suspect {
 	q.suspectOnce.Do(func() {
-		parts := append(quarantine.PartFingerprints(q.PromptParts), quarantine.FingerprintOf(q.account, q.r.RequestURI, q.body))
-		q.suspectValue = quarantine.Suspect{Account: q.account, Parts: append(parts, quarantine.ContentFingerprints(q.account, q.r.RequestURI, q.body)...)}
+		whole := quarantine.FingerprintOf(q.account, q.r.RequestURI, q.body)
+		parts := append(quarantine.PartFingerprints(q.PromptParts), whole)
+		q.suspectValue = quarantine.Suspect{Account: q.account, Parts: append(parts, quarantine.ContentFingerprints(q.account, q.r.RequestURI, q.body)...), Whole: whole}
 	})
 	return q.suspectValue
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -162,6 +162,44 @@
 	}
 }
 
+// newCrashingGroup returns a fleet whose upstreams are ranks of one group.
+func newCrashingGroup(t *testing.T, ranks int) *crashingFleet {
+	t.Helper()
+	c := newCrashingFleet(t, ranks)
+	c.gateway.MinOutage = time.Hour // nobody waits for the group
+	c.routes.Apply(groupConfiguration(), time.Now())
+	c.reopen()
+	return c
+}
+
+// reopen reports that all ranks serve.
+func (c *crashingFleet) reopen() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.report(dispatch.Load{GroupServing: true, Slowness: 1, Group: "g", GroupSize: len(c.upstreams)})
+}
+
+// Guards against a request that stops its group again and again: each time the group is open
+// it crashes one more rank. A request is refused after its second crash, as on the product's own
+// interface, and sound ones are served.
+func TestRequestThatCrashesRanksIsRefusedAfterTwoCrashes(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrashingGroup(t, 3)
+	send := func(target string) int {
+		status, _, _, _ := c.send(c.request(http.MethodGet, target, ""))
+		return status
+	}
+	const rounds, enoughCrashes = 5, 2
+	for i := range rounds {
+		g.Expect(send(fmt.Sprint("/safe/sound", i))).To(Equal(http.StatusOK))
+		send(crashPath)
+		time.Sleep(1100 * time.Millisecond) // crashes at one moment may have another cause
+		c.reopen()
+	}
+	g.Expect(c.crashCount()).To(Equal(enoughCrashes))
+	g.Expect(send(crashPath)).To(Equal(http.StatusServiceUnavailable))
+}
+
 // convict reports three crashes with requests that have the parts, as other entries would.
 func (f *fixture) convict(parts ...string) {
 	first := time.Now().Add(-time.Minute)
@@ -219,10 +257,7 @@
 // refuse the request only once the group has noticed, and counts as reached.
 func TestRequestIsNotSentToTheGroupOfACrashedRank(t *testing.T) {
 	g := NewWithT(t)
-	c := newCrashingFleet(t, 3)
-	c.gateway.MinOutage = time.Hour
-	c.routes.Apply(groupConfiguration(), time.Now())
-	c.report(dispatch.Load{GroupServing: true, Slowness: 1, Group: "g", GroupSize: 3})
+	c := newCrashingGroup(t, 3)
 	status, _ := c.stream("aa:40," + crashPart + ":30,own:500")
 	g.Expect(status).To(Equal(http.StatusBadGateway))
 	g.Expect(c.arrived()).To(HaveLen(1))
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -13,7 +13,8 @@
 
 const (
 	// partThreshold is the number of crashes after which a part is convicted. By
-	// chance, a part that many requests share is in flight at one or two.
+	// chance, a part that many requests share is in flight at one or two. A part that
+	// stands for a whole request is convicted at ConvictionThreshold.
 	partThreshold = 3
 	// minCrashSpread is the least time between the first and the last of these crashes.
 	// Many upstreams may crash at one moment for another reason.
@@ -22,7 +23,11 @@
 
 // recurs reports whether the record's crashes are too many to be chance.
 func (r *Record) recurs() bool {
-	return len(r.crashes) >= partThreshold && r.lastCrash.Sub(r.firstCrash) >= minCrashSpread
+	threshold := partThreshold
+	if r.whole {
+		threshold = ConvictionThreshold
+	}
+	return len(r.crashes) >= threshold && r.lastCrash.Sub(r.firstCrash) >= minCrashSpread
 }
 
 // partToBlame returns the record of a convicted part among those of a request, or nil. The
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -67,6 +67,31 @@
 		Expect(table.Check(prompt("next", "popular"))).To(Succeed())
 	})
 
+	It("convicts a whole request at its second crash, at a moment of its own", func() {
+		whole := func(own string) quarantine.Suspect {
+			s := prompt(own, "part")
+			s.Parts, s.Whole, s.Fingerprint = append(s.Parts, s.Fingerprint), s.Fingerprint, ""
+			return s
+		}
+		crashed("one", whole("bad"), whole("sound"))
+		crashed("two", whole("bad"), whole("sound"))
+		Expect(table.Check(whole("bad"))).To(Succeed(), "both upstreams may have crashed for another reason")
+		succeeded(whole("sound"))
+		clock.Advance(time.Second)
+		crashed("three", whole("bad"), whole("sound"))
+		Expect(table.Check(whole("bad"))).NotTo(Succeed())
+		Expect(table.Check(whole("sound"))).To(Succeed())
+		Expect(table.Check(whole("with the same part"))).To(Succeed())
+
+		elsewhere := quarantine.NewTable(clock)
+		for _, r := range table.Evidence(whole("bad").Whole) {
+			elsewhere.Add(r)
+		}
+		Expect(elsewhere.Check(whole("bad"))).NotTo(Succeed())
+		succeeded(whole("bad"))
+		Expect(table.Check(whole("bad"))).To(Succeed())
+	})
+
 	It("clears a part that succeeds, also a convicted one", func() {
 		for i := range 4 {
 			crashed(fmt.Sprint("crash", i), prompt(fmt.Sprint("own", i), "unlucky"))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -88,6 +88,8 @@
 	// Parts are what other requests may share: parts of its prompt and ContentFingerprints.
 	// They are empty if the answer had begun.
 	Parts []Fingerprint
+	// Whole is the one of Parts that stands for the whole request, empty for none.
+	Whole Fingerprint `json:",omitempty"`
 }
 
 // Report describes one crash, or requests that were cleared.
@@ -137,6 +139,8 @@
 	// lastCrash are their earliest and latest times.
 	crashes               []string
 	firstCrash, lastCrash time.Time
+	// whole is set for a part that stands for a whole request.
+	whole bool
 }
 
 // Table holds the requests that were in flight at crashes. It is safe for
@@ -182,7 +186,7 @@
 			t.recordCrash(&Record{Fingerprint: s.Fingerprint, Account: s.Account}, r)
 		}
 		for _, part := range s.Parts {
-			t.recordCrash(&Record{Fingerprint: part, Part: true}, r)
+			t.recordCrash(&Record{Fingerprint: part, Part: true, whole: part == s.Whole}, r)
 		}
 	}
 	return true
@@ -340,6 +344,9 @@
 				continue
 			}
 			suspect := Suspect{Parts: []Fingerprint{f}}
+			if s.Whole == f {
+				suspect.Whole = f
+			}
 			if s.Fingerprint == f {
 				suspect = Suspect{Fingerprint: f, Account: s.Account}
 			}
