--- a/internal/fleet/crashreports.go
+++ b/internal/fleet/crashreports.go
@@ -48,8 +48,9 @@
 
 // Handle adds another entry's report.
 func (c *CrashReports) Handle(m *wire.CrashReport) {
-	if c.Table.Add(quarantine.Report(*m)) {
-		c.Log.Info("crash report received", zap.String("report", m.ID), zap.String("upstream", m.Upstream), zap.String("crash", m.Crash), zap.Int64("at_ms", m.AtMS), zap.Bool("cleared", m.Cleared), zap.Int("suspects", len(m.Suspects)))
+	r := quarantine.Report(*m)
+	if c.Table.Add(r) {
+		c.Log.Info("crash report received", zap.String("report", m.ID), zap.String("upstream", m.Upstream), zap.String("crash", m.Crash), zap.Int64("at_ms", m.AtMS), zap.Bool("cleared", m.Cleared), zap.Int("suspects", len(m.Suspects)), zap.Any("held", r.Held()))
 	}
 }
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -60,10 +60,19 @@
 
 // reportCrash records that an upstream crashed with the request, and tells other entries.
 func (q *request) reportCrash(m *Member) {
-	q.g.shareReport(quarantine.Report{
+	s := q.suspect()
+	// A rank's crash stops its group. The rank had begun with a request if the head of an
+	// answer came; others may only have waited there.
+	s.Hold = q.headReceived && q.isRankGroup()
+	r := quarantine.Report{
 		ID: uuid.NewString(), Upstream: m.ID, Crash: m.ID + "/" + strconv.FormatInt(m.Started, 10),
-		AtMS: q.g.Clock.Now().UnixMilli(), Suspects: []quarantine.Suspect{q.suspect()},
-	})
+		AtMS: q.g.Clock.Now().UnixMilli(), Suspects: []quarantine.Suspect{s},
+	}
+	if s.Hold {
+		q.log.Info("request is held", zap.Any("fingerprints", r.Held()), zap.Time("until", r.HeldUntil()), zap.String("upstream", m.ID),
+			zap.String("reason", "its answer had begun when the rank of a group crashed"))
+	}
+	q.g.shareReport(r)
 }
 
 // clearSuspicion records that the request's answer has begun, if an upstream had crashed
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -200,6 +201,44 @@
 	g.Expect(send(crashPath)).To(Equal(http.StatusServiceUnavailable))
 }
 
+// Guards against a second outage for the request that caused the first: once the group is open
+// again, a request whose answer had begun at the crash isn't sent for a while. Others with
+// one of its parts are served.
+func TestRequestThatStopsItsGroupIsHeld(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrashingGroup(t, 3)
+	bad := func() (int, http.Header) {
+		r := c.request(http.MethodPost, "/stream/x", "prompt")
+		r.Header.Set("Prefix-Hash", "aa:40,"+crashPart+":30,own:500")
+		status, header, _, _ := c.send(r)
+		return status, header
+	}
+	status, _ := bad()
+	g.Expect(status).To(Equal(http.StatusBadGateway))
+	g.Eventually(func() string {
+		c.reopen()
+		_, body := c.stream("aa:40,sound:500")
+		return body
+	}, "10s", "100ms").Should(Equal(threeEventsBody))
+	for range 3 {
+		status, header := bad()
+		g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+		delay, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(delay).To(BeNumerically("~", quarantine.HoldTime.Seconds(), 5))
+	}
+	g.Expect(c.crashCount()).To(Equal(1))
+}
+
+// Guards against a hold without need: a crash at a plain service stops no other upstream, so
+// that a request which was there is sent again.
+func TestRequestAtACrashOfAPlainServiceIsNotHeld(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrashingFleet(t, 4)
+	_, _ = c.stream(crashPart + ":30,own:500")
+	g.Expect(c.crashCount()).To(Equal(2))
+}
+
 // convict reports three crashes with requests that have the parts, as other entries would.
 func (f *fixture) convict(parts ...string) {
 	first := time.Now().Add(-time.Minute)
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 )
 
@@ -67,12 +68,13 @@
 		Expect(table.Check(prompt("next", "popular"))).To(Succeed())
 	})
 
+	// whole returns a request whose whole content is one of its parts.
+	whole := func(own string) quarantine.Suspect {
+		s := prompt(own, "part")
+		s.Parts, s.Whole, s.Fingerprint = append(s.Parts, s.Fingerprint), s.Fingerprint, ""
+		return s
+	}
 	It("convicts a whole request at its second crash, at a moment of its own", func() {
-		whole := func(own string) quarantine.Suspect {
-			s := prompt(own, "part")
-			s.Parts, s.Whole, s.Fingerprint = append(s.Parts, s.Fingerprint), s.Fingerprint, ""
-			return s
-		}
 		crashed("one", whole("bad"), whole("sound"))
 		crashed("two", whole("bad"), whole("sound"))
 		Expect(table.Check(whole("bad"))).To(Succeed(), "both upstreams may have crashed for another reason")
@@ -92,6 +94,36 @@
 		Expect(table.Check(whole("bad"))).To(Succeed())
 	})
 
+	It("holds a whole request after a crash that asks for it, and no other with its parts", func() {
+		held := whole("bad")
+		held.Hold = true
+		crashed("one", whole("bad"))
+		crashed("one", held, whole("sound"))
+		clock.Advance(10 * time.Second)
+		Expect(fault.As(table.Check(whole("bad"))).RetryAfter).To(Equal(quarantine.HoldTime - 10*time.Second))
+		Expect(table.Check(whole("sound"))).To(Succeed())
+		Expect(table.Check(whole("with the same part"))).To(Succeed())
+		Expect(table.Relevant()).NotTo(BeEmpty(), "an entry that starts learns of the hold")
+		clock.Advance(quarantine.HoldTime - 10*time.Second)
+		Expect(table.Check(whole("bad"))).To(Succeed())
+		Expect(table.Relevant()).To(BeEmpty())
+		crashed("two", held)
+		Expect(fault.As(table.Check(whole("bad"))).RetryAfter).To(Equal(quarantine.Expiry))
+	})
+
+	It("ends a hold at a success, also if the crash is reported later", func() {
+		held := whole("unlucky")
+		held.Hold = true
+		at := clock.Now()
+		crashed("one", held)
+		Expect(table.Check(held)).NotTo(Succeed())
+		clock.Advance(time.Second)
+		succeeded(whole("unlucky"))
+		Expect(table.Check(held)).To(Succeed())
+		table.Add(quarantine.Report{ID: "late", Crash: "one", AtMS: at.UnixMilli(), Suspects: []quarantine.Suspect{held}})
+		Expect(table.Check(held)).To(Succeed())
+	})
+
 	It("clears a part that succeeds, also a convicted one", func() {
 		for i := range 4 {
 			crashed(fmt.Sprint("crash", i), prompt(fmt.Sprint("own", i), "unlucky"))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -32,6 +32,10 @@
 	// ConvictionThreshold is the number of crashes after which a request is
 	// convicted.
 	ConvictionThreshold = 2
+	// HoldTime is how long a request is held after a crash that asks for it. A group of
+	// upstreams takes seconds to serve again, so that it serves for most of that time even
+	// if the request crashes it each time.
+	HoldTime = 30 * time.Second
 	// MaxSuspects is the maximum number of requests that a table holds.
 	MaxSuspects = 1 << 14
 	// MaxReports is the maximum number of reports that a table stores.
@@ -90,6 +94,9 @@
 	Parts []Fingerprint
 	// Whole is the one of Parts that stands for the whole request, empty for none.
 	Whole Fingerprint `json:",omitempty"`
+	// Hold is set if Whole shouldn't run for HoldTime after the crash, since each crash costs
+	// more than the one upstream.
+	Hold bool `json:",omitempty"`
 }
 
 // Report describes one crash, or requests that were cleared.
@@ -109,6 +116,20 @@
 	Cleared bool
 }
 
+// Held returns the requests that the report holds.
+func (r *Report) Held() []Fingerprint {
+	var held []Fingerprint
+	for _, s := range r.Suspects {
+		if s.Hold {
+			held = append(held, s.Whole)
+		}
+	}
+	return held
+}
+
+// HeldUntil returns until when they are held.
+func (r *Report) HeldUntil() time.Time { return time.UnixMilli(r.AtMS).Add(HoldTime) }
+
 // crash returns the identity of the crash.
 func (r *Report) crash() string { return cmp.Or(r.Crash, r.ID) }
 
@@ -139,8 +160,10 @@
 	// lastCrash are their earliest and latest times.
 	crashes               []string
 	firstCrash, lastCrash time.Time
-	// whole is set for a part that stands for a whole request.
-	whole bool
+	// whole is set for a part that stands for a whole request. That request is held until
+	// heldUntil.
+	whole     bool
+	heldUntil time.Time
 }
 
 // Table holds the requests that were in flight at crashes. It is safe for
@@ -186,7 +209,11 @@
 			t.recordCrash(&Record{Fingerprint: s.Fingerprint, Account: s.Account}, r)
 		}
 		for _, part := range s.Parts {
-			t.recordCrash(&Record{Fingerprint: part, Part: true, whole: part == s.Whole}, r)
+			rec := &Record{Fingerprint: part, Part: true, whole: part == s.Whole}
+			if rec.whole && s.Hold {
+				rec.heldUntil = r.HeldUntil()
+			}
+			t.recordCrash(rec, r)
 		}
 	}
 	return true
@@ -215,6 +242,9 @@
 		rec.State = Suspected
 		t.insert(rec)
 	}
+	if created.heldUntil.After(rec.heldUntil) {
+		rec.heldUntil = created.heldUntil
+	}
 	crash, at := r.crash(), time.UnixMilli(r.AtMS)
 	if slices.Contains(rec.crashes, crash) {
 		return
@@ -312,13 +342,15 @@
 const newReport = 3 * time.Second
 
 // Relevant returns the reports, oldest first, that another process needs: the new ones, and
-// those of crashes with a request or a part that was in flight at several.
+// those of crashes with a request that is held, or with a request or a part that was in flight
+// at several.
 func (t *Table) Relevant() []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
+	matters := func(s Suspect) bool { return t.recurring(s) || !t.heldUntil(s).IsZero() }
 	return slices.DeleteFunc(slices.Clone(t.reports), func(r Report) bool {
-		return now.Sub(time.UnixMilli(r.AtMS)) > newReport && (r.Cleared || !slices.ContainsFunc(r.Suspects, t.recurring))
+		return now.Sub(time.UnixMilli(r.AtMS)) > newReport && (r.Cleared || !slices.ContainsFunc(r.Suspects, matters))
 	})
 }
 
@@ -365,12 +397,12 @@
 	return len(t.records) == 0
 }
 
-// Check returns an error for a convicted request, or one with a convicted part, and nil for
-// any other. The error carries the time until the conviction expires.
+// Check returns an error for a convicted request, one with a convicted part, or one that is
+// held, and nil for any other. The error carries the time until the conviction or the hold ends.
 func (t *Table) Check(s Suspect) error {
 	rec := t.Lookup(s)
 	if rec.State != Convicted {
-		return nil
+		return t.checkHold(s)
 	}
 	remedy, what := "change the request; it is on the quarantine list that operators see", "the request"
 	if rec.Part {
@@ -379,6 +411,25 @@
 	return fault.New(fault.Quarantined, remedy, "%s is in quarantine: %d upstreams crashed while running it", what, len(rec.CrashedUpstreams)).After(rec.Expires.Sub(t.clock.Now()))
 }
 
+// checkHold returns an error for a request that is held.
+func (t *Table) checkHold(s Suspect) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until := t.heldUntil(s)
+	if until.IsZero() {
+		return nil
+	}
+	return fault.New(fault.Quarantined, "send the request again after the delay", "request %s is held: %d upstreams crashed while running it", s.Whole, len(t.records[s.Whole].crashes)).After(until.Sub(t.clock.Now()))
+}
+
+// heldUntil returns until when a request is held, zero if it isn't. The caller must hold mu.
+func (t *Table) heldUntil(s Suspect) time.Time {
+	if rec := t.unexpired(s.Whole); rec != nil && t.clock.Now().Before(rec.heldUntil) {
+		return rec.heldUntil
+	}
+	return time.Time{}
+}
+
 // List returns the unexpired records, sorted by state, convicted ones first,
 // and by fingerprint.
 func (t *Table) List() []Record {
