--- a/internal/fleet/crashreports.go
+++ b/internal/fleet/crashreports.go
@@ -21,6 +21,8 @@
 	crashReportInterval = 1 * time.Second
 	// crashReportFanout is how many entries get each repetition.
 	crashReportFanout = 4
+	// storeRetryInterval is the time between two tries to store evidence.
+	storeRetryInterval = 2 * time.Second
 )
 
 // CrashReports tells other entries which requests were in flight at crashes, and learns it
@@ -54,23 +56,36 @@
 	}
 }
 
-// Store stores the evidence against a request or part until its quarantine ends.
+// Store stores the evidence against a request or part until its quarantine ends. While the
+// key-value service doesn't take it, Store tries again.
 func (c *CrashReports) Store(ctx context.Context, f quarantine.Fingerprint) {
-	err := func() error {
-		value, err := json.Marshal(c.Table.Evidence(f))
-		if err != nil {
-			return fault.Wrap(fault.Internal, err, "report this as a bug", "encoding the evidence")
+	for tries := 1; c.Table.Quarantined(f); tries++ {
+		err := c.storeOnce(ctx, f)
+		if err == nil {
+			return
 		}
-		lease, err := kvstore.Grant(ctx, c.KV, quarantine.Expiry)
-		if err != nil {
-			return err
+		if tries == 1 {
+			c.Log.Warn("evidence not stored; trying again, and other entries still learn it from this one", zap.String("fingerprint", string(f)), zap.Error(err))
 		}
-		_, err = c.KV.Put(ctx, kvstore.Put{Key: quarantinePrefix + string(f), Value: value, Expect: kvstore.AnyRevision, Lease: lease.ID})
-		return err
-	}()
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Clock.After(storeRetryInterval):
+		}
+	}
+}
+
+func (c *CrashReports) storeOnce(ctx context.Context, f quarantine.Fingerprint) error {
+	value, err := json.Marshal(c.Table.Evidence(f))
 	if err != nil {
-		c.Log.Warn("evidence not stored; other entries still learn it from this one", zap.String("fingerprint", string(f)), zap.Error(err))
+		return fault.Wrap(fault.Internal, err, "report this as a bug", "encoding the evidence")
+	}
+	lease, err := kvstore.Grant(ctx, c.KV, quarantine.Expiry)
+	if err != nil {
+		return err
 	}
+	_, err = c.KV.Put(ctx, kvstore.Put{Key: quarantinePrefix + string(f), Value: value, Expect: kvstore.AnyRevision, Lease: lease.ID})
+	return err
 }
 
 // Remove removes the stored evidence against a part that has been cleared.
--- a/internal/fleet/crashreports_test.go
+++ b/internal/fleet/crashreports_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,3 +108,42 @@
 	before.Remove(ctx, part)
 	g.Expect(state.List("kingcupreel/").Items).To(BeEmpty())
 }
+
+// Guards against evidence that is lost since the key-value service was away at the conviction:
+// an entry that starts later would send what is in quarantine.
+func TestEvidenceIsStoredOnceTheStoreIsBack(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	state := kv.NewStore(clockwork.NewRealClock())
+	store := kv.NewServer(state).Handler()
+	var away atomic.Bool
+	var refused atomic.Int32
+	away.Store(true)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if away.Load() {
+			refused.Add(1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	defer srv.Close()
+	c := newReporter(t, ctx, "c")
+	c.KV = platform.NewStore(srv.URL, time.Second)
+	bad := quarantine.Suspect{Parts: quarantine.PartFingerprints([]string{"bad", "cleared"})}
+	for i := range 3 {
+		crash := fmt.Sprint("u", i)
+		c.Table.Add(quarantine.Report{ID: crash, Upstream: crash, Crash: crash, AtMS: time.Now().Add(time.Duration(i-4) * time.Second).UnixMilli(), Suspects: []quarantine.Suspect{bad}})
+	}
+	for _, part := range bad.Parts {
+		go c.Store(ctx, part)
+	}
+	g.Eventually(refused.Load, "10s").Should(BeNumerically(">=", 2))
+	c.Table.Add(quarantine.Report{ID: "success", AtMS: time.Now().UnixMilli(), Suspects: []quarantine.Suspect{{Parts: bad.Parts[1:]}}, Cleared: true})
+	away.Store(false)
+	items := func() []kvstore.Item { return state.List("kingcupreel/").Items }
+	g.Eventually(items, "10s").Should(HaveLen(1))
+	g.Expect(items()[0].Key).To(HaveSuffix(string(bad.Parts[0])))
+	g.Consistently(items, "3s").Should(HaveLen(1))
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -363,6 +363,14 @@
 	return convicted
 }
 
+// Quarantined reports whether a request or part is in quarantine.
+func (t *Table) Quarantined(f Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rec := t.unexpired(f)
+	return rec != nil && rec.State == Convicted
+}
+
 // Evidence returns reports that convict a request or part in another table: one for each of
 // its crashes, with it as the only suspect.
 func (t *Table) Evidence(f Fingerprint) []Report {
