--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -105,8 +105,8 @@
 		Pools:       gateway.NewPools(p.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		RetryLimits: retryLimits(p.node), MinOutage: p.node.MaxPartition,
 		Reachability: g.reachability, OnDeparture: func() { g.exchange.TriggerDigest() }, OnCrashReport: func(r quarantine.Report) { g.crashes.Send(r) },
-		OnConviction: func(convicted []quarantine.Fingerprint) {
-			for _, f := range convicted {
+		OnQuarantine: func(quarantined []quarantine.Fingerprint) {
+			for _, f := range quarantined {
 				go g.crashes.Store(work, f)
 			}
 		},
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -84,7 +85,7 @@
 	s := q.suspect()
 	if crashed := q.g.Quarantine.CrashedWith(s); len(crashed) > 0 {
 		q.log.Info("request in flight at crashes has succeeded", zap.Strings("crashed", crashed), zap.Strings("parts", q.PromptParts))
-		acquitted := q.g.Quarantine.ConvictedParts(s)
+		acquitted := q.g.Quarantine.QuarantinedParts(s)
 		q.g.shareReport(quarantine.Report{ID: uuid.NewString(), AtMS: q.g.Clock.Now().UnixMilli(), Suspects: []quarantine.Suspect{s}, Cleared: true})
 		if q.g.OnAcquittal != nil && len(acquitted) > 0 {
 			q.g.OnAcquittal(acquitted)
@@ -116,7 +117,8 @@
 	if g.OnCrashReport != nil {
 		g.OnCrashReport(r)
 	}
-	if g.OnConviction != nil && len(convicted) > 0 {
-		g.OnConviction(convicted)
+	quarantined := slices.Compact(slices.Sorted(slices.Values(append(convicted, r.Held()...))))
+	if g.OnQuarantine != nil && len(quarantined) > 0 {
+		g.OnQuarantine(quarantined)
 	}
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -207,6 +207,8 @@
 func TestRequestThatStopsItsGroupIsHeld(t *testing.T) {
 	g := NewWithT(t)
 	c := newCrashingGroup(t, 3)
+	var quarantined []quarantine.Fingerprint
+	c.gateway.OnQuarantine = func(list []quarantine.Fingerprint) { quarantined = append(quarantined, list...) }
 	bad := func() (int, http.Header) {
 		r := c.request(http.MethodPost, "/stream/x", "prompt")
 		r.Header.Set("Prefix-Hash", "aa:40,"+crashPart+":30,own:500")
@@ -228,6 +230,8 @@
 		g.Expect(delay).To(BeNumerically("~", quarantine.HoldTime.Seconds(), 5))
 	}
 	g.Expect(c.crashCount()).To(Equal(1))
+	g.Expect(quarantined).To(HaveLen(1), "entries that start later read that the request is held")
+	g.Expect(c.gateway.Quarantine.Quarantined(quarantined[0])).To(BeTrue())
 }
 
 // Guards against a hold without need: a crash at a plain service stops no other upstream, so
@@ -317,5 +321,5 @@
 	g.Expect(status).To(Equal(http.StatusOK))
 	g.Expect(body).To(Equal(threeEventsBody))
 	g.Expect(acquitted).To(Equal(quarantine.PartFingerprints([]string{"unlucky"})))
-	g.Expect(f.gateway.Quarantine.ConvictedParts(quarantine.Suspect{Parts: acquitted})).To(BeEmpty())
+	g.Expect(f.gateway.Quarantine.QuarantinedParts(quarantine.Suspect{Parts: acquitted})).To(BeEmpty())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,11 +103,11 @@
 	// OnCrashReport, if not nil, is called with each report that the gateway has added to
 	// the quarantine. It must not block.
 	OnCrashReport func(quarantine.Report)
-	// OnConviction, if not nil, is called with the requests and parts that a report of the
-	// gateway's own has put into quarantine. It must not block.
-	OnConviction func([]quarantine.Fingerprint)
-	// OnAcquittal, if not nil, is called with the parts in quarantine of a request that has
-	// succeeded. It must not block.
+	// OnQuarantine, if not nil, is called with the requests and parts that a report of the
+	// gateway's own has put into quarantine or holds. It must not block.
+	OnQuarantine func([]quarantine.Fingerprint)
+	// OnAcquittal, if not nil, is called with the parts in quarantine, or held before, of a
+	// request that has succeeded. It must not block.
 	OnAcquittal func([]quarantine.Fingerprint)
 	Clock       clockwork.Clock
 	Log         *zap.Logger
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -71,14 +71,12 @@
 	})
 }
 
-// ConvictedParts returns the parts of a request that are in quarantine, to blame or not.
-func (t *Table) ConvictedParts(s Suspect) []Fingerprint {
+// QuarantinedParts returns the parts of a request that are in quarantine, to blame or not, or
+// have been held.
+func (t *Table) QuarantinedParts(s Suspect) []Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(s.Parts), func(f Fingerprint) bool {
-		rec := t.unexpired(f)
-		return rec == nil || rec.State != Convicted
-	})
+	return slices.DeleteFunc(slices.Clone(s.Parts), func(f Fingerprint) bool { return !t.quarantined(f) })
 }
 
 // CrashedWith returns the upstreams that crashed while they ran the request, or one with a
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -104,6 +104,12 @@
 		Expect(table.Check(whole("sound"))).To(Succeed())
 		Expect(table.Check(whole("with the same part"))).To(Succeed())
 		Expect(table.Relevant()).NotTo(BeEmpty(), "an entry that starts learns of the hold")
+		elsewhere := quarantine.NewTable(clock)
+		for _, r := range table.Evidence(held.Whole) {
+			elsewhere.Add(r)
+		}
+		Expect(elsewhere.Check(whole("bad"))).NotTo(Succeed())
+		Expect(table.QuarantinedParts(whole("bad"))).To(Equal([]quarantine.Fingerprint{held.Whole}))
 		clock.Advance(quarantine.HoldTime - 10*time.Second)
 		Expect(table.Check(whole("bad"))).To(Succeed())
 		Expect(table.Relevant()).To(BeEmpty())
@@ -120,6 +126,7 @@
 		clock.Advance(time.Second)
 		succeeded(whole("unlucky"))
 		Expect(table.Check(held)).To(Succeed())
+		Expect(table.Quarantined(held.Whole)).To(BeFalse())
 		table.Add(quarantine.Report{ID: "late", Crash: "one", AtMS: at.UnixMilli(), Suspects: []quarantine.Suspect{held}})
 		Expect(table.Check(held)).To(Succeed())
 	})
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -363,37 +363,48 @@
 	return convicted
 }
 
-// Quarantined reports whether a request or part is in quarantine.
+// Quarantined reports whether a request or part is in quarantine or has been held, and hasn't
+// been cleared since.
 func (t *Table) Quarantined(f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.quarantined(f)
+}
+
+// quarantined is Quarantined for a caller that holds mu.
+func (t *Table) quarantined(f Fingerprint) bool {
 	rec := t.unexpired(f)
-	return rec != nil && rec.State == Convicted
+	return rec != nil && (rec.State == Convicted || !rec.heldUntil.IsZero())
 }
 
-// Evidence returns reports that convict a request or part in another table: one for each of
-// its crashes, with it as the only suspect.
+// Evidence returns reports that convict or hold a request or part in another table: one for
+// each of its crashes, with it as the only suspect.
 func (t *Table) Evidence(f Fingerprint) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var evidence []Report
 	for _, r := range t.reports {
-		known := slices.ContainsFunc(evidence, func(e Report) bool { return e.crash() == r.crash() })
-		for _, s := range r.Suspects {
-			if known || r.Cleared || s.Fingerprint != f && !slices.Contains(s.Parts, f) {
-				continue
-			}
-			suspect := Suspect{Parts: []Fingerprint{f}}
-			if s.Whole == f {
-				suspect.Whole = f
-			}
-			if s.Fingerprint == f {
-				suspect = Suspect{Fingerprint: f, Account: s.Account}
-			}
-			// The ID differs from that of the whole report, which may arrive too.
-			evidence = append(evidence, Report{ID: r.ID + "/" + string(f), Upstream: r.Upstream, Crash: r.crash(), AtMS: r.AtMS, Suspects: []Suspect{suspect}})
-			break
+		if r.Cleared {
+			continue
+		}
+		i := slices.IndexFunc(r.Suspects, func(s Suspect) bool { return s.Fingerprint == f || slices.Contains(s.Parts, f) })
+		if i < 0 {
+			continue
+		}
+		suspect := Suspect{Parts: []Fingerprint{f}}
+		switch s := r.Suspects[i]; f {
+		case s.Fingerprint:
+			suspect = Suspect{Fingerprint: f, Account: s.Account}
+		case s.Whole:
+			suspect.Whole, suspect.Hold = f, s.Hold
+		}
+		known := slices.IndexFunc(evidence, func(e Report) bool { return e.crash() == r.crash() })
+		if known >= 0 {
+			evidence[known].Suspects[0].Hold = evidence[known].Suspects[0].Hold || suspect.Hold
+			continue
 		}
+		// The ID differs from that of the whole report, which may arrive too.
+		evidence = append(evidence, Report{ID: r.ID + "/" + string(f), Upstream: r.Upstream, Crash: r.crash(), AtMS: r.AtMS, Suspects: []Suspect{suspect}})
 	}
 	return evidence
 }
