--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -78,6 +78,7 @@
 	if err != nil {
 		return err
 	}
+	open := trackConnections(callers.Server)
 	ready, err := p.newServer(work, p.node.ReadyListen, readinessHandler(g.gateway))
 	if err != nil {
 		return err
@@ -86,7 +87,14 @@
 	if err != nil {
 		return err
 	}
-	app := p.newApp(ctx, func(ctx context.Context) error { return drainGateway(ctx, g.gateway, callers) }, callers, ready, ops)
+	drain := func(ctx context.Context) error {
+		err := drainGateway(ctx, g.gateway, callers)
+		if err != nil {
+			p.log.Warn("requests in flight at the end of the drain", append(g.gateway.InFlightFields(), open.fields()...)...)
+		}
+		return err
+	}
+	app := p.newApp(ctx, drain, callers, ready, ops)
 	p.log.Info("gateway started", zap.String("data_centre", p.node.DataCentre), zap.String("callers", p.node.CallerListen), zap.Duration("grace", p.node.Grace))
 	return app.Run()
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -34,6 +34,7 @@
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
 	}
 	q.writeHead(resp.status, resp.header)
+	q.phase.store(phaseWriting)
 	if _, err := q.w.Write(resp.body); err != nil {
 		q.log.Info("caller left during its answer", zap.Error(err))
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -233,6 +233,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.attemptAt, q.cancelAttempt = m, cancel
+	q.phase.store(phaseSent)
 	return ctx
 }
 
@@ -251,6 +252,7 @@
 	defer q.mu.Unlock()
 	q.cancelAttempt(errRequestEnded)
 	q.attemptAt = nil
+	q.phase.store(phaseQueued)
 }
 
 // resumeAfter returns the ID of the last event that the caller has received.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,8 +121,10 @@
 	draining  atomic.Bool
 	startedAt time.Time
 
-	mu           sync.Mutex
-	running      map[*request]struct{}
+	mu      sync.Mutex
+	running map[*request]struct{}
+	// drainedAt is when the drain began, zero before.
+	drainedAt    time.Time
 	retryBudgets map[string]*outcome.WindowBudget
 	entryShare   float64
 	bodyMemory   *bodyBudget
@@ -190,7 +192,12 @@
 }
 
 // Drain makes every further answer close its connection.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+func (g *Gateway) Drain() {
+	g.mu.Lock()
+	g.drainedAt = time.Now()
+	g.mu.Unlock()
+	g.draining.Store(true)
+}
 
 // Ready reports whether the gateway can serve callers: it is not draining and
 // knows the configuration and the upstreams.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,6 +46,8 @@
 	suspectOnce  sync.Once
 	suspectValue quarantine.Suspect
 
+	phase atomicPhase
+
 	mu        sync.Mutex // leaf; guards the fields up to cancelAttempt
 	timer     *time.Timer
 	expiresAt time.Time
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,6 +47,7 @@
 			q.g.stats.recordFirstEvent(q.service, time.Since(q.startedAt))
 			q.log.Info("first event", zap.String("upstream", m.ID), zap.Duration("after", time.Since(q.startedAt)))
 		}
+		q.phase.store(phaseWriting)
 		if _, err := q.w.Write(event); err != nil {
 			return result{attemptStatus: attemptBroken, sent: true, cause: err}
 		}
@@ -69,6 +70,7 @@
 				return result{attemptStatus: attemptBroken, sent: true, cause: err}
 			}
 		}
+		q.phase.store(phaseAnswering)
 	}
 }
 
