--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"time"
 
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -30,6 +29,9 @@
 	// drainNotice is how long a draining gateway accepts connections: the
 	// balancer checks readiness every second and acts after two failed checks.
 	drainNotice = 2500 * time.Millisecond
+	// finalAnswerTime is how long before the end of the drain the requests that are left are
+	// ended, so that their callers get an answer.
+	finalAnswerTime = 200 * time.Millisecond
 	// configurationWatchFactor times settings.Node.ConfigBound, and
 	// replicasWatchFactor times settings.Node.DrainBound, are the timeouts of the
 	// watches of the configuration and of the upstreams. A store that discards its
@@ -78,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	open := trackConnections(callers.Server)
+	open := trackConnections(callers.Server.Server)
 	ready, err := p.newServer(work, p.node.ReadyListen, readinessHandler(g.gateway))
 	if err != nil {
 		return err
@@ -87,13 +89,7 @@
 	if err != nil {
 		return err
 	}
-	drain := func(ctx context.Context) error {
-		err := drainGateway(ctx, g.gateway, callers)
-		if err != nil {
-			p.log.Warn("requests in flight at the end of the drain", append(g.gateway.InFlightFields(), open.fields()...)...)
-		}
-		return err
-	}
+	drain := func(ctx context.Context) error { return g.drain(ctx, callers, open) }
 	app := p.newApp(ctx, drain, callers, ready, ops)
 	p.log.Info("gateway started", zap.String("data_centre", p.node.DataCentre), zap.String("callers", p.node.CallerListen), zap.Duration("grace", p.node.Grace))
 	return app.Run()
@@ -338,14 +334,32 @@
 	})
 }
 
-// drainGateway makes the gateway report that it isn't ready, accepts connections
-// for drainNotice, so that the balancer can react, and then waits for the
-// requests in flight.
-func drainGateway(ctx context.Context, g *gateway.Gateway, callers *khttp.Server) error {
-	g.Drain()
+// drain makes the gateway report that it isn't ready, accepts connections for drainNotice, so
+// that the balancer can react, and then waits for the requests in flight. It ends those that
+// are left finalAnswerTime before ctx's deadline, and closes what is open at that deadline.
+func (g *gatewayProcess) drain(ctx context.Context, callers *server, open *connections) error {
+	g.gateway.Drain()
+	if deadline, ok := ctx.Deadline(); ok {
+		stop := time.AfterFunc(time.Until(deadline.Add(-finalAnswerTime)), func() {
+			if g.gateway.InFlight() > 0 {
+				g.log.Warn("requests in flight at the end of the drain", append(g.gateway.InFlightFields(), open.fields()...)...)
+			}
+			g.gateway.Stop()
+		})
+		defer stop.Stop()
+	}
 	select {
 	case <-time.After(drainNotice):
 	case <-ctx.Done():
 	}
-	return callers.Shutdown(ctx)
+	err := callers.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	// Shutdown polls, and takes connections without a request for busy.
+	_ = callers.Close()
+	if g.gateway.InFlight() == 0 {
+		return nil
+	}
+	return err
 }
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -46,6 +46,9 @@
 	// shutdownMargin is the part of the grace period reserved for stopping the
 	// servers after the drain.
 	shutdownMargin = 400 * time.Millisecond
+	// serverStopTimeout is how long the servers may take to stop; a connection without a
+	// request doesn't hold them longer.
+	serverStopTimeout = shutdownMargin / 2
 )
 
 // platformProcess holds what the gateway and the rank agent, the processes that
@@ -136,20 +139,31 @@
 	}()
 }
 
+// server is an HTTP server that closes its connections if they don't end in time.
+type server struct{ *khttp.Server }
+
+// Stop implements transport.Server.
+func (s *server) Stop(ctx context.Context) error {
+	if s.Server.Stop(ctx) == nil {
+		return nil
+	}
+	return s.Close()
+}
+
 // newServer opens a listener and returns a server of the handler on it. The
 // handler sees paths as the caller sent them.
-func (p *platformProcess) newServer(ctx context.Context, address string, handler http.Handler) (*khttp.Server, error) {
+func (p *platformProcess) newServer(ctx context.Context, address string, handler http.Handler) (*server, error) {
 	l, err := socket.ListenConfig(callerAckTimeout).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, err, "check the addresses and ports in the platform's settings file, and that no other process listens there", "listening on %s", address)
 	}
 	s := httpServer(l, handler)
 	s.Handler = handler // bypasses the router, which redirects unclean paths
-	return s, nil
+	return &server{s}, nil
 }
 
 // newMetricsServer returns a server of the process's metrics on the VM's address.
-func (p *platformProcess) newMetricsServer(ctx context.Context, port int) (*khttp.Server, error) {
+func (p *platformProcess) newMetricsServer(ctx context.Context, port int) (*server, error) {
 	return p.newServer(ctx, net.JoinHostPort(p.node.IP, strconv.Itoa(port)), telemetry.ExpositionHandler(p.metrics))
 }
 
@@ -160,7 +174,7 @@
 		kratos.Context(ctx),
 		kratos.Name(p.node.Name),
 		kratos.Logger(telemetry.KratosLogger{Zap: p.log}),
-		kratos.StopTimeout(shutdownMargin),
+		kratos.StopTimeout(serverStopTimeout),
 		kratos.BeforeStop(func(context.Context) error {
 			p.log.Info("stopping", zap.Duration("grace", p.node.Grace))
 			ctx, cancel := context.WithTimeout(context.Background(), p.node.Grace-shutdownMargin)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -444,9 +444,9 @@
 
 // conclude gives the final answer after the last attempt.
 func (q *request) conclude(last result, cause error) {
-	switch {
-	case context.Cause(q.ctx) == errDeadline:
-		cause = errDeadline
+	switch ended := context.Cause(q.ctx); {
+	case ended == errDeadline, ended == errStopping:
+		cause = ended
 	case q.r.Context().Err() != nil:
 		q.log.Info("caller left", zap.Strings("tried", q.attempted), zap.Duration("took", time.Since(q.startedAt)))
 		q.g.stats.recordCallerLeft(q.service)
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/kingcupreel/kingcupreel/internal/fault"
 )
 
 // phase is what a request in flight waits for.
@@ -30,6 +32,24 @@
 
 var phaseNames = [phaseCount]string{"queued", "sent", "answering", "writing"}
 
+// stoppingRetryAfter is the delay before a caller may retry a request that a stopping gateway
+// can't serve. Another one takes it at once.
+const stoppingRetryAfter = 100 * time.Millisecond
+
+var errStopping = fault.New(fault.Unavailable, "send the request again; another entry takes it", "the entry is stopping").After(stoppingRetryAfter)
+
+// Stop ends the requests in flight and refuses further ones. A request that hasn't been
+// answered gets an error; a stream ends after a complete event without looking complete, so
+// that its caller can resume it.
+func (g *Gateway) Stop() {
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
+	for _, r := range g.inProgress() {
+		r.cancel(errStopping)
+	}
+}
+
 // InFlightFields describes the requests in flight by phase, and by whether they began before
 // the drain.
 func (g *Gateway) InFlightFields() []zap.Field {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,8 +123,9 @@
 
 	mu      sync.Mutex
 	running map[*request]struct{}
-	// drainedAt is when the drain began, zero before.
+	// drainedAt is when the drain began, zero before. stopped is set once it has ended.
 	drainedAt    time.Time
+	stopped      bool
 	retryBudgets map[string]*outcome.WindowBudget
 	entryShare   float64
 	bodyMemory   *bodyBudget
@@ -230,10 +231,15 @@
 	return slices.Collect(maps.Keys(g.running))
 }
 
-func (g *Gateway) track(r *request) {
+// track adds a request to those in progress. It returns an error if the gateway has stopped.
+func (g *Gateway) track(r *request) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.stopped {
+		return errStopping
+	}
 	g.running[r] = struct{}{}
+	return nil
 }
 
 func (g *Gateway) untrack(r *request) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -89,7 +89,10 @@
 		return
 	}
 	defer req.finish()
-	g.track(req)
+	if err := g.track(req); err != nil {
+		req.refuse(err)
+		return
+	}
 	defer g.untrack(req)
 	req.run()
 }
