--- a/internal/daemon/connections.go
+++ b/internal/daemon/connections.go
@@ -32,6 +32,19 @@
 	c.states[nc] = state
 }
 
+// active returns the number of connections with a request.
+func (c *connections) active() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, state := range c.states {
+		if state == http.StateActive {
+			count++
+		}
+	}
+	return count
+}
+
 // fields describes the open connections by state.
 func (c *connections) fields() []zap.Field {
 	c.mu.Lock()
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"github.com/go-kratos/kratos/v2"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -56,22 +54,14 @@
 	caller := httpServer(listeners["caller"], e.CallerHandler())
 	ops := httpServer(listeners["ops"], e.OperatorHandler())
 	inner := newInnerServer(listeners["inner"], peers.Serve)
-	drain := func(ctx context.Context) error { return drainEntry(ctx, e, caller, s.DrainNotice) }
+	open := trackConnections(caller.Server)
+	drain := func(ctx context.Context) error {
+		e.Drain()
+		return drainServer(ctx, caller.Server, open, s.DrainNotice, e.Stop)
+	}
 	app := p.newApp(ctx, s.Common, drain, kratos.Server(caller, ops, inner))
 	p.events.Add(timeline.Event{Kind: timeline.Started})
 	p.log.Info("entry started", zap.String("data_centre", s.DataCentre))
 	printReady(out, s.Process, listeners)
 	return app.Run()
 }
-
-// drainEntry makes the entry report that it isn't ready, accepts requests for
-// the notice time, so that the platform's balancer can react, and then waits for
-// the requests in flight.
-func drainEntry(ctx context.Context, e *entry.Entry, caller *khttp.Server, notice time.Duration) error {
-	e.Drain()
-	select {
-	case <-time.After(notice):
-	case <-ctx.Done():
-	}
-	return caller.Stop(ctx)
-}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -29,9 +29,6 @@
 	// drainNotice is how long a draining gateway accepts connections: the
 	// balancer checks readiness every second and acts after two failed checks.
 	drainNotice = 2500 * time.Millisecond
-	// finalAnswerTime is how long before the end of the drain the requests that are left are
-	// ended, so that their callers get an answer.
-	finalAnswerTime = 200 * time.Millisecond
 	// configurationWatchFactor times settings.Node.ConfigBound, and
 	// replicasWatchFactor times settings.Node.DrainBound, are the timeouts of the
 	// watches of the configuration and of the upstreams. A store that discards its
@@ -334,32 +331,13 @@
 	})
 }
 
-// drain makes the gateway report that it isn't ready, accepts connections for drainNotice, so
-// that the balancer can react, and then waits for the requests in flight. It ends those that
-// are left finalAnswerTime before ctx's deadline, and closes what is open at that deadline.
+// drain makes the gateway report that it isn't ready and drains its callers' server.
 func (g *gatewayProcess) drain(ctx context.Context, callers *server, open *connections) error {
 	g.gateway.Drain()
-	if deadline, ok := ctx.Deadline(); ok {
-		stop := time.AfterFunc(time.Until(deadline.Add(-finalAnswerTime)), func() {
-			if g.gateway.InFlight() > 0 {
-				g.log.Warn("requests in flight at the end of the drain", append(g.gateway.InFlightFields(), open.fields()...)...)
-			}
-			g.gateway.Stop()
-		})
-		defer stop.Stop()
-	}
-	select {
-	case <-time.After(drainNotice):
-	case <-ctx.Done():
-	}
-	err := callers.Shutdown(ctx)
-	if err == nil {
-		return nil
-	}
-	// Shutdown polls, and takes connections without a request for busy.
-	_ = callers.Close()
-	if g.gateway.InFlight() == 0 {
-		return nil
-	}
-	return err
+	return drainServer(ctx, callers.Server.Server, open, drainNotice, func() {
+		if g.gateway.InFlight() > 0 {
+			g.log.Warn("requests in flight at the end of the drain", append(g.gateway.InFlightFields(), open.fields()...)...)
+		}
+		g.gateway.Stop()
+	})
 }
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -52,6 +52,9 @@
 	case d = <-decided:
 	case <-ctx.Done():
 		if e.withdraw(t) {
+			if context.Cause(ctx) == errStopping {
+				return nil, errStopping
+			}
 			return nil, e.refusalError(req, admission.Decision{Reason: admission.Deadline, RetryAfter: e.retryAfter(req.pool)})
 		}
 		d = <-decided
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -63,7 +63,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return a.abort(fault.Wrap(fault.Timeout, ctx.Err(), "allow more time with Request-Timeout", "the caller disconnected or the request's deadline passed"))
+			return a.abort(endError(ctx))
 		case <-withdraw.C:
 			_ = a.link.send(&wire.Cancel{ID: a.id, OnlyIfWaiting: true})
 			continue
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -108,7 +108,7 @@
 	d := &p.req.dispatch
 	d.Body = body
 	d.SharedParts = append(d.SharedParts, quarantine.ContentFingerprints(account.Name, d.Path, body)...)
-	ctx, cancel := context.WithTimeout((*r).Context(), timeout)
+	ctx, cancel := e.requestContext((*r).Context(), timeout)
 	*r = (*r).WithContext(ctx)
 	return p, cancel, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/balance"
 	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 	"github.com/kingcupreel/kingcupreel/internal/membership"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
@@ -49,6 +50,9 @@
 	links    linkTable
 	admitter *admitter
 	draining atomic.Bool
+	// stopped is done once the entry has stopped; stop ends it with a cause.
+	stopped context.Context
+	stop    context.CancelCauseFunc
 	// dispatchCount is the number of dispatches of this incarnation; it numbers
 	// them.
 	dispatchCount atomic.Uint64
@@ -72,6 +76,7 @@
 		opts.Picker = balance.LeastWork{}
 	}
 	e := &Entry{opts: opts, links: newLinkTable(opts.Hello.DataCentre), admitter: newAdmitter(), queries: queryTable{pending: map[uint64]chan wire.Message{}}}
+	e.stopped, e.stop = context.WithCancelCause(context.WithoutCancel(ctx))
 	e.retryBudget = outcome.NewRetryBudget(outcome.DefaultRetriesPerSuccess, outcome.DefaultInitialRetries, outcome.DefaultMaxSavedRetries)
 	e.peerMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	e.peerMux.Funcs[wire.KindUsageDigest] = e.handleUsageDigest
@@ -183,6 +188,32 @@
 	}
 }
 
+var errStopping = fault.New(fault.Unavailable, "send the request again", "the entry is stopping")
+
+// Stop ends the requests in flight, and further ones, with an error.
+func (e *Entry) Stop() { e.stop(errStopping) }
+
+// requestContext returns the context of a request with the given parent and timeout, which Stop
+// ends too.
+func (e *Entry) requestContext(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancelCause(parent)
+	detach := context.AfterFunc(e.stopped, func() { end(context.Cause(e.stopped)) })
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	return ctx, func() {
+		detach()
+		cancel()
+		end(nil)
+	}
+}
+
+// endError returns the error of a request whose context has ended.
+func endError(ctx context.Context) error {
+	if context.Cause(ctx) == errStopping {
+		return errStopping
+	}
+	return fault.Wrap(fault.Timeout, ctx.Err(), "allow more time with Request-Timeout", "the caller disconnected or the request's deadline passed")
+}
+
 // Draining reports whether Drain was called.
 func (e *Entry) Draining() bool { return e.draining.Load() }
 
