--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -57,7 +57,12 @@
 	open := trackConnections(caller.Server)
 	drain := func(ctx context.Context) error {
 		e.Drain()
-		return drainServer(ctx, caller.Server, open, s.DrainNotice, e.Stop)
+		return drainServer(ctx, caller.Server, open, s.DrainNotice, func() {
+			if open.active() > 0 {
+				p.log.Warn("requests in flight at the drain timeout", open.fields()...)
+			}
+			e.Stop()
+		})
 	}
 	app := p.newApp(ctx, s.Common, drain, kratos.Server(caller, ops, inner))
 	p.events.Add(timeline.Event{Kind: timeline.Started})
