--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -1,5 +1,5 @@
 // Package link is a stand-in of a network path. It forwards TCP connections
-// and, on request, closes them or silently discards their bytes.
+// and, on request, closes them, silently discards their bytes or holds them back.
 package link
 
 import (
@@ -28,6 +28,9 @@
 	// SilenceOpen discards the bytes of the connections that are open now and
 	// forwards new ones.
 	SilenceOpen Mode = "silence-open"
+	// Hold accepts connections and bytes and delivers them, in order and with the
+	// closes, once the mode changes.
+	Hold Mode = "hold"
 )
 
 // ModeRequest is the body of POST /admin/mode.
@@ -38,6 +41,7 @@
 // connPair is a forwarded connection: the accepted connection and the one
 // dialled to the target.
 type connPair struct {
+	link           *Link
 	client, server net.Conn
 	mu             sync.Mutex
 	// silent is true while the bytes of both directions are discarded.
@@ -54,11 +58,15 @@
 	mu    sync.Mutex
 	mode  Mode
 	pairs map[*connPair]struct{}
+	// released is closed unless the mode is Hold.
+	released chan struct{}
 }
 
 // New returns a link to target in mode Pass.
 func New(target string) *Link {
-	return &Link{target: target, mode: Pass, pairs: map[*connPair]struct{}{}}
+	l := &Link{target: target, mode: Pass, pairs: map[*connPair]struct{}{}, released: make(chan struct{})}
+	close(l.released)
+	return l
 }
 
 // Handler returns a handler that sets the mode at POST /admin/mode.
@@ -80,9 +88,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch m {
-	case Pass, Drop, Silence, SilenceOpen:
+	case Pass, Drop, Silence, SilenceOpen, Hold:
 	default:
-		return fault.New(fault.Invalid, "use pass, drop, silence or silence-open", "mode %q", m)
+		return fault.New(fault.Invalid, "use pass, drop, silence, silence-open or hold", "mode %q", m)
+	}
+	switch {
+	case m == Hold && l.mode != Hold:
+		l.released = make(chan struct{})
+	case m != Hold && l.mode == Hold:
+		close(l.released)
 	}
 	l.mode = m
 	for p := range l.pairs {
@@ -111,6 +125,7 @@
 // mode Drop it closes client instead.
 func (l *Link) forward(client net.Conn) {
 	defer client.Close()
+	l.awaitRelease()
 	l.mu.Lock()
 	mode := l.mode
 	l.mu.Unlock()
@@ -122,7 +137,7 @@
 		return
 	}
 	defer server.Close()
-	p := &connPair{client: client, server: server, silent: mode == Silence}
+	p := &connPair{link: l, client: client, server: server, silent: mode == Silence}
 	l.mu.Lock()
 	l.pairs[p] = struct{}{}
 	l.mu.Unlock()
@@ -137,6 +152,14 @@
 	wg.Wait()
 }
 
+// awaitRelease returns once the mode is not Hold.
+func (l *Link) awaitRelease() {
+	l.mu.Lock()
+	released := l.released
+	l.mu.Unlock()
+	<-released
+}
+
 // setSilent starts or stops discarding bytes. When it stops, a pair of which
 // one side has closed is closed, so that the other side learns of it.
 func (p *connPair) setSilent(silent bool) {
@@ -177,6 +200,7 @@
 	droppedBytes := false
 	for {
 		n, err := src.Read(buf)
+		p.link.awaitRelease()
 		if err != nil && p.hideClose() {
 			return
 		}
