--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -44,14 +44,25 @@
 	badStreams, badPlain *badRequests
 	limits               *limits
 
-	upstreams     []*upstream
+	upstreams []*upstream
+	ranks     []*rankVM
+	// departures are the callers that leave early.
+	departures *departures
+	// processes are the gateways.
 	processes     []*process
 	configVersion int
+	// services and routes return the services and the routes of the configuration.
+	services, routes func() []any
+	// firstHost is added to the hosts of loopback addresses, so that deployments of one
+	// seed don't share any.
+	firstHost    int
+	storeAddress string
 }
 
-// process is a gateway in an operating-system process of its own.
+// process is a gateway or a rank agent in an operating-system process of its own.
 type process struct {
-	name, ip string
+	// role is the daemon's command.
+	role, name, ip string
 	// store is the link to the key-value store.
 	store        *link.Link
 	settingsFile string
@@ -94,48 +105,69 @@
 	}
 }
 
+// newDeployment returns a deployment of plain upstreams.
 func newDeployment(t *testing.T, seed uint64) *deployment {
 	t.Helper()
-	d := &deployment{t: t, seed: seed, dir: t.TempDir(), kvStore: kv.NewStore(clockwork.NewRealClock()), recorder: newRecorder(), badStreams: newBadRequests("a part"), badPlain: newBadRequests("a path"), limits: newLimits()}
-	store := httptest.NewServer(kv.NewServer(d.kvStore).Handler())
-	t.Cleanup(store.CloseClientConnections)
+	d := newStore(t, seed)
+	d.services = func() []any { return []any{map[string]any{"name": "s"}} }
+	d.routes = func() []any {
+		return []any{route("/safe/", "safe", false), route("/unsafe/", "unsafe", false), route("/stream/", "streaming", true)}
+	}
 	for i := range 3 {
 		d.addUpstream(i)
 	}
 	d.writeConfiguration()
+	d.startGateways()
+	return d
+}
+
+// newStore returns a deployment that has only the store.
+func newStore(t *testing.T, seed uint64) *deployment {
+	d := &deployment{t: t, seed: seed, dir: t.TempDir(), kvStore: kv.NewStore(clockwork.NewRealClock()), recorder: newRecorder(), badStreams: newBadRequests("a part"), badPlain: newBadRequests("a path"), limits: newLimits(), departures: newDepartures()}
+	store := httptest.NewServer(kv.NewServer(d.kvStore).Handler())
+	t.Cleanup(store.CloseClientConnections)
+	d.storeAddress = store.Listener.Addr().String()
+	return d
+}
+
+func (d *deployment) startGateways() {
 	for i := range gateways {
-		p := &process{name: fmt.Sprint("edge-", i), ip: d.loopback(1 + i)}
-		var address string
-		p.store, address = d.serveLink(p.ip, store.Listener.Addr().String())
-		p.settingsFile = filepath.Join(d.dir, p.name+".toml")
-		d.writeSettings(p, address)
-		d.processes = append(d.processes, p)
-		p.start(d)
+		d.processes = append(d.processes, d.startProcess("gateway", fmt.Sprint("edge-", i), d.loopback(1+i), ""))
 	}
-	t.Cleanup(func() {
-		for _, p := range d.processes {
-			p.mu.Lock()
-			p.testEnded = true
-			p.mu.Unlock()
-			p.signal(syscall.SIGCONT)
-			_ = p.stop(syscall.SIGKILL) // the error says that the signal ended it
-		}
+}
+
+// startProcess starts a process that ends with the test. extraSettings are added to its
+// settings, before the tables.
+func (d *deployment) startProcess(role, name, ip, extraSettings string) *process {
+	p := &process{role: role, name: name, ip: ip}
+	var address string
+	p.store, address = d.serveLink(p.ip, d.storeAddress)
+	p.settingsFile = filepath.Join(d.dir, p.name+".toml")
+	d.writeSettings(p, address, extraSettings)
+	d.t.Cleanup(func() {
+		p.mu.Lock()
+		p.testEnded = true
+		p.mu.Unlock()
+		p.signal(syscall.SIGCONT)
+		_ = p.stop(syscall.SIGKILL) // the error says that the signal ended it
 	})
-	return d
+	p.start(d)
+	return p
 }
 
 // loopback returns a loopback address of the seed's own. Each process and each upstream has
 // one, so that ports don't clash between them and between seeds, also while an upstream that
 // has crashed doesn't listen.
 func (d *deployment) loopback(host int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 10+d.seed%200, 1+d.seed/200%200, host)
+	return fmt.Sprintf("127.%d.%d.%d", 10+d.seed%200, 1+d.seed/200%200, d.firstHost+host)
 }
 
-func (d *deployment) writeSettings(p *process, storeAddress string) {
+func (d *deployment) writeSettings(p *process, storeAddress, extra string) {
 	text := fmt.Sprintf(`node-name = %q
 ip = %q
 zone = "a"
 internal-ports = [7340, 7355]
+%[5]s
 [listen]
 frontend = "%[2]s:8227"
 ready = "%[2]s:8220"
@@ -151,7 +183,7 @@
 retry-allowance = 94
 [platform]
 address = %[4]q
-`, p.name, p.ip, int(gracePeriod.Seconds()), storeAddress)
+`, p.name, p.ip, int(gracePeriod.Seconds()), storeAddress, extra)
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
@@ -174,20 +206,22 @@
 	d.putConfiguration()
 }
 
+// route returns a route of the configuration to the service "s".
+func route(prefix, kind string, resumable bool) map[string]any {
+	return map[string]any{
+		"name": prefix, "host": "h", "path-prefix": prefix, "kind": kind, "resumable": resumable,
+		"timeout-ms": 3000, "service": "s", "max-attempts": 2,
+	}
+}
+
 // putConfiguration writes the present configuration.
 func (d *deployment) putConfiguration() {
-	route := func(prefix, kind string, resumable bool) map[string]any {
-		return map[string]any{
-			"name": prefix, "host": "h", "path-prefix": prefix, "kind": kind, "resumable": resumable,
-			"timeout-ms": 3000, "service": "s", "max-attempts": 2,
-		}
-	}
-	routes := []any{route("/safe/", "safe", false), route("/unsafe/", "unsafe", false), route("/stream/", "streaming", true)}
+	routes := d.routes()
 	for i := range d.configVersion {
 		routes = append(routes, route(fmt.Sprintf("/extra-%d/", i), "safe", false))
 	}
 	d.putRecord("op/config", map[string]any{
-		"version": d.configVersion, "routes": routes, "services": []any{map[string]any{"name": "s"}},
+		"version": d.configVersion, "routes": routes, "services": d.services(),
 		"tenants": []any{map[string]any{"name": account, "api-keys": []string{apiKey}}},
 	})
 }
@@ -210,7 +244,7 @@
 		return
 	}
 	defer log.Close()
-	cmd := exec.Command(os.Args[0], "gateway")
+	cmd := exec.Command(os.Args[0], p.role)
 	cmd.Env = append(os.Environ(), roleVariable+"=1", platform.SettingsVariable+"="+p.settingsFile)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives the test
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -256,7 +256,7 @@
 	c.expected.mu.Unlock()
 	switch {
 	case status == http.StatusOK && prefix == "/stream/":
-		if body != fullStream(id) {
+		if body != stream(id, streamEvents) {
 			r.recordViolation("stream %s completed with the wrong content %q", id, body)
 		}
 	case status == http.StatusOK:
@@ -268,10 +268,10 @@
 	}
 }
 
-// fullStream returns the complete stream of a request.
-func fullStream(id string) string {
+// stream returns the complete stream of a request.
+func stream(id string, events int) string {
 	var b strings.Builder
-	for i := 1; i <= streamEvents; i++ {
+	for i := 1; i <= events; i++ {
 		b.WriteString(streamEvent(id, i))
 	}
 	return b.String()
