--- a/test/soak/gone_test.go
+++ b/test/soak/gone_test.go
@@ -99,11 +99,12 @@
 }
 
 // counts returns the number of requests that would have run for longer than goneDelay after
-// their callers left, of those that did, and of those that reached a rank later.
-func (l *departures) counts(t *testing.T) (lasting, wentOn, late int) {
+// their callers left, of those that did, of those that also began after their callers left, and
+// of those that reached a rank later.
+func (l *departures) counts(t *testing.T) (lasting, wentOn, begunLater, late int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	lastingIDs, wentOnIDs := map[string]bool{}, map[string]bool{}
+	lastingIDs, wentOnIDs, begunLaterIDs := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, r := range l.runs {
 		at, left := l.left[r.request]
 		limit := at.Add(goneDelay)
@@ -112,6 +113,9 @@
 		case r.end.After(limit):
 			t.Logf("%s went on at %s: left %s, started %s, ended %s", r.request, r.rank, clock(at), clock(r.start), clock(r.end))
 			lastingIDs[r.request], wentOnIDs[r.request] = true, true
+			if r.start.After(at) {
+				begunLaterIDs[r.request] = true
+			}
 		case r.end.After(at) && r.planned.After(limit):
 			lastingIDs[r.request] = true
 		}
@@ -124,14 +128,14 @@
 			}
 		}
 	}
-	return len(lastingIDs), len(wentOnIDs), late
+	return len(lastingIDs), len(wentOnIDs), len(begunLaterIDs), late
 }
 
 func clock(t time.Time) string { return t.Format("05.000") }
 
 func (l *departures) check(t *testing.T, r *recorder) {
-	lasting, wentOn, late := l.counts(t)
-	t.Logf("%d of %d requests went on after their callers had left, of %d whose callers left entries in touch; %d reached a rank later", wentOn, lasting, len(l.left), late)
+	lasting, wentOn, begunLater, late := l.counts(t)
+	t.Logf("%d of %d requests went on after their callers had left, %d of them began then; %d callers left entries in touch, %d requests reached a rank later", wentOn, lasting, begunLater, len(l.left), late)
 	if float64(wentOn) > maxGoneFraction*float64(lasting) {
 		r.recordViolation("%d of %d requests went on for over %v after their callers had left, a fraction of %v is allowed", wentOn, lasting, goneDelay, maxGoneFraction)
 	}
