--- a/test/soak/gone_test.go
+++ b/test/soak/gone_test.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	modelCallers = 60
+	modelCallers = 90
 	// modelDeadline is the time limit of requests to the ranks. It is short enough for an
 	// entry to finish them after SIGTERM.
 	modelDeadline = 4 * time.Second
