--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -48,6 +48,9 @@
 	MaxInFlight int
 	// Deadline is when the caller stops waiting. Zero means no deadline.
 	Deadline time.Time
+	// TryStart, if not nil, is asked by a Waitlist before the request starts. If it returns
+	// false, the request goes on waiting.
+	TryStart func() bool
 	// OnDecision is called at most once with the decision, possibly before
 	// Offer returns.
 	OnDecision func(Decision)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -92,6 +92,24 @@
 	q.removeAt(l, b, 0)
 }
 
+// putBack undoes a dequeue of the ticket that was dequeued last.
+func (q *queue) putBack(t *Ticket) {
+	l := q.level(t)
+	b := l.accounts[t.Account]
+	if b == nil {
+		b = &backlog{share: float64(max(t.Share, 1)), next: l.virtualTime}
+		l.accounts[t.Account] = b
+	} else {
+		b.next -= 1 / b.share
+	}
+	if len(b.tickets) == 0 {
+		l.active = append(l.active, b)
+	}
+	b.tickets = slices.Insert(b.tickets, 0, t)
+	l.size++
+	q.size++
+}
+
 // evict removes and returns the ticket to refuse: the newest one of the account
 // with the longest backlog relative to its share, at the lowest priority with
 // waiting tickets.
--- a/internal/admission/waitlist.go
+++ b/internal/admission/waitlist.go
@@ -1,5 +1,7 @@
 package admission
 
+import "slices"
+
 // Waitlist holds requests for a pool whose upstreams can't serve them at
 // present, ordered by priority, then by the accounts' shares, then by age. None
 // of them has been dispatched. A Waitlist is not safe for concurrent use.
@@ -25,15 +27,24 @@
 	return t
 }
 
-// Start starts up to n requests and returns how many it started.
+// Start starts up to n requests and returns how many it started. Requests that can't start keep
+// their places.
 func (w *Waitlist) Start(n int) (started int) {
+	var kept []*Ticket
 	for started < n && w.queue.len() > 0 {
 		t := w.queue.peek()
 		w.queue.dequeue(t)
+		if t.TryStart != nil && !t.TryStart() {
+			kept = append(kept, t)
+			continue
+		}
 		t.state = finished
 		started++
 		t.OnDecision(Decision{Start: true})
 	}
+	for _, t := range slices.Backward(kept) {
+		w.queue.putBack(t)
+	}
 	return started
 }
 
--- a/internal/admission/waitlist_test.go
+++ b/internal/admission/waitlist_test.go
@@ -64,3 +64,24 @@
 	g.Expect(w.Len()).To(Equal(8))
 	g.Expect(refused).To(Equal(map[string]int{"large": 4}))
 }
+
+// A request that can't start keeps its place, and others start before it.
+func TestRequestThatCantStartKeepsItsPlace(t *testing.T) {
+	g := NewWithT(t)
+	w := admission.NewWaitlist()
+	var started []string
+	blocked := true
+	for _, name := range []string{"first", "second", "third"} {
+		w.Add(admission.Request{
+			Account:    "a",
+			TryStart:   func() bool { return name != "first" || !blocked },
+			OnDecision: func(admission.Decision) { started = append(started, name) },
+		}, 10)
+	}
+	g.Expect(w.Start(1)).To(Equal(1))
+	g.Expect(started).To(Equal([]string{"second"}))
+	blocked = false
+	g.Expect(w.Start(2)).To(Equal(2))
+	g.Expect(started).To(Equal([]string{"second", "first", "third"}))
+	g.Expect(w.Len()).To(BeZero())
+}
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -10,17 +10,19 @@
 type Demand struct {
 	// Exclude lists the IDs of upstreams that the request may not be sent to.
 	Exclude []string
-	// MaxWait is the longest time after which the request may begin; 0 means that it needs a
-	// free slot.
-	MaxWait time.Duration
-	// Accepted is set if the request was sent to an upstream before. Engines begin it before
-	// the new requests in their queues.
+	// BeginBy is when the request has to begin if it waits for a slot. A withdrawn request has
+	// to begin by then in any case.
+	BeginBy time.Time
+	// Accepted is set if an upstream may have run the request before. Engines begin it before
+	// new requests in their queues.
 	Accepted bool
+	// Withdrawn is set if the request was withdrawn from a silent upstream. The other entries
+	// withdraw theirs at the same moment and see the same reports.
+	Withdrawn bool
 }
 
-// Obstacle is why an upstream can't be given a request, in the order in which they are looked
-// for, the most lasting one first. The obstacle of a pool is that of the upstream that comes
-// closest to taking the request.
+// Obstacle is why an upstream can't be given a request. The obstacle of a pool is that of the
+// upstream that comes closest to taking the request, the greatest of them.
 type Obstacle int
 
 // The obstacles.
@@ -30,15 +32,15 @@
 	Unusable Obstacle = iota
 	// Unheard means that it may not answer.
 	Unheard
-	// AtLimit means that its request limit allows none now.
-	AtLimit
 	// Full means that it can't begin the request in time.
 	Full
+	// AtLimit means that it could begin the request, but its request limit allows none now.
+	AtLimit
 	// None means that the upstream can take the request.
 	None
 )
 
-var obstacleNames = map[Obstacle]string{Unusable: "not serving", Unheard: "not heard from", AtLimit: "request limit", Full: "full", None: "none"}
+var obstacleNames = [...]string{Unusable: "not serving", Unheard: "not heard from", Full: "full", AtLimit: "request limit", None: "none"}
 
 // String returns the obstacle's name for logs.
 func (o Obstacle) String() string { return obstacleNames[o] }
@@ -47,36 +49,33 @@
 type view struct {
 	now    time.Time
 	groups []groupState
-	// fastest is the lowest reported slowness.
-	fastest float64
-	// acceptedAhead estimates how many accepted requests without an answer all entries have at
-	// each upstream that serves and is heard, if they are spread evenly.
-	acceptedAhead float64
-	serviceTime   time.Duration
+	// withdrawnAhead estimates how many withdrawn requests all entries have sent to each
+	// upstream since its last report, if they spread them evenly.
+	withdrawnAhead float64
+	serviceTime    time.Duration
 }
 
-func (p *Pool) view(now time.Time) view {
-	v := view{now: now, groups: p.groupStates(now), fastest: math.Inf(1), serviceTime: p.serviceTime()}
-	serving, accepted := 0, 0
+func (p *Pool) view(now time.Time, d Demand) view {
+	v := view{now: now, groups: p.groupStates(now), serviceTime: p.ServiceTime()}
+	serving, withdrawn := 0, 0
 	for _, n := range p.nodes {
-		n.acceptedSentAt = slices.DeleteFunc(n.acceptedSentAt, func(t time.Time) bool { return now.Sub(t) > acceptedWindow })
-		accepted += len(n.acceptedSentAt)
-		if now.Sub(n.reportedAt) <= reportTTL {
-			v.fastest = min(v.fastest, max(n.slowness, 1))
+		if p.reachable(n, v, d) != None {
+			continue
 		}
-		if n.usable(now, v.groups) && !p.unheard(n, now) {
-			serving++
+		serving++
+		withdrawn += n.withdrawnSent
+		for i := range v.groups {
+			if g := &v.groups[i]; g.name == n.group && now.Sub(n.reportedAt) <= reportTTL && (g.fastest == 0 || n.slowness < g.fastest) {
+				g.fastest = n.slowness
+			}
 		}
 	}
 	if serving > 0 {
-		v.acceptedAhead = p.atAllEntries(accepted) / float64(serving)
+		v.withdrawnAhead = p.atAllEntries(withdrawn) / float64(serving)
 	}
 	return v
 }
 
-// acceptedWindow is the time for which an accepted request counts as one without an answer.
-const acceptedWindow = 1 * time.Second
-
 // atAllEntries estimates how many requests all entries have if this one has count.
 func (p *Pool) atAllEntries(count int) float64 {
 	if p.entryShare == 0 {
@@ -85,34 +84,48 @@
 	return float64(count) / p.entryShare
 }
 
-// obstacle returns what keeps the upstream from taking the request.
-func (p *Pool) obstacle(n *Node, v view, d Demand) Obstacle {
-	o := p.obstacleBesideLimit(n, v, d)
-	if o > AtLimit && n.permits(v.now) == 0 {
-		return AtLimit
-	}
-	return o
-}
-
-// obstacleBesideLimit is obstacle for a request that has a permit.
-func (p *Pool) obstacleBesideLimit(n *Node, v view, d Demand) Obstacle {
+// reachable returns Unusable, Unheard or None.
+func (p *Pool) reachable(n *Node, v view, d Demand) Obstacle {
 	switch {
 	case slices.Contains(d.Exclude, n.ID) || !n.usable(v.now, v.groups):
 		return Unusable
 	case p.unheard(n, v.now):
 		return Unheard
-	case p.startDelay(n, v, d.Accepted) > d.MaxWait:
+	}
+	return None
+}
+
+// obstacle returns what keeps the upstream from taking the request.
+func (p *Pool) obstacle(n *Node, v view, d Demand) Obstacle {
+	switch o := p.reachable(n, v, d); {
+	case o != None:
+		return o
+	case !p.beginsInTime(n, v, d, 1):
 		return Full
+	case n.permits(v.now) == 0:
+		return AtLimit
 	}
 	return None
 }
 
+// beginsInTime reports whether the upstream is expected to begin the request in time. more is 0
+// if the request is counted in the upstream's load already, else 1.
+func (p *Pool) beginsInTime(n *Node, v view, d Demand, more int) bool {
+	delay := p.startDelay(n, v, d, more)
+	return delay == 0 && !d.Withdrawn || !v.now.Add(delay).After(d.BeginBy)
+}
+
 // slots returns how many requests the upstream should run at once. Every step of a group lasts
-// as long as its slowest rank's part, so that a rank which is slower than the fastest one runs
-// no more than its part of a step allows within that of a full rank.
+// as long as its slowest rank's part, so that a rank which is slower than the fastest one of
+// those that could take the request runs no more than its part of a step allows within that of
+// a full rank.
 func (p *Pool) slots(n *Node, v view) int {
-	ratio := n.slowness / v.fastest
-	if ratio <= 1 || p.cost.PerRequest == 0 {
+	i := slices.IndexFunc(v.groups, func(g groupState) bool { return g.name == n.group })
+	if i < 0 || v.groups[i].fastest == 0 || v.now.Sub(n.reportedAt) > reportTTL || p.cost.PerRequest == 0 {
+		return n.Slots
+	}
+	ratio := n.slowness / v.groups[i].fastest
+	if ratio <= 1 {
 		return n.Slots
 	}
 	full := p.cost.Base + time.Duration(n.Slots)*p.cost.PerRequest
@@ -120,31 +133,36 @@
 	return max(int(room/p.cost.PerRequest), 0)
 }
 
-// startDelay estimates how long one more request waits at the upstream until it begins. An
-// accepted request waits only for the running ones and for other accepted ones. The other
-// entries withdraw their requests from the same upstream at the same moment and see the same
-// reports, so that they are taken to do what this one does. While the service time isn't
-// known, a new request isn't held back, and an accepted one needs a free slot.
-func (p *Pool) startDelay(n *Node, v view, accepted bool) time.Duration {
+// maxStartDelay is the longest delay that is estimated; a longer one makes no difference.
+const maxStartDelay = 24 * time.Hour
+
+// startDelay estimates how long a request waits at the upstream until it begins. An accepted
+// request waits only for the running ones and for other accepted ones. While the service time
+// isn't known, a new request isn't held back, and an accepted one needs a free slot.
+func (p *Pool) startDelay(n *Node, v view, d Demand, more int) time.Duration {
 	if n.Slots == 0 {
 		return 0
 	}
-	slots, load := p.slots(n, v), n.load(v.now)
-	if accepted {
-		load = min(load, slots) + int(math.Ceil(max(v.acceptedAhead, p.atAllEntries(len(n.acceptedSentAt)))))
+	slots, load := p.slots(n, v), float64(n.load(v.now))
+	if d.Accepted {
+		load = min(load-float64(n.withdrawnSent), float64(slots)) + float64(n.withdrawnSent)
 	}
-	ahead := load + 1 - slots
+	if d.Withdrawn {
+		load += max(v.withdrawnAhead, p.atAllEntries(n.withdrawnSent)) - float64(n.withdrawnSent)
+	}
+	ahead := math.Ceil(load) + float64(more-slots)
 	switch {
 	case ahead <= 0:
 		return 0
-	case slots == 0 || accepted && v.serviceTime == 0:
-		return math.MaxInt64
+	case slots == 0 || d.Accepted && v.serviceTime == 0:
+		return maxStartDelay
 	}
-	return time.Duration(float64(ahead) * float64(v.serviceTime) / float64(slots))
+	return time.Duration(min(ahead*float64(v.serviceTime)/float64(slots), float64(maxStartDelay)))
 }
 
-// MarkAccepted counts an accepted request that is sent to the upstream.
-func (n *Node) MarkAccepted(now time.Time) { n.acceptedSentAt = append(n.acceptedSentAt, now) }
+// MarkWithdrawn counts a withdrawn request that is sent to the upstream. Its next report
+// includes it.
+func (n *Node) MarkWithdrawn() { n.withdrawnSent++ }
 
 const (
 	// partIntervalWeight is the weight of a new interval in the moving average of the time
@@ -165,17 +183,21 @@
 	p.partInterval += time.Duration(partIntervalWeight * float64(interval-p.partInterval))
 }
 
-// RecordAnswerParts records the number of parts after the first that an attempt brought.
-func (p *Pool) RecordAnswerParts(parts int) {
+// RecordAnswerParts records the number of parts after the first that an attempt brought. An
+// answer that was cut short says only that it would have had more.
+func (p *Pool) RecordAnswerParts(parts int, complete bool) {
+	if !complete && float64(parts) < p.partCount {
+		return
+	}
 	if p.partCount == 0 {
 		p.partCount = float64(parts)
 	}
 	p.partCount += partCountWeight * (float64(parts) - p.partCount)
 }
 
-// serviceTime estimates how long a request keeps its slot, 0 if that isn't known. It follows
+// ServiceTime estimates how long a request keeps its slot, 0 if that isn't known. It follows
 // the present time between parts, since the duration of answers that have ended shows a
 // change of pace only after many seconds.
-func (p *Pool) serviceTime() time.Duration {
-	return p.answerDelay + time.Duration(p.partCount*float64(p.partInterval))
+func (p *Pool) ServiceTime() time.Duration {
+	return max(p.firstPartDelay+time.Duration(p.partCount*float64(p.partInterval)), p.wholeAnswerTime)
 }
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -34,7 +34,7 @@
 // for these, whose next permit comes first, and the time until then. It returns nil if there
 // is none.
 func (p *Pool) NextPermit(now time.Time, d Demand) (first *Node, wait time.Duration) {
-	v := p.view(now)
+	v := p.view(now, d)
 	for _, n := range p.nodes {
 		if n.limit == nil || !n.limit.Limited() || p.obstacle(n, v, d) < AtLimit {
 			continue
@@ -46,7 +46,9 @@
 	return first, wait
 }
 
-// CanTake reports whether the upstream can take a request for which a permit was reserved.
+// CanTake reports whether the upstream can take a request for which a permit was reserved and
+// which is counted there.
 func (p *Pool) CanTake(n *Node, now time.Time, d Demand) bool {
-	return slices.Contains(p.nodes, n) && p.obstacleBesideLimit(n, p.view(now), d) == None
+	v := p.view(now, d)
+	return slices.Contains(p.nodes, n) && p.reachable(n, v, d) == None && p.beginsInTime(n, v, d, 0)
 }
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -45,7 +45,7 @@
 	p := f.pools[f.rng.IntN(len(f.pools))]
 	n, wait := pick(p, now, nil), time.Duration(0)
 	if n == nil {
-		if n, wait = p.NextPermit(now, dispatch.Demand{}); n == nil || wait > maxWait {
+		if n, wait = p.NextPermit(now, dispatch.Demand{BeginBy: now.Add(time.Hour)}); n == nil || wait > maxWait {
 			return 0, false
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -70,8 +70,8 @@
 	// linearly to 0.
 	failureWeight = 0.3
 	failureDecay  = 4 * time.Second
-	// answerDelayWeight is the weight of a new answer in the moving average of the time to
-	// the first part.
+	// answerDelayWeight is the weight of a new answer in the moving averages of the time to
+	// the first part and to the end.
 	answerDelayWeight = 0.2
 	// failurePenalty is the weight of the failure rate in an upstream's cost:
 	// a rate of 0.1 doubles the cost.
@@ -120,8 +120,9 @@
 	limit         *ratelimit.Share
 	failureMean   float64
 	failureMeanAt time.Time
-	// acceptedSentAt holds when this entry sent it accepted requests within acceptedWindow.
-	acceptedSentAt []time.Time
+	// withdrawnSent counts the withdrawn requests that this entry has sent since the last
+	// report.
+	withdrawnSent int
 }
 
 // Pool is an entry's view of the upstreams of one service.
@@ -138,15 +139,18 @@
 	silenceCheckedAt, silenceKnownFrom time.Time
 	// mostReport is set if at least half of the upstreams had reported at that check.
 	mostReport bool
-	// answerDelay is the moving average of the time from a request's sending to the first
-	// part of its answer, 0 while unknown.
-	answerDelay time.Duration
+	// firstPartDelay is the moving average of the time from a request's sending to the first
+	// part of its answer, wholeAnswerTime that to the end of an answer that isn't a stream. Both
+	// are 0 while unknown.
+	firstPartDelay, wholeAnswerTime time.Duration
 	// partInterval is the moving average of the time between two parts of an answer, partCount
 	// that of the number of parts after the first.
 	partInterval time.Duration
 	partCount    float64
 	// entryShare is this entry's share of the upstreams' capacity, 0 while it isn't known.
 	entryShare float64
+	// obstacles is the memory in which a pick collects the nodes' obstacles.
+	obstacles []Obstacle
 }
 
 // NewPool returns an empty pool.
@@ -178,18 +182,20 @@
 // Upstreams that may not answer are used only if no other one serves. Pick doesn't count the
 // request: see Node.MarkSent.
 func (p *Pool) Pick(now time.Time, d Demand) (*Node, Obstacle) {
-	v := p.view(now)
-	obstacles := make(map[*Node]Obstacle, len(p.nodes))
+	v := p.view(now, d)
+	p.obstacles = p.obstacles[:0]
 	least := Unusable
 	for _, n := range p.nodes {
-		obstacles[n] = p.obstacle(n, v, d)
-		least = max(least, obstacles[n])
+		o := p.obstacle(n, v, d)
+		p.obstacles = append(p.obstacles, o)
+		least = max(least, o)
 	}
 	if least != None && least != Unheard {
 		return nil, least
 	}
-	best := p.cheapest(now, func(n *Node) bool {
-		return obstacles[n] == least && n.permits(now) > 0 && !(n.unreachable && now.Sub(p.probedAt) < probeInterval)
+	best := p.cheapest(now, func(i int) bool {
+		n := p.nodes[i]
+		return p.obstacles[i] == least && (least == None || n.permits(now) > 0 && p.beginsInTime(n, v, d, 1) && !(n.unreachable && now.Sub(p.probedAt) < probeInterval))
 	})
 	if best == nil {
 		return nil, least
@@ -262,16 +268,16 @@
 }
 
 // cheapest returns the upstream with the lowest cost of a random sample of those that
-// candidate accepts, or nil.
-func (p *Pool) cheapest(now time.Time, candidate func(*Node) bool) *Node {
+// candidate accepts by their indices, or nil.
+func (p *Pool) cheapest(now time.Time, candidate func(i int) bool) *Node {
 	var best *Node
 	bestCost := 0.0
 	compared := 0
 	for _, i := range p.rand.Perm(len(p.nodes)) {
-		n := p.nodes[i]
-		if !candidate(n) {
+		if !candidate(i) {
 			continue
 		}
+		n := p.nodes[i]
 		if c := p.costAt(n, now); best == nil || c < bestCost {
 			best, bestCost = n, c
 		}
@@ -308,6 +314,9 @@
 	name string
 	// serving is set if a report says that the group accepts requests.
 	serving bool
+	// fastest is the lowest slowness of the ranks that could take a request, 0 if there are
+	// none.
+	fastest float64
 }
 
 // groupStates returns the states of the groups with valid reports.
@@ -405,6 +414,7 @@
 // suspension began.
 func (n *Node) UpdateLoad(l Load, now time.Time) {
 	n.queued, n.active = l.Queued, l.Active
+	n.withdrawnSent = 0
 	n.otherRequests = max(l.Queued+l.Active-n.inFlight, 0)
 	n.slowness = l.Slowness
 	n.groupServing, n.group, n.groupSize = l.GroupServing, l.Group, l.GroupSize
@@ -424,18 +434,25 @@
 // MarkAnswered counts the first part of an answer to a request.
 func (n *Node) MarkAnswered() { n.unanswered-- }
 
-// RecordAnswerDelay records the time from a request's sending to the first part of its
-// answer.
-func (p *Pool) RecordAnswerDelay(d time.Duration) {
-	if p.answerDelay == 0 {
-		p.answerDelay = d
+// RecordFirstPart records the time from a request's sending to the first part of its answer.
+func (p *Pool) RecordFirstPart(d time.Duration) { recordDelay(&p.firstPartDelay, d) }
+
+// RecordWholeAnswer records the time from a request's sending to the end of an answer that
+// isn't a stream.
+func (p *Pool) RecordWholeAnswer(d time.Duration) { recordDelay(&p.wholeAnswerTime, d) }
+
+func recordDelay(mean *time.Duration, d time.Duration) {
+	if *mean == 0 {
+		*mean = d
 	}
-	p.answerDelay += time.Duration(answerDelayWeight * float64(d-p.answerDelay))
+	*mean += time.Duration(answerDelayWeight * float64(d-*mean))
 }
 
-// AnswerDelay returns the usual time from a request's sending to the first part of its
-// answer, 0 if it isn't known.
-func (p *Pool) AnswerDelay() time.Duration { return p.answerDelay }
+// FirstPartDelay returns the usual time from a request's sending to the first part of its
+// answer, WholeAnswerTime that to the end of an answer that isn't a stream. They are 0 while
+// unknown.
+func (p *Pool) FirstPartDelay() time.Duration  { return p.firstPartDelay }
+func (p *Pool) WholeAnswerTime() time.Duration { return p.wholeAnswerTime }
 
 // Finish counts the end of a request. answered says that MarkAnswered was
 // called for it, and failed that the upstream was at fault.
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -28,7 +28,7 @@
 
 // pick picks an upstream for a new request that may wait for long.
 func pick(p *dispatch.Pool, now time.Time, exclude []string) *dispatch.Node {
-	n, _ := p.Pick(now, dispatch.Demand{Exclude: exclude, MaxWait: time.Hour})
+	n, _ := p.Pick(now, dispatch.Demand{Exclude: exclude, BeginBy: now.Add(time.Hour)})
 	return n
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -180,6 +181,7 @@
 	if res.sent {
 		q.attempts++
 	}
+	q.withdrawn = errors.Is(res.cause, errSilentUpstream)
 	if res.attemptStatus != attemptNotRun && res.attemptStatus != attemptDelivered {
 		q.mayHaveRun = true
 	}
@@ -210,7 +212,7 @@
 	}
 	fields := []zap.Field{
 		zap.Int("load", l.Load), zap.Int("slots", m.Slots), zap.Int("own_in_flight", l.InFlight),
-		zap.Duration("usual_delay", q.g.Pools.answerDelay(q.service)), zap.Duration("patience", q.patienceLeft()),
+		zap.Duration("usual_delay", q.usualDelay()), zap.Duration("patience", q.patienceLeft()),
 	}
 	if l.Reported {
 		fields = append(fields, zap.Int("reported_active", l.Active), zap.Int("reported_queued", l.Queued), zap.Duration("report_age", l.ReportAge))
@@ -437,7 +439,7 @@
 		return result{attemptStatus: attemptFailed, sent: true, reply: resp, cause: fault.New(fault.Crashed, "see the upstream's logs", "the upstream answered with status %d", reply.Status)}
 	}
 	q.clearSuspicion()
-	m.RecordAnswerDelay(time.Since(q.attemptStartedAt))
+	m.RecordWholeAnswer(time.Since(q.attemptStartedAt))
 	q.writeResponse(resp)
 	return result{attemptStatus: attemptDelivered, sent: true}
 }
--- a/internal/gateway/callers_left_test.go
+++ b/internal/gateway/callers_left_test.go
@@ -145,7 +145,7 @@
 	// Answers last far longer than a caller waits for an event.
 	m := f.gateway.Pools.Get(f.upstreams[0].Address, f.upstreams[0].Started)
 	m.RecordPart(300 * time.Millisecond)
-	m.RecordAnswerParts(2000)
+	m.RecordAnswerParts(2000, true)
 
 	var patient []*patientCaller
 	answered := func() (n int) {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -165,8 +165,8 @@
 func (p *Pools) pickLocked(service string, d dispatch.Demand) (*Member, dispatch.Obstacle) {
 	pool, now := p.pool(service), p.clock.Now()
 	n, obstacle := pool.Pick(now, d)
-	if n != nil && d.Accepted {
-		n.MarkAccepted(now)
+	if n != nil && d.Withdrawn {
+		n.MarkWithdrawn()
 	}
 	return p.member(n), obstacle
 }
@@ -249,29 +249,32 @@
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
 	m.node.MarkAnswered()
-	m.pools.pool(m.Service).RecordAnswerDelay(delay)
+	m.node.Hear(m.pools.clock.Now())
+	m.pools.pool(m.Service).RecordFirstPart(delay)
 	m.pools.startWaiting(m.Service, false)
 }
 
-// RecordAnswerDelay records the time to a whole answer.
-func (m *Member) RecordAnswerDelay(delay time.Duration) {
+// RecordWholeAnswer records the time to an answer that isn't a stream.
+func (m *Member) RecordWholeAnswer(took time.Duration) {
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
-	m.pools.pool(m.Service).RecordAnswerDelay(delay)
+	m.pools.pool(m.Service).RecordWholeAnswer(took)
 }
 
-// RecordPart records the time between two parts of an answer.
+// RecordPart records the time between two parts of an answer, the second of which is a sign of
+// life of the upstream.
 func (m *Member) RecordPart(interval time.Duration) {
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
+	m.node.Hear(m.pools.clock.Now())
 	m.pools.pool(m.Service).RecordPart(interval)
 }
 
 // RecordAnswerParts records the number of parts after the first that an attempt brought.
-func (m *Member) RecordAnswerParts(parts int) {
+func (m *Member) RecordAnswerParts(parts int, complete bool) {
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
-	m.pools.pool(m.Service).RecordAnswerParts(parts)
+	m.pools.pool(m.Service).RecordAnswerParts(parts, complete)
 }
 
 // Finish counts the end of an attempt. answered says that MarkAnswered was
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -63,6 +63,8 @@
 	attempts   int
 	attempted  []string
 	mayHaveRun bool
+	// withdrawn is set if the last attempt was withdrawn from a silent upstream.
+	withdrawn bool
 	// headSent is set if the head of an answer has been sent to the caller.
 	// lastEventID is the ID of the last event that was sent, and lastEventAt
 	// the time when an event was last sent.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -24,14 +24,6 @@
 	inFlight int
 }
 
-// answerDelay returns the usual time from the sending of a request to the first part of its
-// answer, 0 if it isn't known.
-func (p *Pools) answerDelay(service string) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.pool(service).AnswerDelay()
-}
-
 // checkSilence updates which upstreams are silent and returns the changes.
 func (p *Pools) checkSilence() []silenceChange {
 	p.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,17 +30,19 @@
 // another upstream starts with a new one.
 func (q *request) forwardStream(m *Member, reply *upstream.Reply) result {
 	br := bufio.NewReaderSize(reply, eventBufferSize)
-	parts := 0
+	parts, complete := 0, false
 	defer func() {
 		if q.answerStarted {
-			m.RecordAnswerParts(parts)
+			m.RecordAnswerParts(parts, complete)
 		}
 	}()
 	flusher := http.NewResponseController(q.w)
 	for {
 		event, err := readEvent(br)
 		if err != nil {
-			return q.finishStream(reply, event, err)
+			res := q.finishStream(reply, event, err)
+			complete = res.attemptStatus == attemptDelivered
+			return res
 		}
 		if !q.headSent {
 			q.writeHead(reply.Status, reply.Header)
@@ -53,7 +55,6 @@
 		}
 		before := q.lastEventAt
 		q.lastEventAt = time.Now()
-		m.Hear()
 		if q.answerStarted {
 			parts++
 			m.RecordPart(q.lastEventAt.Sub(before))
--- a/internal/gateway/withdrawn_test.go
+++ b/internal/gateway/withdrawn_test.go
@@ -36,7 +36,7 @@
 			p.UpdateLoad(u.Address, 0, load)
 		}
 		for range withdrawnByEach {
-			if m, _ := p.Pick("s", dispatch.Demand{Exclude: []string{"u0"}, Accepted: true}); m != nil {
+			if m, _ := p.Pick("s", dispatch.Demand{Exclude: []string{"u0"}, BeginBy: clock.Now(), Accepted: true, Withdrawn: true}); m != nil {
 				sent[m.ID]++
 			}
 		}
@@ -48,6 +48,7 @@
 			beyondSlots += n
 		}
 	}
+	g.Expect(sent["u1"]).To(BeNumerically(">=", freeSlots/2), "the free slots are used")
 	g.Expect(4*beyondSlots).To(BeNumerically("<=", withdrawn),
 		fmt.Sprintf("%d of %d withdrawn requests can't begin where they were sent, more than a quarter: %v", beyondSlots, withdrawn, sent))
 }
