--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -29,6 +29,8 @@
 // sender sends messages to an agent; *link implements it.
 type sender interface {
 	send(m wire.Message) error
+	// cancel cancels an attempt, also if the agent isn't connected at present.
+	cancel(id wire.AttemptID)
 }
 
 // attempt relays one attempt of an exchange. Only the request's goroutine uses
@@ -248,7 +250,7 @@
 // waiting for a reply: Failed for an idempotent request that has reached the
 // upstream, else Unknown.
 func (a *attempt) abort(cause error) result {
-	_ = a.link.send(&wire.Cancel{ID: a.id})
+	a.link.cancel(a.id)
 	if a.reachedUpstream && !a.x.req.dispatch.NonIdempotent {
 		return result{outcome.Failed, cause}
 	}
--- a/internal/entry/attempt_test.go
+++ b/internal/entry/attempt_test.go
@@ -37,6 +37,8 @@
 	return nil
 }
 
+func (r *resendingAgent) cancel(wire.AttemptID) {}
+
 func answerFrames(n int) ([]wire.Message, string) {
 	frames := []wire.Message{&wire.Head{Status: http.StatusOK, ContentType: "text/event-stream"}}
 	var want strings.Builder
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -21,6 +22,10 @@
 // redialBackoff bounds the wait between two dials of an agent.
 var redialBackoff = wire.Backoff{Min: 50 * time.Millisecond, Max: 2 * time.Second}
 
+// maxUnconfirmedCancels bounds the cancelled attempts that a link keeps until
+// the agent confirms them. An agent runs and queues fewer attempts by default.
+const maxUnconfirmedCancels = 1024
+
 // link is the connection to one upstream's agent. It is dialled again when it
 // ends.
 type link struct {
@@ -45,6 +50,9 @@
 	retired   bool
 	inFlight  int
 	mailboxes map[wire.AttemptID]*mailbox
+	// unconfirmedCancels holds the cancelled attempts, the oldest first, of which
+	// the agent has not sent a Verdict since.
+	unconfirmedCancels []wire.AttemptID
 }
 
 func newLink(e *Entry, u *config.Upstream, stop context.CancelFunc) *link {
@@ -134,6 +142,9 @@
 	l.mu.Lock()
 	box := l.mailboxes[attemptOf(m)]
 	current := l.conn == c
+	if verdict, ok := m.(*wire.Verdict); ok && current {
+		l.confirmCancel(verdict.ID)
+	}
 	l.mu.Unlock()
 	switch {
 	case !current:
@@ -161,6 +172,7 @@
 	l.hello = hello
 	l.member.setLimit(0) // the agent names a limit after its Hello
 	l.updateUsable()
+	l.resendCancels()
 	l.mu.Unlock()
 	l.entry.updateAdmissionCapacity(l.member.pool)
 	l.entry.event(timeline.Event{Kind: timeline.Connected, Object: l.upstream.Name})
@@ -271,6 +283,39 @@
 	return l.conn.Send(m)
 }
 
+// cancel cancels an attempt at the agent, once it is connected again if it isn't
+// now. Without the Cancel, the attempt would run until the agent's OrphanTimeout.
+func (l *link) cancel(id wire.AttemptID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.unconfirmedCancels) >= maxUnconfirmedCancels {
+		l.unconfirmedCancels = slices.Delete(l.unconfirmedCancels, 0, 1)
+	}
+	l.unconfirmedCancels = append(l.unconfirmedCancels, id)
+	if l.conn != nil {
+		_ = l.conn.Send(&wire.Cancel{ID: id})
+	}
+}
+
+// confirmCancel drops a cancelled attempt after its Verdict. The caller holds mu.
+func (l *link) confirmCancel(id wire.AttemptID) {
+	if i := slices.Index(l.unconfirmedCancels, id); i >= 0 {
+		l.unconfirmedCancels = slices.Delete(l.unconfirmedCancels, i, i+1)
+	}
+}
+
+// resendCancels sends the unconfirmed Cancels on a new connection, except those
+// of attempts at another incarnation of the agent, which no longer run. The
+// caller holds mu.
+func (l *link) resendCancels() {
+	l.unconfirmedCancels = slices.DeleteFunc(l.unconfirmedCancels, func(id wire.AttemptID) bool {
+		return id.Incarnation != l.hello.Incarnation
+	})
+	for _, id := range l.unconfirmedCancels {
+		_ = l.conn.Send(&wire.Cancel{ID: id})
+	}
+}
+
 // acceptsWork reports whether the upstream can be given an attempt. The caller
 // holds mu.
 func (l *link) acceptsWork() bool {
--- a/internal/entry/link_test.go
+++ b/internal/entry/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -79,6 +80,99 @@
 	g.Expect(limited()).To(BeFalse())
 }
 
+// TestCancelsOutlastAConnection guards against runs that go on for callers that left while the
+// agent wasn't connected, or whose Cancel the agent hadn't read when the connection ended.
+func TestCancelsOutlastAConnection(t *testing.T) {
+	g := NewWithT(t)
+	l := newTestLink()
+	agent := connectAgent(t, l, "first")
+	var ids []wire.AttemptID
+	for _, request := range []string{"confirmed", "unread", "disconnected", "attached"} {
+		d := &wire.Dispatch{ID: wire.AttemptID{Request: request, Attempt: 1}}
+		_, err := l.open(d)
+		g.Expect(err).NotTo(HaveOccurred())
+		ids = append(ids, d.ID)
+	}
+	first := l.conn
+	l.cancel(ids[0])
+	l.cancel(ids[1])
+	g.Eventually(agent.cancels).Should(Equal(ids[:2]))
+	l.Receive(first, &wire.Verdict{ID: ids[0], State: wire.Running})
+	g.Expect(l.handleDisconnect(first, net.ErrClosed)).To(BeTrue())
+	l.cancel(ids[2])
+	l.Receive(first, &wire.Verdict{ID: ids[1], State: wire.Running})
+
+	agent = connectAgent(t, l, "first")
+	_ = l.send(&wire.Attach{ID: ids[3]})
+	g.Eventually(agent.kinds).Should(Equal([]wire.Kind{(&wire.Cancel{}).Kind(), (&wire.Cancel{}).Kind(), (&wire.Attach{}).Kind()}),
+		"Cancels precede Attaches")
+	g.Expect(agent.cancels()).To(Equal(ids[1:3]), "without the one that was confirmed on its own connection")
+
+	agent = connectAgent(t, l, "second")
+	_ = l.send(&wire.Attach{})
+	g.Eventually(agent.kinds).Should(HaveLen(1), "another incarnation of the agent gets none")
+	g.Expect(agent.cancels()).To(BeEmpty())
+	g.Expect(l.unconfirmedCancels).To(BeEmpty())
+}
+
+func TestUnconfirmedCancelsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	l := newTestLink()
+	for i := range uint64(maxUnconfirmedCancels + 2) {
+		l.cancel(wire.AttemptID{DispatchNumber: i})
+	}
+	g.Expect(l.unconfirmedCancels).To(HaveLen(maxUnconfirmedCancels))
+	g.Expect(l.unconfirmedCancels[0].DispatchNumber).To(BeEquivalentTo(2), "the oldest are dropped")
+}
+
+// recordingAgent records the messages that an entry sends it.
+type recordingAgent struct {
+	mu       sync.Mutex
+	received []wire.Message
+}
+
+func (r *recordingAgent) Receive(_ *wire.Conn, m wire.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.received = append(r.received, m)
+}
+
+func (r *recordingAgent) kinds() []wire.Kind {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var kinds []wire.Kind
+	for _, m := range r.received {
+		kinds = append(kinds, m.Kind())
+	}
+	return kinds
+}
+
+func (r *recordingAgent) cancels() []wire.AttemptID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []wire.AttemptID
+	for _, m := range r.received {
+		if c, ok := m.(*wire.Cancel); ok && !c.OnlyIfWaiting {
+			ids = append(ids, c.ID)
+		}
+	}
+	return ids
+}
+
+// connectAgent gives the link a new connection to an incarnation of its agent, and returns the
+// agent.
+func connectAgent(t *testing.T, l *link, incarnation string) *recordingAgent {
+	near, far := net.Pipe()
+	agent := &recordingAgent{}
+	conn, peer := wire.NewConn(near, l, wire.Options{}), wire.NewConn(far, agent, wire.Options{})
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = conn.Run(t.Context()) })
+	wg.Go(func() { _ = peer.Run(t.Context()) })
+	t.Cleanup(func() { conn.Close(); peer.Close(); wg.Wait() })
+	l.handleHello(conn, wire.Hello{Upstream: "u", Incarnation: incarnation})
+	return agent
+}
+
 func newTestLink() *link {
 	e := &Entry{admitter: newAdmitter(), opts: Options{Events: timeline.NewRing("entry", 8, clockwork.NewFakeClock())}}
 	l := newLink(e, &config.Upstream{Name: "u", DataCentre: "dc1"}, func() {})
