--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -91,6 +91,41 @@
 		Expect(counts["u2"] + counts["u3"]).To(BeNumerically(">=", 8))
 	})
 
+	It("chooses a full upstream only if no other one has room", func() {
+		p, nodes, clock := newTestPool(2, 1, 4)
+		for range 4 {
+			nodes[0].MarkSent()
+			nodes[1].MarkSent()
+		}
+		Expect(send(p, LeastWork{}, 4, "p")).To(Equal(map[string]int{"u2": 4}), "another data centre has room")
+		Expect(send(p, LeastWork{}, 60, "p")).To(HaveLen(3), "all are full")
+		for nodes[1].InFlight() > 4 {
+			nodes[1].Finish()
+		}
+		nodes[1].UpdateLoad(Load{Work: 4, Capacity: 32})
+		Expect(nodes[1].full(clock.Now())).To(BeFalse())
+		Expect(send(p, LeastWork{}, 20, "")).To(Equal(map[string]int{"u1": 20}))
+		Expect(LeastWork{}.Pick(p, Request{Exclude: []string{"u1"}})).NotTo(BeNil(), "no other one has room")
+	})
+
+	It("counts the reported work of other entries towards the capacity", func() {
+		p, nodes, _ := newTestPool(2, 0, 4)
+		nodes[0].SetUsable(false)
+		nodes[0].SetUsable(true)
+		nodes[0].UpdateLoad(Load{Work: 3, Capacity: 4})
+		Expect(send(p, LeastWork{}, 5, "")).To(Equal(map[string]int{"u0": 1, "u1": 4}))
+	})
+
+	It("takes no upstream of unknown capacity for full", func() {
+		clock := clockwork.NewFakeClock()
+		n := NewPool(clock, rand.New(rand.NewPCG(5, 6)), "dc1").Add(Upstream{Name: "s", DataCentre: "dc1"})
+		n.SetUsable(true)
+		for range 2 * defaultCapacity {
+			n.MarkSent()
+		}
+		Expect(n.full(clock.Now())).To(BeFalse())
+	})
+
 	It("uses other data centres when no local upstream is usable", func() {
 		p, nodes, _ := newTestPool(1, 1, 8)
 		nodes[0].SetUsable(false)
--- a/internal/balance/node.go
+++ b/internal/balance/node.go
@@ -250,6 +250,13 @@
 	return n.capacity
 }
 
+// full reports whether the expected work has reached the upstream's capacity. An
+// upstream of unknown capacity is never full.
+func (n *Node) full(now time.Time) bool {
+	capacity := n.poolCapacity()
+	return capacity > 0 && n.workAt(now) >= float64(capacity)
+}
+
 // costAt returns the expected time of one more request, in units of a full
 // batch at the pool's mean speed.
 func (n *Node) costAt(now time.Time) float64 {
--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -85,20 +85,38 @@
 
 // LeastWork picks the upstream with the least expected work: the cheaper of two
 // random upstreams, or a preferred upstream of the request's prefix while its
-// load allows it. It chooses other data centres if this one is full.
+// load allows it. It chooses other data centres if this one is full. A full
+// upstream is chosen only if no other one has room.
 type LeastWork struct{}
 
 // Pick implements Picker.
 func (LeastWork) Pick(p *Pool, r Request) *Node {
 	now := p.clock.Now()
 	p.readmitExpired(now)
-	local, cost := p.cheaperOfTwo(p.local, r, now)
+	if n := p.leastWork(r, candidates{now: now, withRoom: true}); n != nil {
+		return n
+	}
+	return p.leastWork(r, candidates{now: now})
+}
+
+// candidates says which of the upstreams that a request can go to are considered.
+type candidates struct {
+	now time.Time
+	// withRoom leaves out full upstreams.
+	withRoom bool
+}
+
+func (c candidates) include(n *Node) bool { return !c.withRoom || !n.full(c.now) }
+
+// leastWork returns LeastWork's choice among the candidates, or nil.
+func (p *Pool) leastWork(r Request, c candidates) *Node {
+	local, cost := p.cheaperOfTwo(p.local, r, c)
 	if local == nil {
-		remote, _ := p.cheaperOfTwo(p.remote, r, now)
+		remote, _ := p.cheaperOfTwo(p.remote, r, c)
 		return remote
 	}
 	if cost > spillCost {
-		if remote, remoteCost := p.cheaperOfTwo(p.remote, r, now); remote != nil && remoteCost+spillSaving < cost {
+		if remote, remoteCost := p.cheaperOfTwo(p.remote, r, c); remote != nil && remoteCost+spillSaving < cost {
 			return remote
 		}
 	}
@@ -107,44 +125,61 @@
 	}
 	limit := max(cost, min(affinityFactor*cost+affinitySlack, affinityMaxCost))
 	for _, preferred := range p.preferredFor(r.Prefix) {
-		if preferred != nil && !p.passesOver(r, preferred) && preferred.costAt(now) <= limit && !preferred.wouldStraggle(now) {
+		if preferred != nil && !p.passesOver(r, preferred) && c.include(preferred) &&
+			preferred.costAt(c.now) <= limit && !preferred.wouldStraggle(c.now) {
 			return preferred
 		}
 	}
 	return local
 }
 
-// cheaperOfTwo returns the cheaper of two random upstreams and its cost.
-func (p *Pool) cheaperOfTwo(list []*Node, r Request, now time.Time) (*Node, float64) {
-	a := p.randomNode(list, r)
+// cheaperOfTwo returns the cheaper of two different random candidates and its
+// cost, or nil if there is none.
+func (p *Pool) cheaperOfTwo(list []*Node, r Request, c candidates) (*Node, float64) {
+	a := p.randomCandidate(list, r, c, nil)
 	if a == nil {
 		return nil, 0
 	}
-	b := p.randomNode(list, r)
-	costA, costB := a.costAt(now), b.costAt(now)
-	if costB < costA {
-		return b, costB
+	costA := a.costAt(c.now)
+	if b := p.randomCandidate(list, r, c, a); b != nil {
+		if costB := b.costAt(c.now); costB < costA {
+			return b, costB
+		}
 	}
 	return a, costA
 }
 
-// maxRandomDraws is the number of random draws after which the list is searched
-// in order.
-const maxRandomDraws = 4
+const (
+	// maxRandomDraws is the number of random draws after which the list is
+	// searched in order.
+	maxRandomDraws = 4
+	// maxRoomSearch bounds the upstreams that are searched for room, so that a
+	// decision takes no longer in a large pool whose upstreams are all full.
+	maxRoomSearch = 64
+)
 
 // randomNode returns a random upstream that is not excluded, or nil.
 func (p *Pool) randomNode(list []*Node, r Request) *Node {
+	return p.randomCandidate(list, r, candidates{}, nil)
+}
+
+// randomCandidate returns a random candidate other than the given one, or nil.
+func (p *Pool) randomCandidate(list []*Node, r Request, c candidates, other *Node) *Node {
 	if len(list) == 0 {
 		return nil
 	}
 	for range maxRandomDraws {
-		if n := list[p.rand.IntN(len(list))]; !p.passesOver(r, n) {
+		if n := list[p.rand.IntN(len(list))]; n != other && !p.passesOver(r, n) && c.include(n) {
 			return n
 		}
 	}
+	searched := len(list)
+	if c.withRoom {
+		searched = min(searched, maxRoomSearch)
+	}
 	start := p.rand.IntN(len(list))
-	for i := range list {
-		if n := list[(start+i)%len(list)]; !p.passesOver(r, n) {
+	for i := range searched {
+		if n := list[(start+i)%len(list)]; n != other && !p.passesOver(r, n) && c.include(n) {
 			return n
 		}
 	}
