--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -64,10 +64,11 @@
 		}
 		serving++
 		withdrawn += n.withdrawnSent
-		for i := range v.groups {
-			if g := &v.groups[i]; g.name == n.group && now.Sub(n.reportedAt) <= reportTTL && (g.fastest == 0 || n.slowness < g.fastest) {
-				g.fastest = n.slowness
-			}
+		if now.Sub(n.reportedAt) > reportTTL {
+			continue
+		}
+		if g := &v.groups[n.groupAt]; g.fastest == 0 || n.slowness < g.fastest {
+			g.fastest = n.slowness
 		}
 	}
 	if serving > 0 {
@@ -120,14 +121,14 @@
 // those that could take the request runs no more than its part of a step allows within that of
 // a full rank.
 func (p *Pool) slots(n *Node, v view) int {
-	i := slices.IndexFunc(v.groups, func(g groupState) bool { return g.name == n.group })
-	if i < 0 || v.groups[i].fastest == 0 || v.now.Sub(n.reportedAt) > reportTTL || p.cost.PerRequest == 0 {
+	if v.now.Sub(n.reportedAt) > reportTTL || p.cost.PerRequest == 0 {
 		return n.Slots
 	}
-	ratio := n.slowness / v.groups[i].fastest
-	if ratio <= 1 {
+	fastest := v.groups[n.groupAt].fastest
+	if fastest == 0 || n.slowness <= fastest {
 		return n.Slots
 	}
+	ratio := n.slowness / fastest
 	full := p.cost.Base + time.Duration(n.Slots)*p.cost.PerRequest
 	room := time.Duration(float64(full)/ratio) - p.cost.Base
 	return max(int(room/p.cost.PerRequest), 0)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -99,6 +99,9 @@
 	group      string
 	groupSize  int
 	reportedAt time.Time
+	// groupAt is the place of the group's state among those found last. It is valid while the
+	// report is.
+	groupAt int
 	// heardAt is the time of the last sign of life, reportInterval the mean time between
 	// reports. silent is the result of the last check for silence.
 	heardAt        time.Time
@@ -149,12 +152,14 @@
 	partCount    float64
 	// entryShare is this entry's share of the upstreams' capacity, 0 while it isn't known.
 	entryShare float64
-	// obstacles is the memory in which a pick collects the nodes' obstacles.
-	obstacles []Obstacle
+	// obstacles and groupIndex are the memory in which a pick collects the nodes' obstacles and
+	// the places of the groups' states.
+	obstacles  []Obstacle
+	groupIndex map[string]int
 }
 
 // NewPool returns an empty pool.
-func NewPool(rng *rand.Rand) *Pool { return &Pool{rand: rng} }
+func NewPool(rng *rand.Rand) *Pool { return &Pool{rand: rng, groupIndex: map[string]int{}} }
 
 // SetStepCost sets how requests at the pool's upstreams slow each other.
 func (p *Pool) SetStepCost(c StepCost) { p.cost = c }
@@ -319,17 +324,21 @@
 	fastest float64
 }
 
-// groupStates returns the states of the groups with valid reports.
+// groupStates returns the states of the groups with valid reports, and sets the nodes' groupAt.
 func (p *Pool) groupStates(now time.Time) []groupState {
 	var states []groupState
+	clear(p.groupIndex)
 	for _, n := range p.nodes {
 		if now.Sub(n.reportedAt) > reportTTL {
 			continue
 		}
-		i := slices.IndexFunc(states, func(s groupState) bool { return s.name == n.group })
-		if i < 0 {
-			states, i = append(states, groupState{name: n.group}), len(states)
+		i, ok := p.groupIndex[n.group]
+		if !ok {
+			i = len(states)
+			states = append(states, groupState{name: n.group})
+			p.groupIndex[n.group] = i
 		}
+		n.groupAt = i
 		states[i].serving = states[i].serving || n.groupServing
 	}
 	return states
