--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -7,7 +7,6 @@
 package dispatch
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -211,67 +210,6 @@
 	return best, None
 }
 
-// Capacity describes how many requests a pool's upstreams can run at once.
-type Capacity struct {
-	// UsableUpstreams is the number of upstreams that can serve now.
-	// TotalSlots is the number of slots of all upstreams, including those that
-	// can't.
-	UsableUpstreams, TotalSlots int
-	// FreeSlots is the number of slots at usable upstreams, up to
-	// waitingFillFraction of each upstream's slots, that no known request
-	// occupies. An upstream that names a limit has as many as it has permits, at most one.
-	FreeSlots int
-	// InFlight is the number of this entry's requests at the upstreams.
-	// Unanswered is the number of those without any part of an answer.
-	InFlight, Unanswered int
-}
-
-// waitingFillFraction is the fraction of an upstream's slots that queued
-// requests may fill. The more requests run, the longer every step takes, and
-// new requests can still meet their target latency.
-const waitingFillFraction = 0.6
-
-// Capacity returns the pool's capacity at the given time.
-func (p *Pool) Capacity(now time.Time) Capacity {
-	var out Capacity
-	groups := p.groupStates(now)
-	for _, n := range p.nodes {
-		out.TotalSlots += n.Slots
-		out.InFlight += n.inFlight
-		out.Unanswered += n.unanswered
-		if n.usable(now, groups) && !p.unheard(n, now) {
-			out.UsableUpstreams++
-			out.FreeSlots += min(max(int(waitingFillFraction*float64(n.Slots))-n.load(now), 0), n.permits(now))
-		}
-	}
-	return out
-}
-
-// promptsPerUpstream is the number of unread prompts that one upstream may
-// have when many requests start at once. An engine reads prompts one at a
-// time, in pieces between steps, so the last of many would wait longer than
-// its caller does.
-const promptsPerUpstream = 2
-
-// StartQuota returns how many requests an entry may start at once when slots
-// become free for all entries at the same moment. The entry is limited to its
-// share of all slots, less its requests in flight, and to its share of the
-// prompts that may wait to be read.
-func (c Capacity) StartQuota(entryShare float64) int {
-	slots := int(math.Ceil(entryShare*float64(c.TotalSlots))) - c.InFlight
-	return max(min(slots, c.promptQuota(entryShare), c.FreeSlots), 0)
-}
-
-// LeftoverQuota returns how many more requests an entry may start on slots
-// that other entries have left free for a while.
-func (c Capacity) LeftoverQuota(entryShare float64) int {
-	return int(math.Ceil(entryShare * float64(c.FreeSlots)))
-}
-
-func (c Capacity) promptQuota(entryShare float64) int {
-	return int(math.Ceil(entryShare*float64(promptsPerUpstream*c.UsableUpstreams))) - c.Unanswered
-}
-
 // cheapest returns the upstream with the lowest cost of a random sample of those that
 // candidate accepts by their indices, or nil.
 func (p *Pool) cheapest(now time.Time, candidate func(i int) bool) *Node {
@@ -314,51 +252,6 @@
 	return n.inFlight + n.otherRequests
 }
 
-// groupState is what the valid reports say about one group.
-type groupState struct {
-	name string
-	// serving is set if a report says that the group accepts requests.
-	serving bool
-	// fastest is the lowest slowness of the ranks that could take a request, 0 if there are
-	// none.
-	fastest float64
-}
-
-// groupStates returns the states of the groups with valid reports, and sets the nodes' groupAt.
-func (p *Pool) groupStates(now time.Time) []groupState {
-	var states []groupState
-	clear(p.groupIndex)
-	for _, n := range p.nodes {
-		if now.Sub(n.reportedAt) > reportTTL {
-			continue
-		}
-		i, ok := p.groupIndex[n.group]
-		if !ok {
-			i = len(states)
-			states = append(states, groupState{name: n.group})
-			p.groupIndex[n.group] = i
-		}
-		n.groupAt = i
-		states[i].serving = states[i].serving || n.groupServing
-	}
-	return states
-}
-
-// Reforming reports whether all ranks of a group are alive, so that the group can serve
-// as soon as it has formed.
-func (p *Pool) Reforming(now time.Time) bool {
-	alive := map[string]int{}
-	for _, n := range p.nodes {
-		if now.Sub(n.reportedAt) > AliveTTL || n.groupSize == 0 {
-			continue
-		}
-		if alive[n.group]++; alive[n.group] == n.groupSize {
-			return true
-		}
-	}
-	return false
-}
-
 // suspended reports whether the upstream's group is known not to serve. An upstream that
 // has never reported may have just restarted in any of the groups.
 func (n *Node) suspended(groups []groupState) bool {
@@ -479,16 +372,6 @@
 	n.failureMeanAt = now
 }
 
-// SuspendGroup skips the group of an upstream for suspendDuration because it can't serve.
-// Upstreams that have not reported yet may belong to it.
-func (p *Pool) SuspendGroup(of *Node, now time.Time) {
-	for _, n := range p.nodes {
-		if n.group == of.group || n.reportedAt.IsZero() || of.reportedAt.IsZero() {
-			n.suspendedAt, n.suspendedUntil = now, now.Add(suspendDuration)
-		}
-	}
-}
-
 // SetUnreachable records whether the upstream's data centre is not heard from. Such an
 // upstream is used only if no other one can take the request, and rarely.
 func (n *Node) SetUnreachable(unreachable bool) { n.unreachable = unreachable }
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -254,6 +254,20 @@
 	m.pools.startWaiting(m.Service, false)
 }
 
+// serviceTimes are the usual times of a service's requests, 0 while unknown.
+type serviceTimes struct {
+	// firstPart and wholeAnswer are the times to the first part of a stream and to an answer
+	// that isn't one. service is the time for which a request keeps its slot.
+	firstPart, wholeAnswer, service time.Duration
+}
+
+func (p *Pools) times(service string) serviceTimes {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool := p.pool(service)
+	return serviceTimes{firstPart: pool.FirstPartDelay(), wholeAnswer: pool.WholeAnswerTime(), service: pool.ServiceTime()}
+}
+
 // RecordWholeAnswer records the time to an answer that isn't a stream.
 func (m *Member) RecordWholeAnswer(took time.Duration) {
 	m.pools.mu.Lock()
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -52,64 +52,6 @@
 	return max(minEventPatience, targetPatienceFactor*r.TargetLatency, gapPatienceFactor*r.TargetGap)
 }
 
-// accepted reports whether an upstream may have run the request before. Its caller has waited
-// for it, and may have a part of its answer.
-func (q *request) accepted() bool { return q.headSent || q.mayHaveRun }
-
-// usualDelay returns the usual time from the sending of such a request to the first part of its
-// answer, or to the whole answer if it isn't a stream; 0 if it isn't known.
-func (q *request) usualDelay() time.Duration {
-	p := q.g.Pools
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if q.route.Kind == routing.Stream {
-		return p.pool(q.service).FirstPartDelay()
-	}
-	return p.pool(q.service).WholeAnswerTime()
-}
-
-// withdrawnDelayFactor times the usual delay of an answer is the delay that a withdrawn request
-// allows for. It won't get another chance.
-const withdrawnDelayFactor = 1.5
-
-// demand returns what the request asks of its next upstream: that it begins early enough to be
-// answered while its caller waits.
-func (q *request) demand() dispatch.Demand {
-	d := dispatch.Demand{Exclude: q.attempted, Accepted: q.accepted(), Withdrawn: q.withdrawn}
-	wait, usual := q.waitLimit(), q.usualDelay()
-	switch {
-	case q.withdrawn:
-		wait, usual = q.patienceLeft(), time.Duration(withdrawnDelayFactor*float64(usual))
-	case d.Accepted:
-		wait = q.patienceLeft()
-	}
-	d.BeginBy = q.g.Clock.Now().Add(wait - usual)
-	return d
-}
-
-// pick chooses an upstream for the next attempt, or returns nil. A request to
-// a group that can't serve waits for the group first.
-func (q *request) pick() *Member {
-	d := q.demand()
-	m, obstacle := q.g.Pools.Pick(q.service, d)
-	if m != nil {
-		return m
-	}
-	q.log.Info("no upstream can take the request", zap.String("obstacle", obstacle.String()), zap.Duration("begin_within", d.BeginBy.Sub(q.g.Clock.Now())), zap.Duration("usual_delay", q.usualDelay()),
-		zap.Duration("service_time", q.g.Pools.serviceTime(q.service)), zap.Bool("accepted", d.Accepted), zap.Bool("withdrawn", d.Withdrawn), zap.Strings("tried", q.attempted))
-	if obstacle > dispatch.Unheard || !q.isRankGroup() {
-		return nil
-	}
-	return q.awaitGroup(d)
-}
-
-// serviceTime returns the estimated time for which a request keeps its slot, 0 if unknown.
-func (p *Pools) serviceTime(service string) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.pool(service).ServiceTime()
-}
-
 // awaitGroup waits for a group that can't serve, if it may be back in time, and chooses an
 // upstream.
 func (q *request) awaitGroup(d dispatch.Demand) *Member {
