--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -166,10 +166,9 @@
 	addresses := make([]string, entries)
 	var items []kvstore.Item
 	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		g.Expect(err).NotTo(HaveOccurred())
-		addresses[i] = l.Addr().String()
-		l.Close()
+		// A loopback address of the process's own: a free port of a shared one may be taken
+		// before it is listened on.
+		addresses[i] = fmt.Sprintf("127.%d.%d.%d:7340", 100+i, os.Getpid()>>8&0xff, os.Getpid()&0xff)
 		value, _ := json.Marshal(fleet.Member{Name: fmt.Sprint("e", i), Role: fleet.RoleEntry, Address: addresses[i]})
 		items = append(items, kvstore.Item{Key: fmt.Sprint("kingcupreel/members/e", i), Value: value})
 	}
