review: case 1, a stale leader and old reports let a pass begin with mixed maps

A leader that froze after its hold wakes while another takes over and arms the ranks; the successor reads a rank whose agent is killed from another machine, 200 ms late, takes it for not armed and lets the pass begin.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/stand ] && [ -x target/kingcupreeld ] || exit 2
-exec target/review/stand deadly-stream review/1
+exec target/review/stand stale-leader review/1
--- a/review/_stand/deployment.go
+++ b/review/_stand/deployment.go
@@ -136,11 +136,14 @@
 
 // process is a process of the project.
 type process struct {
-	name, ip string
-	cmd      *exec.Cmd
+	command, name, ip string
+	settings          string
+	log               *os.File
 	// store is the process's path to the store.
 	store *link.Link
-	exit  chan struct{}
+	// cmd is the process, exit is closed when it has ended.
+	cmd  *exec.Cmd
+	exit chan struct{}
 }
 
 // zones are the names of the zones.
@@ -148,17 +151,27 @@
 
 // startGateway starts a gateway in a zone with the command of the deploy file.
 func (d *deployment) startGateway(n int, zone string) (*process, error) {
-	p := &process{name: fmt.Sprint("edge-", n), ip: d.ip(10 + n), store: link.New(d.storeAddress), exit: make(chan struct{})}
+	ip := d.ip(10 + n)
+	extra := fmt.Sprintf("role = \"entry\"\nmachine-class = \"edge\"\nserves = [\"edge\"]\n[listen]\nfrontend = \"%[1]s:8227\"\nready = \"%[1]s:8220\"", ip)
+	return d.startProcess("gateway", fmt.Sprint("edge-", n), ip, zone, extra)
+}
+
+// startRank starts the agent of the replica at app, of the service, in a zone.
+func (d *deployment) startRank(n int, zone, service, app string) (*process, error) {
+	extra := fmt.Sprintf("role = \"rank\"\nmachine-class = \"side\"\nserves = [\"side\"]\napp = %q\nservice = %q", app, service)
+	return d.startProcess("rank", fmt.Sprint("side-", n), d.ip(10+n), zone, extra)
+}
+
+// startProcess starts a process with its settings. extra are settings of its role.
+func (d *deployment) startProcess(command, name, ip, zone, extra string) (*process, error) {
+	p := &process{command: command, name: name, ip: ip, store: link.New(d.storeAddress)}
 	ln, err := net.Listen("tcp", p.ip+":0")
 	if err != nil {
 		return nil, err
 	}
 	go func() { _ = p.store.Serve(context.Background(), ln) }()
-	settings := filepath.Join(d.dir, p.name+".toml")
+	p.settings = filepath.Join(d.dir, p.name+".toml")
 	text := fmt.Sprintf(`node-name = %[1]q
-role = "entry"
-machine-class = "edge"
-serves = ["edge"]
 ip = %[2]q
 zone = %[8]q
 region = "sn-ouest"
@@ -168,14 +181,12 @@
 discovery = "platform"
 entry = "vip"
 heartbeat-ms = %[4]d
-contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform"]
+contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform","experts"]
+%[9]s
 [zones]
 plateau-a = "sn-ouest"
 thies-b = "sn-ouest"
 rufisque-c = "sn-ouest"
-[listen]
-frontend = "%[2]s:8227"
-ready = "%[2]s:8220"
 [limits]
 cpu-share = 0.4
 cores = 1
@@ -208,28 +219,39 @@
 history-s = 20
 value-bytes = 1048576
 ttl-min-ms = 1000
-`, p.name, p.ip, ln.Addr().String(), heartbeat.Milliseconds(), stableWindow.Milliseconds(), drainBound.Milliseconds(), configBound.Milliseconds(), zone)
-	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+`, p.name, p.ip, ln.Addr().String(), heartbeat.Milliseconds(), stableWindow.Milliseconds(), drainBound.Milliseconds(), configBound.Milliseconds(), zone, extra)
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	out, err := os.Create(filepath.Join(d.dir, p.name+".log"))
-	if err != nil {
+	if p.log, err = os.Create(filepath.Join(d.dir, p.name+".log")); err != nil {
 		return nil, err
 	}
-	p.cmd = exec.Command("target/kingcupreeld", "gateway")
-	p.cmd.Dir = d.root
-	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "KINGCUPREEL_NODE_FILE=" + settings}
-	p.cmd.Stdout, p.cmd.Stderr = out, out
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
-		return nil, err
+	d.processes = append(d.processes, p)
+	return p, p.start(d.root)
+}
+
+// start starts the process, again if it has ended.
+func (p *process) start(root string) error {
+	cmd, exit := exec.Command("target/kingcupreeld", p.command), make(chan struct{})
+	cmd.Dir = root
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "KINGCUPREEL_NODE_FILE=" + p.settings}
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
 	}
 	go func() {
-		_ = p.cmd.Wait()
-		close(p.exit)
+		_ = cmd.Wait()
+		close(exit)
 	}()
-	d.processes = append(d.processes, p)
-	return p, nil
+	p.cmd, p.exit = cmd, exit
+	return nil
+}
+
+// kill kills the process and waits for its end.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exit
 }
 
 // awaitReady waits until all processes say that they are ready.
@@ -267,8 +289,9 @@
 func (d *deployment) stop() {
 	close(d.done)
 	for _, p := range d.processes {
-		_ = p.cmd.Process.Kill()
-		<-p.exit
+		if p.cmd != nil {
+			p.kill()
+		}
 	}
 	for _, r := range d.replicas {
 		r.crash()
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
 	"deadly-stream":  deadlyStream,
 	"resume-refused": resumeRefused,
+	"stale-leader":   staleLeader,
 }
 
 func main() { os.Exit(run(os.Args[1], os.Args[2])) }
