--- a/review/_stand/group.go
+++ b/review/_stand/group.go
@@ -23,7 +23,7 @@
 	copyTime   = 98 * time.Millisecond
 	passTime   = 40 * time.Millisecond
 	reportLag  = 200 * time.Millisecond
-	shiftEvery = 2500 * time.Millisecond
+	shiftEvery = 1500 * time.Millisecond
 )
 
 // none stands for no version and no step.
