--- a/review/_stand/group.go
+++ b/review/_stand/group.go
@@ -14,7 +14,7 @@
 // Figures of the rank group. The lag of a report from another machine is that of the users'
 // small sites.
 const (
-	groupRanks = 4
+	groupRanks = 6
 	sets       = 2
 	experts    = 16
 	places     = 6
@@ -60,31 +60,41 @@
 // rankGroup is a stand-in of a group of model replicas that execute all passes together.
 // Its work comes from callers that aren't played: it is never idle.
 type rankGroup struct {
-	d    *deployment
-	born int64
+	d *deployment
+	// index is the number of the group.
+	index int
+	born  int64
+	// agents are the processes on the ranks' machines.
+	agents []*process
 
 	mu         sync.Mutex
 	ranks      [groupRanks]*rankEngine
 	step       int64
 	popularity [sets][experts]float64
 	switches   int
+	// takeovers counts how often another agent has taken over from one that was cut off.
+	takeovers int
 	// mixed counts the passes that began while two ranks had different maps.
 	mixed int
-	// onHold is called when a rank has accepted a hold.
-	onHold func()
 }
 
 const groupEpoch = 1
 
-func newRankGroup(d *deployment) (*rankGroup, error) {
-	g := &rankGroup{d: d, step: 1, born: time.Now().UnixMilli()}
+// newRankGroup starts a group and the agents of its ranks.
+func newRankGroup(d *deployment, index int) (*rankGroup, error) {
+	g := &rankGroup{d: d, index: index, step: 1, born: time.Now().UnixMilli()}
 	for n := range g.ranks {
 		g.ranks[n] = &rankEngine{experts: firstMap(n), prepared: none, armed: none, armedStep: none, held: none, counts: make([]int64, sets*experts)}
-		ln, err := net.Listen("tcp", d.ip(100+n)+":8080")
+		ln, err := net.Listen("tcp", g.address(n))
 		if err != nil {
 			return nil, err
 		}
 		go func() { _ = http.Serve(ln, g.handler(n)) }()
+		agent, err := d.startRank(groupRanks*index+n, zones[n%len(zones)], "huvo11a", g.address(n))
+		if err != nil {
+			return nil, err
+		}
+		g.agents = append(g.agents, agent)
 	}
 	g.shiftDemand()
 	d.every(passTime, g.beginPass)
@@ -95,7 +105,9 @@
 	return g, nil
 }
 
-func (g *rankGroup) address(n int) string { return g.d.ip(100+n) + ":8080" }
+func (g *rankGroup) name() string { return fmt.Sprint("g", g.index) }
+
+func (g *rankGroup) address(n int) string { return g.d.ip(100+groupRanks*g.index+n) + ":8080" }
 
 // beat writes the entries of the replicas.
 func (g *rankGroup) beat() {
@@ -103,7 +115,7 @@
 		g.mu.Lock()
 		sequence := r.sequence
 		g.mu.Unlock()
-		g.d.put(fmt.Sprint("servers/i-rank-", n), object{
+		g.d.put(fmt.Sprintf("servers/i-rank-%d-%d", g.index, n), object{
 			"service": "huvo11a", "address": g.address(n), "zone": zones[n%len(zones)], "version": "v1", "slots": 12, "state": "ready",
 			"warmup-left-ms": 0, "sequence": sequence, "born": g.born,
 		})
@@ -156,12 +168,12 @@
 	}
 	if switched {
 		g.switches++
-		g.d.record.add("pass %d begins with the maps %s", next, g.versions())
+		g.d.record.add("%s: pass %d begins with the maps %s", g.name(), next, g.versions())
 	}
 	for _, r := range g.ranks {
 		if r.version != g.ranks[0].version {
 			g.mixed++
-			g.d.record.add("BROKEN: pass %d begins while ranks have different maps: %s", next, g.versions())
+			g.d.record.add("BROKEN: %s: pass %d begins while ranks have different maps: %s", g.name(), next, g.versions())
 			break
 		}
 	}
@@ -206,7 +218,7 @@
 	}
 	return object{
 		"stage": "both", "models": []object{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": false, "sequence": r.sequence,
-		"group": object{"name": "g0", "epoch": groupEpoch, "rank": n, "state": "open"}, "size": groupRanks, "queued": 0, "active": 3,
+		"group": object{"name": g.name(), "epoch": groupEpoch, "rank": n, "state": "open"}, "size": groupRanks, "queued": 0, "active": 3,
 		"kv-used": 41000, "kv-total": 90000, "handles": 0, "born": g.born, "pace": 1.0,
 		"step": g.step, "map": r.version, "prepared": orNull(prepared), "armed": orNull(r.armed), "held": orNull(r.held),
 	}
@@ -272,11 +284,7 @@
 	if status == http.StatusAccepted {
 		r.sequence++
 	}
-	g.d.record.add("rank %d: %s version %d step %d generation %d: %d (last pass %d)", n, o.Operation, o.Version, o.Step, o.Fence, status, g.step)
-	if o.Operation == "retention" && status == http.StatusAccepted && g.onHold != nil {
-		g.onHold()
-		g.onHold = nil
-	}
+	g.d.record.add("%s rank %d: %s version %d step %d generation %d: %d (last pass %d)", g.name(), n, o.Operation, o.Version, o.Step, o.Fence, status, g.step)
 	return status
 }
 
