rankagent: a report from another VM is not the state after an order

Cause: an engine reports its present state to its own VM only; other VMs get a state of some hundred milliseconds ago. While a rank's own agent is down, a leader sends the rank's orders itself and took the report that it read next for the state after the order. A successor so took a rank that the old leader had just armed for not armed, disarmed the others and released the step. The same report hid a release that had arrived first (ranks were disarmed one by one while the step could begin), and stood for the end of an arm or a release.

Change: a status that a leader reads itself counts only if the reading began a report lag after the engine's answer (the configuration states the lag) and the engine then accepts an order on condition of the report's sequence. The second condition holds however old the report is, as after a suspension of the VM. Where the engine's answer alone settles the outcome (an accepted arm, disarm or release), no status is read. What agents read on their own VM is as before.

Ruled out: a stale leader's own orders (engines refuse them after the successor's first order; 4,000 schedules of three concurrent leaders hold, now with late reports in every second one).

--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -218,10 +218,10 @@
 		a.Log.Info("order not sent: the other agent isn't registered", zap.String("agent", agent), zap.String("order", string(o.Op)))
 		return &wire.RankState{}
 	}
-	reply := execute(ctx, p.engine, o, remoteOrderTimeout)
+	verdict, _ := send(ctx, p.engine, o, remoteOrderTimeout)
 	a.Log.Info("order sent for another agent", zap.String("agent", agent), zap.String("order", string(o.Op)), zap.Int64("step", o.Step),
-		zap.Int64("fence", o.Fence), zap.Stringer("verdict", reply.Verdict), zap.Int64("at_step", reply.Status.Step))
-	return reply
+		zap.Int64("fence", o.Fence), zap.Stringer("verdict", verdict))
+	return &wire.RankState{Verdict: verdict}
 }
 
 // recordFence records the fence of an order for the engine and returns the highest one so
@@ -294,20 +294,24 @@
 	}
 }
 
-// execute sends an order to an engine, up to ranks.MaxSends times while the verdict is
-// Unknown, and then reads the engine's status. Each resend has a higher fence, so that
-// the engine refuses the earlier copies if they arrive late. A Prepare order is held
-// back until the engine begins the order's step (see awaitStep).
-func execute(ctx context.Context, e Engine, o ranks.Order, timeout time.Duration) *wire.RankState {
-	if o.Op == ranks.Prepare {
-		awaitStep(ctx, e, o.Step)
-	}
-	verdict := ranks.Unknown
-	sends := 0
+// send sends an order to an engine, up to ranks.MaxSends times while the verdict is
+// Unknown. Each resend has a higher fence, so that the engine refuses the earlier copies if
+// they arrive late.
+func send(ctx context.Context, e Engine, o ranks.Order, timeout time.Duration) (verdict ranks.Verdict, sends int) {
 	for ; sends < ranks.MaxSends && verdict == ranks.Unknown && ctx.Err() == nil; sends++ {
 		verdict, _ = e.Order(ctx, o, timeout) // the leader needs only the verdict
 		o.Fence++
 	}
+	return verdict, sends
+}
+
+// execute sends an order to an engine and then reads the engine's status. A Prepare order
+// is held back until the engine begins the order's step (see awaitStep).
+func execute(ctx context.Context, e Engine, o ranks.Order, timeout time.Duration) *wire.RankState {
+	if o.Op == ranks.Prepare {
+		awaitStep(ctx, e, o.Step)
+	}
+	verdict, sends := send(ctx, e, o, timeout)
 	reply := read(ctx, e, false)
 	if o.Op == ranks.Prepare && verdict == ranks.Accepted {
 		reply = awaitCopy(ctx, e, o.Version, reply)
--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -222,7 +222,7 @@
 	if st := g.call(p, func(n uint64) wire.Message { return &wire.RankOrder{Nonce: n, Order: o} }); st != nil {
 		return st
 	}
-	return execute(g.ctx, p.engine, o, g.directOrderTimeout(p))
+	return g.sendOrderDirectly(p, o)
 }
 
 // sendHoldVia makes a third agent send a Hold to a rank's engine. If that agent's VM
@@ -284,16 +284,6 @@
 	return false
 }
 
-// directOrderTimeout returns the timeout of an order sent directly to a peer's engine. If
-// the agent didn't answer, it may have sent the order already: the second copy is then
-// fenced or finds the rank in the requested state.
-func (g *group) directOrderTimeout(p *peer) time.Duration {
-	if p.member.Name == g.a.Self.Name {
-		return localOrderTimeout
-	}
-	return fallbackOrderTimeout
-}
-
 // pauseDuration returns the time between two readings. It grows with the group's size,
 // so that the group's message rate doesn't.
 func (g *group) pauseDuration() time.Duration {
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -73,18 +73,28 @@
 	}
 }
 
-// shape returns the shape of the expert maps of the upstream's service. It returns false
-// while the configuration has none.
-func (a *Agent) shape() (routing.ExpertShape, bool) {
+// engineSettings returns the configuration of the engines of the upstream's service, or nil
+// while there is none.
+func (a *Agent) engineSettings() *routing.Engine {
 	table := a.Routes.Current()
 	if table == nil {
-		return routing.ExpertShape{}, false
+		return nil
 	}
 	service := table.Service(a.Service)
-	if service == nil || service.Engine == nil || service.Engine.Experts.Sets == 0 {
+	if service == nil {
+		return nil
+	}
+	return service.Engine
+}
+
+// shape returns the shape of the expert maps of the upstream's service. It returns false
+// while the configuration has none.
+func (a *Agent) shape() (routing.ExpertShape, bool) {
+	e := a.engineSettings()
+	if e == nil || e.Experts.Sets == 0 {
 		return routing.ExpertShape{}, false
 	}
-	return service.Engine.Experts, true
+	return e.Experts, true
 }
 
 // isRegistered reports whether the other agents can find this one. An agent that isn't
--- a/internal/rankagent/rankagent_test.go
+++ b/internal/rankagent/rankagent_test.go
@@ -32,6 +32,8 @@
 const (
 	testRanks   = 4
 	testExperts = 16
+	// testReportLag is the age of reports to other VMs that the configuration states.
+	testReportLag = 50 * time.Millisecond
 )
 
 // simulatedGroup is a group in memory. Steps begin every few milliseconds unless one is
@@ -54,6 +56,18 @@
 	frozenRank   int
 	// listsUnreadable makes the ranks' expert lists unreadable.
 	listsUnreadable bool
+	// reportLag is the age of the status that an engine reports to other VMs.
+	reportLag time.Duration
+	// onDisarm is called before a Disarm is carried out, with mu held; nil is allowed.
+	onDisarm func(*engine)
+	// stepAfterDisarm makes the group begin the armed step once an armed rank is disarmed.
+	stepAfterDisarm bool
+}
+
+// datedStatus is a status that was current at a time.
+type datedStatus struct {
+	at     time.Time
+	status ranks.Status
 }
 
 // engine is the engine of one rank of a simulatedGroup. It implements rankagent.Engine.
@@ -62,9 +76,11 @@
 	rank                               int
 	fence                              int64
 	active, prepared, armed, armedStep int64
-	held                               int64
+	held, sequence                     int64
 	experts, next                      [][]int
 	selections                         []int64
+	// reports are the last statuses, oldest first.
+	reports []datedStatus
 }
 
 func newSimulatedGroup(size int) *simulatedGroup {
@@ -83,13 +99,21 @@
 func (g *simulatedGroup) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(5 * time.Millisecond)
+		g.mu.Lock()
 		g.beginStep()
+		for _, e := range g.engines {
+			e.reports = append(e.reports, datedStatus{time.Now(), e.status()})
+			e.reports = e.reports[max(len(e.reports)-maxReports, 0):]
+		}
+		g.mu.Unlock()
 	}
 }
 
+// maxReports is the number of statuses that an engine keeps: those of about a second.
+const maxReports = 200
+
+// beginStep begins the next step unless a rank holds it. The caller holds mu.
 func (g *simulatedGroup) beginStep() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	for _, e := range g.engines {
 		if e.held == g.step+1 {
 			return
@@ -117,10 +141,30 @@
 func (e *engine) Status(context.Context) (ranks.Status, error) {
 	e.g.mu.Lock()
 	defer e.g.mu.Unlock()
+	return e.status(), nil
+}
+
+// status returns the present status. The caller holds the group's mu.
+func (e *engine) status() ranks.Status {
 	return ranks.Status{
-		Started: 1, Group: "g", Epoch: 1, Rank: e.rank, Size: len(e.g.engines), GroupServing: true, Step: e.g.step,
+		Started: 1, Group: "g", Epoch: 1, Rank: e.rank, Size: len(e.g.engines), GroupServing: true, Step: e.g.step, Sequence: e.sequence,
 		Map: e.active, Prepared: e.prepared, Armed: e.armed, Held: e.held,
-	}, nil
+	}
+}
+
+// remoteStatus returns the status that the engine reports to other VMs.
+func (e *engine) remoteStatus() ranks.Status {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	status := e.status()
+	if e.g.reportLag > 0 {
+		for _, r := range e.reports {
+			if time.Since(r.at) >= e.g.reportLag {
+				status = r.status
+			}
+		}
+	}
+	return status
 }
 
 func (e *engine) Counts(context.Context) (ranks.Counts, error) {
@@ -148,6 +192,13 @@
 		return ranks.Fenced, errors.New("fenced")
 	}
 	e.fence = o.Fence
+	if o.Op == ranks.Disarm && e.g.onDisarm != nil {
+		e.g.onDisarm(e)
+	}
+	if o.ExpectSequence != nil && *o.ExpectSequence != e.sequence {
+		return ranks.Refused, errors.New("another sequence")
+	}
+	e.sequence++
 	switch o.Op {
 	case ranks.Prepare:
 		e.prepared, e.next = o.Version, nil
@@ -160,8 +211,14 @@
 		}
 		e.armed, e.armedStep = o.Version, o.Step
 	case ranks.Disarm:
-		if e.armed == o.Version {
-			e.armed = ranks.None
+		if e.armed != o.Version {
+			e.sequence--
+			break
+		}
+		e.armed = ranks.None
+		if e.g.stepAfterDisarm {
+			e.g.step = e.armedStep - 1
+			e.g.beginStep()
 		}
 	case ranks.Hold:
 		if o.Step <= e.g.step {
@@ -203,6 +260,9 @@
 	if err := s.checkReachable(ctx); err != nil {
 		return ranks.Status{}, err
 	}
+	if s.rank != s.agentRank {
+		return s.remoteStatus(), nil
+	}
 	return s.engine.Status(ctx)
 }
 
@@ -306,7 +366,8 @@
 	view := fleet.NewView(clock, zap.NewNop())
 	routes := &routing.Store{}
 	routes.Apply(routing.Configuration{Version: 1, Services: []routing.Service{{Name: "s", Engine: &routing.Engine{
-		Experts: routing.ExpertShape{Sets: 1, Experts: len(d.g.engines[rank].selections), SlotsPerRank: 6, MaxNewExperts: 2, ExpertTimeShare: 0.85, CopyTime: time.Millisecond},
+		ReportLag: testReportLag,
+		Experts:   routing.ExpertShape{Sets: 1, Experts: len(d.g.engines[rank].selections), SlotsPerRank: 6, MaxNewExperts: 2, ExpertTimeShare: 0.85, CopyTime: time.Millisecond},
 	}}}}, clock.Now())
 	registry := metrics.NewRegistry()
 	d.metrics = append(d.metrics, registry)
@@ -381,6 +442,14 @@
 	return c.KV.Watch(ctx, prefix, after, min(wait, 100*time.Millisecond))
 }
 
+// registerStoppedAgent registers an agent of a rank that accepts no connections.
+func (d *deployment) registerStoppedAgent(ctx context.Context, t *testing.T, rank int) {
+	t.Helper()
+	address, _ := listenDatagrams(t)
+	self := fleet.Member{Name: fmt.Sprint("vm-", rank), Role: fleet.RoleRank, Address: address, Upstream: fmt.Sprint(rank)}
+	go (&fleet.Registrar{KV: platform.NewStore(d.url, time.Second), Self: self, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}).Run(ctx)
+}
+
 func (d *deployment) leaderName() string {
 	item, err := d.state.Get(fleet.LeaderKey("g"))
 	if err != nil {
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -86,6 +86,12 @@
 	// whose fence is below the highest it has seen. The next MaxSends-1 numbers are
 	// reserved for resending the order.
 	Fence int64
+	// ExpectSequence makes the engine refuse the order unless its Status.Sequence is this
+	// number; nil means any.
+	ExpectSequence *int64
+	// Confirm requests the rank's status as of after the order, even if that takes longer
+	// (see Answer).
+	Confirm bool
 	// Map is set only for Prepare.
 	Map Map
 }
@@ -101,7 +107,8 @@
 	// Accepted means that the order was carried out, or had no effect because the
 	// rank is in the requested state already.
 	Accepted
-	// Refused means that the order does not fit the rank's state.
+	// Refused means that the order does not fit the rank's state, or that the engine can't
+	// carry it out. The engine may not have seen its fence.
 	Refused
 	// Fenced means that the engine has seen a higher fence.
 	Fenced
@@ -112,8 +119,10 @@
 // String returns the verdict's name as it appears in logs and metric names.
 func (v Verdict) String() string { return verdictNames[v] }
 
-// Answer is the answer to an order. Status is the rank's status after the order; it
-// is valid only if OK is set.
+// Answer is the answer to an order. Status is valid only if OK is set. It is then the
+// rank's status as of a moment after the order, except after a Prepare, when it may be
+// older. An engine reports its state to other VMs with a delay: if its own agent doesn't
+// answer, OK is set only for orders with Confirm and for refused ones.
 type Answer struct {
 	Verdict Verdict
 	Status  Status
@@ -126,7 +135,8 @@
 	// rank. A rank without an answer may be missing.
 	Order(orders map[int]Order) map[int]Answer
 	// ReadStatuses reads the status of every rank. A rank that can't be read is
-	// missing from the result.
+	// missing from the result. A status may be out of date, if the rank's own agent
+	// doesn't answer.
 	ReadStatuses() map[int]Status
 	// Pause waits between two readings. It returns false if the process is
 	// stopping.
--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -260,8 +260,8 @@
 	return s.release(epoch, s.HoldRank, step)
 }
 
-// arm arms every rank for the held step. It reports whether a reading after the order
-// has shown every rank armed.
+// arm arms every rank for the held step. It reports whether every rank was seen armed after
+// the order or, if its status isn't known, has accepted the order.
 func (s *Switcher) arm(epoch, version, step int64) bool {
 	pending := s.allRanks()
 	for range maxArmReadings {
@@ -269,7 +269,7 @@
 		for r := range pending {
 			a := answers[r]
 			switch {
-			case a.OK && a.Status.Epoch == epoch && a.Status.Armed == version:
+			case a.Verdict == Accepted && !a.OK, a.OK && a.Status.Epoch == epoch && a.Status.Armed == version:
 				delete(pending, r)
 			case a.Verdict == Refused || s.superseded(r, a):
 				return false
@@ -301,7 +301,7 @@
 				if s.superseded(r, a) {
 					return errNotLeader
 				}
-			case a.Verdict != Unknown && a.OK && a.Status.Armed == None:
+			case a.Verdict == Accepted, a.Verdict == Refused && a.OK && a.Status.Armed == None:
 				delete(pending, r)
 			}
 		}
@@ -365,12 +365,10 @@
 }
 
 // invalidateOlderOrders makes a rank refuse all older orders and returns the step that
-// it holds, or None.
+// it holds after them, or None.
 func (s *Switcher) invalidateOlderOrders(rank int, epoch int64) (held int64, err error) {
 	for {
-		// No map has a fence as its version, so the order changes nothing itself.
-		o := Order{Op: Disarm, Version: s.Fence(), Epoch: epoch}
-		a := s.sendToEach(o, map[int]bool{rank: true})[rank]
+		a := s.sendToEach(s.invalidation(epoch), map[int]bool{rank: true})[rank]
 		switch {
 		case s.superseded(rank, a):
 			return None, errNotLeader
@@ -385,29 +383,36 @@
 	}
 }
 
+// invalidation returns an order that only makes a rank refuse all older ones: no map has a
+// fence as its version.
+func (s *Switcher) invalidation(epoch int64) Order {
+	return Order{Op: Disarm, Version: s.Fence(), Epoch: epoch, Confirm: true}
+}
+
 // disarmAll disarms every rank, whatever its version, and makes it refuse all older
 // orders.
 func (s *Switcher) disarmAll(epoch int64) error {
-	// No map has a fence as its version, so the first orders only invalidate older
-	// ones. Their answers contain the versions to disarm.
-	pending := map[int]int64{}
+	// The answers to the first orders contain the versions to disarm.
+	pending := map[int]Order{}
 	for r := range s.Size {
-		pending[r] = s.Fence()
+		pending[r] = s.invalidation(epoch)
 	}
 	for {
 		orders := map[int]Order{}
-		for r, version := range pending {
-			orders[r] = Order{Op: Disarm, Version: version, Epoch: epoch, Fence: s.Fence()}
+		for r, o := range pending {
+			o.Fence = s.Fence()
+			orders[r] = o
 		}
 		for r, a := range s.sendOrders(orders) {
+			invalidating := orders[r].Confirm
 			switch {
 			case s.superseded(r, a):
 				return errNotLeader
 			case a.OK && a.Status.Epoch != epoch:
 				return errGroupChanged
-			case a.OK && a.Status.Armed != None:
-				pending[r] = a.Status.Armed
-			case a.Verdict != Unknown && a.Verdict != Fenced && a.OK:
+			case invalidating && a.OK && a.Status.Armed != None && a.Verdict != Unknown && a.Verdict != Fenced:
+				pending[r] = Order{Op: Disarm, Version: a.Status.Armed, Epoch: epoch}
+			case a.Verdict == Accepted && (!invalidating || a.OK), a.Verdict == Refused && a.OK && a.Status.Armed == None:
 				delete(pending, r)
 			}
 		}
--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -42,6 +42,12 @@
 	leaderDeathCall int
 	// faultRate is the fraction of the orders that fail.
 	faultRate float64
+	// agentsStop lets the agents of ranks stop and start again. agentDown holds the ranks
+	// whose agent is down: these report late.
+	agentsStop bool
+	agentDown  []bool
+	// reports holds the last statuses of each rank, oldest first.
+	reports [][]ranks.Status
 	// mixed is set once a step has begun with two maps.
 	mixed bool
 	// switches counts the successful switches.
@@ -55,6 +61,7 @@
 	for range size {
 		w.engines = append(w.engines, newEngine())
 	}
+	w.agentDown, w.reports = make([]bool, size), make([][]ranks.Status, size)
 	return w
 }
 
@@ -128,11 +135,50 @@
 	if w.rng.IntN(400) == 0 {
 		w.formNewEpoch()
 	}
+	if w.agentsStop {
+		w.stopAgents()
+	}
 	for range w.rng.IntN(3) {
 		w.beginStep()
 	}
 }
 
+// maxReports bounds the age of a report, in calls of advance.
+const maxReports = 20
+
+// stopAgents stops or starts some agents and records the ranks' reports.
+func (w *simulatedGroup) stopAgents() {
+	for r := range w.engines {
+		if w.rng.IntN(30) == 0 {
+			w.agentDown[r] = !w.agentDown[r]
+		}
+		w.reports[r] = append(w.reports[r], w.status(r))
+		w.reports[r] = w.reports[r][max(len(w.reports[r])-maxReports, 0):]
+	}
+}
+
+// report returns the status of a rank as another VM gets it if the rank's agent is down: one
+// of some time ago.
+func (w *simulatedGroup) report(rank int) ranks.Status {
+	if !w.agentDown[rank] || len(w.reports[rank]) == 0 {
+		return w.status(rank)
+	}
+	return w.reports[rank][w.rng.IntN(len(w.reports[rank]))]
+}
+
+// answer returns the answer to an order that a rank has carried out or refused.
+func (w *simulatedGroup) answer(rank int, o ranks.Order, v ranks.Verdict) ranks.Answer {
+	switch {
+	case !w.agentDown[rank]:
+		return ranks.Answer{Verdict: v, Status: w.status(rank), OK: true}
+	case o.Op == ranks.Prepare:
+		return ranks.Answer{Verdict: v, Status: w.report(rank), OK: true}
+	case v == ranks.Refused || v == ranks.Accepted && o.Confirm:
+		return ranks.Answer{Verdict: v, Status: w.status(rank), OK: w.rng.IntN(4) > 0}
+	}
+	return ranks.Answer{Verdict: v}
+}
+
 func (w *simulatedGroup) formNewEpoch() {
 	w.epoch++
 	lost := w.rng.IntN(len(w.engines))
@@ -196,7 +242,7 @@
 			resend := o
 			resend.Fence += ranks.MaxSends - 1
 			w.carryOut(rank, resend)
-			return ranks.Answer{Verdict: w.carryOut(rank, o), Status: w.status(rank), OK: true}
+			return w.answer(rank, o, w.carryOut(rank, o))
 		case 0: // lost
 		case 1:
 			w.carryOut(rank, o)
@@ -205,8 +251,7 @@
 		}
 		return ranks.Answer{}
 	}
-	v := w.carryOut(rank, o)
-	return ranks.Answer{Verdict: v, Status: w.status(rank), OK: true}
+	return w.answer(rank, o, w.carryOut(rank, o))
 }
 
 func (w *simulatedGroup) dieIfDue() {
@@ -223,7 +268,7 @@
 	all := map[int]ranks.Status{}
 	for r := range w.engines {
 		if w.rng.Float64() >= w.faultRate/4 {
-			all[r] = w.status(r)
+			all[r] = w.report(r)
 		}
 	}
 	return all
@@ -272,10 +317,11 @@
 // begin steps again, all ranks with one map. Delayed orders are carried out first; the
 // leader releases a hold that one of them may have set.
 func expectProgress(g *WithT, w *simulatedGroup, seed uint64) {
-	w.faultRate = 0
+	w.faultRate, w.agentsStop = 0, false
 	for len(w.delayed) > 0 {
 		w.advance()
 	}
+	clear(w.agentDown)
 	w.runLeader(9)
 	before := w.step
 	for range 20 {
@@ -287,7 +333,8 @@
 
 // TestSwitchNeverMixesMaps runs random schedules in which orders or their answers are
 // lost, orders are carried out after newer ones, leaders die at any call, ranks
-// restart, and new epochs form. No step may begin with two maps, and after the last
+// restart, and new epochs form. In every second schedule agents stop too, so that ranks
+// report late. No step may begin with two maps, and after the last
 // leader the group must not be held.
 func TestSwitchNeverMixesMaps(t *testing.T) {
 	g := NewWithT(t)
@@ -295,6 +342,7 @@
 	switches := 0
 	for seed := range uint64(schedules) {
 		w := newSimulatedGroup(seed, 4)
+		w.agentsStop = seed%2 == 1
 		for leader := range int64(3) {
 			if leader < 2 && w.rng.IntN(2) == 0 {
 				w.leaderDeathCall = w.calls + w.rng.IntN(120)
@@ -453,6 +501,7 @@
 	const schedules = 4000
 	for seed := range uint64(schedules) {
 		w := newSimulatedGroup(seed, 4)
+		w.agentsStop = seed%2 == 1
 		runConcurrentLeaders(w, 3)
 		g.Expect(w.mixed).To(BeFalse(), "seed %d", seed)
 		expectProgress(g, w, seed)
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -72,6 +72,9 @@
 	// StepTime is the base duration of a token step; each running request adds
 	// StepTimePerSequence to it.
 	StepTime, StepTimePerSequence time.Duration
+	// ReportLag is the age of the state that an engine reports to other VMs; 0 if it isn't
+	// known.
+	ReportLag time.Duration
 	// Experts is the shape of the expert maps. The zero value means that the
 	// service has none.
 	Experts ExpertShape
