ranks: a refused order has not made the rank refuse older ones

The successor took any refusal for the end of all older orders, so that a release or an arm of the old leader could still be carried out while it disarmed the ranks.

Change: only an accepted order invalidates older ones. A refused disarm settles nothing unless the version is in force or the rank refuses older orders already.

--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -286,8 +286,8 @@
 }
 
 // disarmVersion disarms every rank that is armed with a version. It returns nil once
-// every rank has accepted or refused an order newer than any Arm and is not armed,
-// and errGroupChanged if the group has a new epoch, which clears holds and arms.
+// every rank has accepted an order newer than any Arm of the version, or has the version
+// in force, and errGroupChanged if the group has a new epoch, which clears holds and arms.
 func (s *Switcher) disarmVersion(epoch, version int64) error {
 	pending := s.allRanks()
 	for {
@@ -301,7 +301,7 @@
 				if s.superseded(r, a) {
 					return errNotLeader
 				}
-			case a.Verdict == Accepted, a.Verdict == Refused && a.OK && a.Status.Armed == None:
+			case a.Verdict == Accepted, a.Verdict == Refused && a.OK && a.Status.Map == version:
 				delete(pending, r)
 			}
 		}
@@ -374,7 +374,7 @@
 			return None, errNotLeader
 		case a.OK && a.Status.Epoch != epoch:
 			return None, errGroupChanged
-		case a.Verdict != Unknown && a.Verdict != Fenced && a.OK:
+		case a.Verdict == Accepted && a.OK:
 			return a.Status.Held, nil
 		}
 		if !s.Group.Pause() {
@@ -384,7 +384,7 @@
 }
 
 // invalidation returns an order that only makes a rank refuse all older ones: no map has a
-// fence as its version.
+// fence as its version. Only an accepted one has done so.
 func (s *Switcher) invalidation(epoch int64) Order {
 	return Order{Op: Disarm, Version: s.Fence(), Epoch: epoch, Confirm: true}
 }
@@ -410,9 +410,9 @@
 				return errNotLeader
 			case a.OK && a.Status.Epoch != epoch:
 				return errGroupChanged
-			case invalidating && a.OK && a.Status.Armed != None && a.Verdict != Unknown && a.Verdict != Fenced:
+			case invalidating && a.Verdict == Accepted && a.OK && a.Status.Armed != None:
 				pending[r] = Order{Op: Disarm, Version: a.Status.Armed, Epoch: epoch}
-			case a.Verdict == Accepted && (!invalidating || a.OK), a.Verdict == Refused && a.OK && a.Status.Armed == None:
+			case a.Verdict == Accepted && (!invalidating || a.OK), a.Verdict == Refused && !invalidating && a.OK && a.Status.Armed == None:
 				delete(pending, r)
 			}
 		}
--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -43,7 +43,7 @@
 	// faultRate is the fraction of the orders that fail.
 	faultRate float64
 	// agentsStop lets the agents of ranks stop and start again. agentDown holds the ranks
-	// whose agent is down: these report late.
+	// whose agent is down: these report late, and refuse some orders without reading them.
 	agentsStop bool
 	agentDown  []bool
 	// reports holds the last statuses of each rank, oldest first.
@@ -236,6 +236,9 @@
 }
 
 func (w *simulatedGroup) deliver(rank int, o ranks.Order) ranks.Answer {
+	if w.agentDown[rank] && w.rng.Float64() < w.faultRate/4 {
+		return w.answer(rank, o, ranks.Refused)
+	}
 	if w.rng.Float64() < w.faultRate {
 		switch w.rng.IntN(4) {
 		case 3: // a resend of the order arrives first
@@ -538,3 +541,51 @@
 	g.Expect(w.ReadStatuses()[5].Held).To(Equal(ranks.None))
 	g.Expect(r.n).To(BeNumerically("<=", 4))
 }
+
+// interceptor passes orders to a group unless intercept answers them.
+type interceptor struct {
+	ranks.Group
+	intercept func(rank int, o ranks.Order) (ranks.Answer, bool)
+}
+
+func (i *interceptor) Order(orders map[int]ranks.Order) map[int]ranks.Answer {
+	answers, passed := map[int]ranks.Answer{}, map[int]ranks.Order{}
+	for rank, o := range orders {
+		if a, ok := i.intercept(rank, o); ok {
+			answers[rank] = a
+		} else {
+			passed[rank] = o
+		}
+	}
+	for rank, a := range i.Group.Order(passed) {
+		answers[rank] = a
+	}
+	return answers
+}
+
+// A rank refuses an order without reading it, as one that is busy does. Guards against a
+// leader that disarms ranks although the order of an older one may still release the group.
+func TestRefusedInvalidationIsSentAgain(t *testing.T) {
+	g := NewWithT(t)
+	w := newSimulatedGroup(1, 4)
+	w.faultRate = 0
+	refusals, n := 0, int64(0)
+	group := &interceptor{Group: w, intercept: func(rank int, _ ranks.Order) (ranks.Answer, bool) {
+		if rank != 1 {
+			g.Expect(w.engines[1].fence).To(BeNumerically(">", 1<<20), "the held rank refuses older orders")
+		}
+		if rank == 1 && refusals < 2 {
+			refusals++
+			return ranks.Answer{Verdict: ranks.Refused, Status: w.status(rank), OK: true}, true
+		}
+		return ranks.Answer{}, false
+	}}
+	s := &ranks.Switcher{
+		Group: group, Size: 4, IsLeader: func() bool { return true },
+		Fence: func() int64 { n += ranks.MaxSends; return 1<<20 + n },
+	}
+	w.Order(map[int]ranks.Order{1: {Op: ranks.Hold, Step: w.step + 50, Epoch: w.epoch, Fence: 1}})
+	g.Expect(s.Recover()).To(Succeed())
+	g.Expect(refusals).To(Equal(2))
+	g.Expect(w.status(1).Held).To(Equal(ranks.None))
+}
