ranks: no switch begins while another hold is left

The leader then armed the ranks for a step and released it, while the group was still held. Its next clean-up disarmed the ranks one by one, and the armed step could begin meanwhile if it came before the held one.

Change: a status that shows the new map as prepared is from after every older order; a switch ends there if it also shows a hold, and the leader cleans up first.

TestNoSwitchWhileAnotherHoldIsLeft failed before (the ranks were armed) and passes. No schedule of the other tests has hit the order of steps that it takes.

--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -75,6 +75,12 @@
 	errGroupChanged = fault.New(fault.Conflict, "no action needed; the leader reads the group again and plans a new map", "the group has formed a new epoch or lost a rank")
 )
 
+// errHeld is the error for a switch while a rank is held for an unfinished one. A status
+// that shows a new map as prepared is from after every older order.
+func errHeld(rank int, step int64) error {
+	return fault.New(fault.Conflict, "no action needed; the leader cleans up the unfinished switch first", "rank %d holds step %d for another switch", rank, step)
+}
+
 // Switch puts a map into force under a version, from the step that is leadSteps
 // ahead. It returns once that step has been released. With an error, the old map
 // stays in force, unless the release of an armed group failed: then the next leader
@@ -161,6 +167,9 @@
 			case a.OK && a.Status.Epoch != epoch:
 				return 0, errGroupChanged
 			case a.OK && a.Status.Prepared == version:
+				if a.Status.Held != None {
+					return 0, errHeld(r, a.Status.Held)
+				}
 				delete(pending, r)
 				step = max(step, a.Status.Step)
 			case a.Verdict == Accepted:
@@ -188,7 +197,7 @@
 // although their answers were lost.
 func (s *Switcher) removePrepared(pending map[int]bool, epoch, version int64) {
 	for r, st := range s.Group.ReadStatuses() {
-		if pending[r] && st.Epoch == epoch && st.Prepared == version {
+		if pending[r] && st.Epoch == epoch && st.Prepared == version && st.Held == None {
 			delete(pending, r)
 		}
 	}
@@ -198,11 +207,14 @@
 	for range maxPrepareReadings {
 		statuses := s.Group.ReadStatuses()
 		preparedRanks := 0
-		for _, st := range statuses {
+		for r, st := range statuses {
 			if st.Epoch != epoch || !st.GroupServing {
 				return 0, errGroupChanged
 			}
 			if st.Prepared == version {
+				if st.Held != None {
+					return 0, errHeld(r, st.Held)
+				}
 				preparedRanks++
 			}
 			step = max(step, st.Step)
--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -589,3 +589,22 @@
 	g.Expect(refusals).To(Equal(2))
 	g.Expect(w.status(1).Held).To(Equal(ranks.None))
 }
+
+// The reading before a switch was too old to show that a rank holds the group for another
+// switch. Guards against arming ranks for a step that is released although the group is
+// still held: a clean-up would disarm them one by one while the step begins.
+func TestNoSwitchWhileAnotherHoldIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	w := newSimulatedGroup(1, 4)
+	w.faultRate = 0
+	n, armed := int64(0), false
+	s := &ranks.Switcher{
+		Group: w, Size: 4, HoldRank: 2, IsLeader: func() bool { return true },
+		Fence:    func() int64 { n += ranks.MaxSends; return 1<<20 + n },
+		OnAnswer: func(_ int, o ranks.Order, _ ranks.Answer) { armed = armed || o.Op == ranks.Arm },
+	}
+	w.Order(map[int]ranks.Order{1: {Op: ranks.Hold, Step: w.step + 50, Epoch: w.epoch, Fence: 1}})
+	g.Expect(s.Switch(w.epoch, 1<<20+1, nil, 3)).NotTo(Succeed())
+	g.Expect(armed).To(BeFalse())
+	g.Expect(w.status(2).Held).To(Equal(ranks.None))
+}
