rankagent: an agent that relays a hold reads the engine before it answers

Cause: took out the reading after a hold that an agent sends for the leader.

Change: the reading is back; its status still isn't taken for the state after the order.

--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -210,7 +210,9 @@
 	_ = c.Send(reply)
 }
 
-// executeFor sends an order to the engine of another agent's rank.
+// executeFor sends an order to the engine of another agent's rank. The reading after it
+// delays the answer: if this VM stops just after the order, the leader should get none and
+// cancel the order, rather than arm this VM's rank while the group is held.
 func (a *Agent) executeFor(ctx context.Context, peers *group, agent string, o ranks.Order) *wire.RankState {
 	peers.refresh()
 	p := peers.peer(agent)
@@ -218,10 +220,11 @@
 		a.Log.Info("order not sent: the other agent isn't registered", zap.String("agent", agent), zap.String("order", string(o.Op)))
 		return &wire.RankState{}
 	}
-	verdict, _ := send(ctx, p.engine, o, remoteOrderTimeout)
+	reply := execute(ctx, p.engine, o, remoteOrderTimeout)
 	a.Log.Info("order sent for another agent", zap.String("agent", agent), zap.String("order", string(o.Op)), zap.Int64("step", o.Step),
-		zap.Int64("fence", o.Fence), zap.Stringer("verdict", verdict))
-	return &wire.RankState{Verdict: verdict}
+		zap.Int64("fence", o.Fence), zap.Stringer("verdict", reply.Verdict), zap.Int64("at_step", reply.Status.Step))
+	reply.OK = false // the status may be from before the order (see sendOrderDirectly)
+	return reply
 }
 
 // recordFence records the fence of an order for the engine and returns the highest one so
