gateway: only a stream continues a stream

Cause: an answer to an attempt that resumes a stream was treated as if nothing had been sent. One below 500 was written behind the events and counted as delivered; any 2xx, also one with another status or content type or without a body, was forwarded as the rest of the stream.

Change: once the head of a stream is sent, an answer goes on with it only if it is a stream with the same status and media type. Any other counts as a failed attempt: another upstream may resume, else the answer is broken off.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -4,11 +4,14 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/routing"
+	"github.com/kingcupreel/kingcupreel/internal/upstream"
 )
 
 // writeHead writes an answer's status and headers. It adds only what the
@@ -25,7 +28,20 @@
 		h.Set("Connection", "close")
 	}
 	q.w.WriteHeader(status)
-	q.headSent = true
+	q.headSent, q.sentStatus = true, status
+}
+
+// continuesStream reports whether an answer may be the rest of the stream whose head has
+// been sent: a stream with the same status and content type.
+func (q *request) continuesStream(reply *upstream.Reply) bool {
+	sent := q.w.Header().Get("Content-Type")
+	return q.route.Kind == routing.Stream && reply.Status == q.sentStatus && mediaType(reply.Header.Get("Content-Type")) == mediaType(sent)
+}
+
+// mediaType returns a content type without its parameters.
+func mediaType(contentType string) string {
+	name, _, _ := strings.Cut(contentType, ";")
+	return strings.ToLower(strings.TrimSpace(name))
 }
 
 // writeResponse writes a buffered answer to the caller.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -282,6 +282,9 @@
 		return result{attemptStatus: attemptNotRun, sent: true, refused: true, cause: fault.New(fault.Unavailable, "try another upstream", "the upstream refused the request with status %d", reply.Status)}
 	case !reply.FromUpstream && reply.Status < http.StatusInternalServerError, promisesNotRun(reply.Status):
 		return result{attemptStatus: attemptUnknown, sent: true, cause: fault.New(fault.Crashed, "send the request again only if it may run twice", "the answer with status %d lacks the upstream's confirmation", reply.Status)}
+	case q.headSent && !q.continuesStream(reply):
+		reply.Discard()
+		return result{attemptStatus: attemptFailed, sent: true, cause: fault.New(fault.Crashed, "see the upstream's logs", "the upstream answered a stream that was to be resumed with status %d and content type %q", reply.Status, truncate(reply.Header.Get("Content-Type")))}
 	case q.route.Kind == routing.Stream && reply.Status/100 == 2:
 		return q.forwardStream(m, reply)
 	}
--- /dev/null
+++ b/internal/gateway/continuation_test.go
@@ -0,0 +1,79 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// framing is how an upstream marks the end of an answer.
+type framing string
+
+const (
+	withLength framing = "Content-Length"
+	chunked    framing = "chunks"
+	untilClose framing = "end of connection"
+)
+
+// writeAnswer writes an answer to a request on its connection, with any status and framing.
+func writeAnswer(w http.ResponseWriter, r *http.Request, f framing, head, body string) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(buf, "HTTP/1.1 %s\r\nRequest-Id: %s\r\nServer-Stamp: stamp\r\nConnection: close\r\n", head, r.Header.Get("Request-Id"))
+	switch f {
+	case withLength:
+		fmt.Fprintf(buf, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	case chunked:
+		fmt.Fprintf(buf, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	case untilClose:
+		fmt.Fprintf(buf, "\r\n%s", body)
+	}
+	_ = buf.Flush()
+}
+
+// A stream breaks off and the next upstream answers with something else than its rest.
+// Guards against an answer whose bytes follow the events of a stream, or that makes the
+// stream look complete, whatever its status and framing.
+func TestOnlyAStreamContinuesAStream(t *testing.T) {
+	const eventStream = "\r\nContent-Type: text/event-stream"
+	for _, head := range []string{
+		"200 OK\r\nContent-Type: application/json", "200 OK", "200 OK" + eventStream + "\r\nContent-Encoding: br",
+		"201 Created" + eventStream, "202 Accepted" + eventStream, "204 No Content", "205 Reset Content", "206 Partial Content" + eventStream,
+		"300 Multiple Choices", "302 Found", "304 Not Modified", "308 Permanent Redirect" + eventStream,
+		"400 Bad Request", "401 Unauthorized", "403 Forbidden", "404 Not Found" + eventStream, "408 Request Timeout", "409 Conflict", "413 Content Too Large",
+		"421 Misdirected Request", "422 Unprocessable Content", "429 Too Many Requests", "431 Request Header Fields Too Large",
+		"500 Internal Server Error" + eventStream, "501 Not Implemented", "502 Bad Gateway", "503 Service Unavailable", "504 Gateway Timeout" + eventStream,
+	} {
+		for _, f := range []framing{withLength, chunked, untilClose} {
+			for _, body := range []string{"id: 4\ndata: {\"error\":\"not found\"}\n\n", ""} {
+				status, _, _ := strings.Cut(head, " ")
+				if (status == "204" || status == "304") && (f != withLength || body != "") {
+					continue // has no body by definition
+				}
+				t.Run(fmt.Sprint(head, " ", f, " ", len(body)), func(t *testing.T) {
+					t.Parallel()
+					g := NewWithT(t)
+					serve := func(w http.ResponseWriter, r *http.Request) {
+						if r.Header.Get("Last-Event-Id") == "" {
+							events(w, r, 1, 3, true)
+							return
+						}
+						writeAnswer(w, r, f, head, body)
+					}
+					fixture := newFixture(t, serve, serve)
+					got, _, delivered, err := fixture.send(fixture.request(http.MethodPost, "/stream/x", "prompt"))
+					g.Expect(got).To(Equal(http.StatusOK))
+					g.Expect(delivered).To(Equal(threeEventsBody))
+					g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+				})
+			}
+		}
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -65,10 +65,12 @@
 	mayHaveRun bool
 	// withdrawn is set if the last attempt was withdrawn from a silent upstream.
 	withdrawn bool
-	// headSent is set if the head of an answer has been sent to the caller.
+	// headSent is set if the head of an answer has been sent to the caller, with the
+	// status sentStatus. From then on only the rest of that answer may be written.
+	headSent   bool
+	sentStatus int
 	// lastEventID is the ID of the last event that was sent, and lastEventAt
 	// the time when an event was last sent.
-	headSent    bool
 	lastEventID string
 	lastEventAt time.Time
 	// attemptStartedAt is the start of the current attempt. headReceived is set if it has
