gateway: the end of a connection doesn't end a resumed stream before its first event

For a first attempt an end before the first event was no end; for a resumed stream it was, so that a stream without its last events looked complete.

Change: an empty rest is complete only if the upstream has marked its end.

TestEndOfConnectionDoesNotEndAResumedStream failed before for that framing.

--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -77,3 +77,22 @@
 		}
 	}
 }
+
+// A resumed stream that ends before its first event is complete only if the upstream marked
+// its end: one that has crashed closes its connection too.
+func TestEndOfConnectionDoesNotEndAResumedStream(t *testing.T) {
+	for f, complete := range map[framing]bool{withLength: true, chunked: true, untilClose: false} {
+		g := NewWithT(t)
+		serve := func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last-Event-Id") == "" {
+				events(w, r, 1, 3, true)
+				return
+			}
+			writeAnswer(w, r, f, "200 OK\r\nContent-Type: text/event-stream", "")
+		}
+		fixture := newFixture(t, serve, serve)
+		_, _, delivered, err := fixture.send(fixture.request(http.MethodPost, "/stream/x", "prompt"))
+		g.Expect(delivered).To(Equal(threeEventsBody))
+		g.Expect(err == nil).To(Equal(complete), string(f))
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,7 +87,7 @@
 // the data after the last complete event.
 func (q *request) finishStream(reply *upstream.Reply, partial []byte, err error) result {
 	// An upstream that has ended closes its connection too.
-	begun := q.answerStarted || reply.Delimited() || q.resumeAfter() != ""
+	begun := q.answerStarted || reply.Delimited()
 	if errors.Is(err, io.EOF) && len(partial) == 0 && begun {
 		if !q.headSent {
 			q.writeHead(reply.Status, reply.Header)
