gateway: a stream isn't resumed behind an event without an id

If events with data but no id followed, or none had an id, the next upstream began before them and callers got these events twice.

Change: such a stream is broken off instead.

TestStreamWithoutIDsIsNotResumed failed before in both variants.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -112,6 +112,9 @@
 	if last.sent && q.attempts >= q.route.MaxAttempts {
 		return false
 	}
+	if q.headSent && !q.resumable {
+		return false
+	}
 	if last.attemptStatus == attemptNotRun {
 		return true
 	}
@@ -411,7 +414,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if q.headSent {
-		q.log.Info("stream broken off", zap.Error(cause), zap.String("delivered", q.lastEventID), zap.Strings("tried", q.attempted))
+		q.log.Info("stream broken off", zap.Error(cause), zap.String("delivered", q.lastEventID), zap.Bool("resumable", q.resumable), zap.Strings("tried", q.attempted))
 		q.g.stats.recordAnswer(q.service, q.account, outcome.Unknown, 0, time.Since(q.startedAt))
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -96,3 +96,22 @@
 		g.Expect(err == nil).To(Equal(complete), string(f))
 	}
 }
+
+// Events without an id can't be skipped by the next upstream. Guards against a stream in
+// which they come twice.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	for name, broken := range map[string]string{
+		"no ids":            "data: piece 1\n\ndata: piece 2\n\nda",
+		"last event has no": "id: 1\ndata: piece 1\n\ndata: piece 2\n\nda",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			serve := unframed(broken, true)
+			f := newFixture(t, serve, serve)
+			_, _, body, err := f.send(f.request(http.MethodPost, "/stream/x", "prompt"))
+			g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			g.Expect(body).To(Equal(strings.TrimSuffix(broken, "da")))
+			g.Expect(f.arrived()).To(HaveLen(1))
+		})
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -69,10 +69,12 @@
 	// status sentStatus. From then on only the rest of that answer may be written.
 	headSent   bool
 	sentStatus int
-	// lastEventID is the ID of the last event that was sent, and lastEventAt
-	// the time when an event was last sent.
+	// lastEventID is the ID of the last event with one that was sent, and lastEventAt
+	// the time when an event was last sent. resumable is set if no event with data has
+	// been sent after lastEventID: another upstream can go on there.
 	lastEventID string
 	lastEventAt time.Time
+	resumable   bool
 	// attemptStartedAt is the start of the current attempt. headReceived is set if it has
 	// received the head of an answer, answerStarted if it has delivered an event, and
 	// firstEventAfter is the time from its start to the first one.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,7 +64,9 @@
 			m.MarkAnswered(q.firstEventAfter)
 		}
 		if id := eventID(event); id != "" {
-			q.lastEventID = id
+			q.lastEventID, q.resumable = id, true
+		} else if hasData(event) {
+			q.resumable = false
 		}
 		if !hasBufferedEvent(br) {
 			if err := flusher.Flush(); err != nil {
@@ -123,6 +125,16 @@
 	}
 }
 
+// hasData reports whether an event has data. One without is a comment or a setting.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the ID of an event, or "".
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
