--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -115,3 +115,21 @@
 		})
 	}
 }
+
+// An upstream writes the head of another answer where an event is due. Guards against
+// callers that find it in their stream.
+func TestHeadOfAnotherAnswerIsNoEvent(t *testing.T) {
+	g := NewWithT(t)
+	garbage := unframed("id: 1\ndata: piece 1\n\nHTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy\n\n", false)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") == "" {
+			garbage(w, r)
+			return
+		}
+		events(w, r, 2, 3, false)
+	}
+	f := newFixture(t, serve, serve)
+	_, _, body, err := f.send(f.request(http.MethodPost, "/stream/x", "prompt"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal(threeEventsBody))
+}
