gateway: a broken stream is reset for callers of HTTP/1.0

A stream that was broken off closed the connection in order, so that it looked complete.

Change: the connection is reset.

TestBrokenStreamIsResetForHTTP10 failed before: the caller read to an end.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -44,6 +45,26 @@
 	return strings.ToLower(strings.TrimSpace(name))
 }
 
+// breakOff ends the handler and the connection to the caller so that an answer whose head
+// has been sent doesn't look complete. Before HTTP/1.1 the end of the connection would end
+// the answer, so the connection is reset.
+func (q *request) breakOff() {
+	if q.r.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(q.w).Hijack()
+	if err == nil {
+		if tc, ok := conn.(*net.TCPConn); ok {
+			err = tc.SetLinger(0)
+		}
+		conn.Close()
+	}
+	if err != nil {
+		q.log.Warn("failed to reset the connection of an incomplete answer", zap.Error(err))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // writeResponse writes a buffered answer to the caller.
 func (q *request) writeResponse(resp *bufferedResponse) {
 	if resp.status != http.StatusNoContent && resp.status != http.StatusNotModified {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -416,7 +416,7 @@
 	if q.headSent {
 		q.log.Info("stream broken off", zap.Error(cause), zap.String("delivered", q.lastEventID), zap.Bool("resumable", q.resumable), zap.Strings("tried", q.attempted))
 		q.g.stats.recordAnswer(q.service, q.account, outcome.Unknown, 0, time.Since(q.startedAt))
-		panic(http.ErrAbortHandler)
+		q.breakOff()
 	}
 	if last.reply != nil {
 		q.writeResponse(last.reply)
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -1,11 +1,15 @@
 package gateway_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -133,3 +137,19 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(body).To(Equal(threeEventsBody))
 }
+
+// The end of the connection ends a stream to a caller of HTTP/1.0. Guards against one that
+// is broken off and looks complete there.
+func TestBrokenStreamIsResetForHTTP10(t *testing.T) {
+	g := NewWithT(t)
+	serve := func(w http.ResponseWriter, r *http.Request) { events(w, r, 1, 2, true) }
+	f := newFixture(t, serve)
+	conn, err := net.DialTimeout("tcp", strings.TrimPrefix(f.url, "http://"), time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /once/x HTTP/1.0\r\nHost: h\r\nRequest-Id: r1\r\nAuthorization: Bearer k1\r\nDeadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	answer, err := io.ReadAll(conn)
+	g.Expect(string(answer)).To(HavePrefix("HTTP/1.0 200 OK"))
+	g.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%v", err)
+}
