entry, agent: only a stream continues a stream

The same cause as in the gateway, on the stand-alone deployment: an entry refused to continue a stream with an answer whose status wasn't 200, but took any answer with status 200. A JSON answer was written behind the events, and the stream ended as completed. An agent forwarded the head of another answer as an event.

Change: both deployments use one check, package eventstream: the same status and media type continue a stream, and what begins with a status line is no event.

--- a/internal/agent/framing_test.go
+++ b/internal/agent/framing_test.go
@@ -6,7 +6,9 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -27,3 +29,15 @@
 		g.Expect(relayBody(r, strings.NewReader(strings.Repeat("x", size)))).To(Succeed())
 	}
 }
+
+// An upstream writes the head of another answer where an event is due. Guards against
+// callers that find it in their stream.
+func TestHeadOfAnotherAnswerIsNoEvent(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstream("", time.Minute, clockwork.NewRealClock())
+	r := newRun(&wire.Dispatch{}, nil)
+	defer r.cancel(nil)
+	body := "data: {\"text\":\"a\"}\n\nHTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nbusy\n\n" + "data: [DONE]\n\n"
+	g.Expect(u.relayEvents(r, strings.NewReader(body))).To(MatchError(errNoEvent))
+	g.Expect(r.seq).To(Equal(uint64(1)))
+}
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/kingcupreel/kingcupreel/internal/engineapi"
+	"github.com/kingcupreel/kingcupreel/internal/eventstream"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -49,6 +50,9 @@
 // errStalled is the cause with which a run is cancelled when its engine stalls.
 var errStalled = fault.New(fault.Unavailable, "send the request again", "the upstream went silent")
 
+// errNoEvent is the error of a stream in which the head of another answer stands.
+var errNoEvent = fault.New(fault.Crashed, "see the upstream's logs", "the upstream wrote the head of another answer into its stream")
+
 func newUpstream(base string, stallTimeout time.Duration, clock clockwork.Clock) *upstream {
 	transport := &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -188,6 +192,9 @@
 		if !blank {
 			continue
 		}
+		if eventstream.IsHead(event) {
+			return errNoEvent
+		}
 		r.sendChunk(event)
 		if engineapi.IsStreamEnd(event) {
 			return nil
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/kingcupreel/kingcupreel/internal/eventstream"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 )
@@ -49,6 +50,12 @@
 	return &answer{w: w, wantStream: stream}
 }
 
+// accepts reports whether an answer with a status and a content type may follow what was
+// written to the caller.
+func (a *answer) accepts(status int, contentType string) bool {
+	return !a.headerWritten || eventstream.MayContinue(a.status, a.contentType, status, contentType)
+}
+
 // setHead sets the status and content type. It does nothing once a stream's
 // header was written.
 func (a *answer) setHead(status int, contentType string) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -135,15 +135,15 @@
 	return result{}, false
 }
 
-// setHead records the answer's status and ignores a repeated Head. A stream
-// whose header is written can be continued only by an answer with status 200.
+// setHead records the answer's status and ignores a repeated Head. A stream whose header
+// is written is continued only by the rest of that stream.
 func (a *attempt) setHead(m *wire.Head) (result, bool) {
 	a.reachedUpstream = true
 	if a.headReceived {
 		return result{}, false
 	}
-	if m.Status < http.StatusOK || a.x.answer.headerWritten && m.Status != http.StatusOK {
-		return a.abort(fault.New(fault.Crashed, "send the request again", "the upstream answered with status %d", m.Status)), true
+	if m.Status < http.StatusOK || !a.x.answer.accepts(m.Status, m.ContentType) {
+		return a.abort(fault.New(fault.Crashed, "send the request again", "the upstream answered with status %d and content type %.64q", m.Status, m.ContentType)), true
 	}
 	a.headReceived = true
 	a.x.answer.setHead(m.Status, m.ContentType)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -5,11 +5,11 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/kingcupreel/kingcupreel/internal/eventstream"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 	"github.com/kingcupreel/kingcupreel/internal/upstream"
@@ -33,16 +33,9 @@
 }
 
 // continuesStream reports whether an answer may be the rest of the stream whose head has
-// been sent: a stream with the same status and content type.
+// been sent.
 func (q *request) continuesStream(reply *upstream.Reply) bool {
-	sent := q.w.Header().Get("Content-Type")
-	return q.route.Kind == routing.Stream && reply.Status == q.sentStatus && mediaType(reply.Header.Get("Content-Type")) == mediaType(sent)
-}
-
-// mediaType returns a content type without its parameters.
-func mediaType(contentType string) string {
-	name, _, _ := strings.Cut(contentType, ";")
-	return strings.ToLower(strings.TrimSpace(name))
+	return q.route.Kind == routing.Stream && eventstream.MayContinue(q.sentStatus, q.w.Header().Get("Content-Type"), reply.Status, reply.Header.Get("Content-Type"))
 }
 
 // breakOff ends the handler and the connection to the caller so that an answer whose head
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kingcupreel/kingcupreel/internal/eventstream"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/upstream"
@@ -23,9 +24,6 @@
 	maxEventBytes = 128 << 10
 )
 
-// statusLinePrefix begins the head of an answer, and no field of an event.
-var statusLinePrefix = []byte("HTTP/1.")
-
 var errNoEvent = fault.New(fault.Crashed, "see the upstream's logs", "the upstream wrote the head of another answer into its stream")
 
 var errEndsTooSoon = fault.New(fault.Crashed, "no action needed if the route is resumable; otherwise send the request again if it may run twice", "the upstream's stream ended within an event or before the first")
@@ -122,7 +120,7 @@
 			return event, err
 		}
 		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
-			if bytes.HasPrefix(bytes.TrimLeft(event, "\r\n"), statusLinePrefix) {
+			if eventstream.IsHead(event) {
 				return event, errNoEvent
 			}
 			return event, nil
