entry: an attempt whose answer has begun has run

The caller was told that its request hadn't run, or the request ran again; with a stream, the second run began at the first event, behind those that the caller had.

Change: after the head such a message ends the attempt like a crash of the upstream: outcome unknown, or failed for an idempotent request, which may resume after what was delivered.

TestRefusalAfterTheAnswerBeganIsNoRefusal failed before (not-run).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -106,8 +106,17 @@
 }
 
 // handle handles one message of the attempt; true means that the attempt has
-// ended.
+// ended. An attempt whose answer has begun has run, whatever the agent says later.
 func (a *attempt) handle(m wire.Message) (result, bool) {
+	res, ended := a.handleMessage(m)
+	if ended && res.outcome == outcome.NotRun && a.headReceived {
+		a.x.entry.count("attempts.contradicted")
+		return a.abort(fault.New(fault.Crashed, "check whether the request took effect", "the agent reports as not run an attempt whose answer has begun")), true
+	}
+	return res, ended
+}
+
+func (a *attempt) handleMessage(m wire.Message) (result, bool) {
 	switch m := m.(type) {
 	case *linkLost:
 		a.reattachTimer.Reset(a.reattachTimeout())
--- a/internal/entry/continuation_test.go
+++ b/internal/entry/continuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -47,3 +48,30 @@
 		g.Expect(w.Body.String()).To(Equal(before), "%+v", head)
 	}
 }
+
+// An agent reports as not run an attempt whose answer has begun. Guards against a caller
+// that is told that its request has not run, and against an attempt that starts again behind
+// the events that the caller has.
+func TestRefusalAfterTheAnswerBeganIsNoRefusal(t *testing.T) {
+	for _, refusal := range []wire.Message{
+		&wire.Refused{Reason: fault.Unavailable, Message: "the upstream's queue is full"},
+		&wire.Verdict{State: wire.NeverSeen}, &wire.Verdict{State: wire.NeverRun},
+		&wire.Done{Outcome: outcome.NotRun, Reason: fault.Unavailable},
+	} {
+		for _, nonIdempotent := range []bool{false, true} {
+			g := NewWithT(t)
+			frames, _ := answerFrames(3)
+			w := httptest.NewRecorder()
+			a := newTestAttempt(&resendingAgent{}, w, true)
+			a.x.req.dispatch.NonIdempotent = nonIdempotent
+			res, ended := deliver(a, &resendingAgent{}, append(frames[:2:2], refusal))
+			g.Expect(ended).To(BeTrue())
+			want := outcome.Failed
+			if nonIdempotent {
+				want = outcome.Unknown
+			}
+			g.Expect(res.outcome).To(Equal(want), "%T", refusal)
+			g.Expect(strings.Count(w.Body.String(), "data:")).To(Equal(1))
+		}
+	}
+}
