platform, config, vmlist: an odd entry among the replicas' hides no other

Other operators report machines that ended, or stopped following the list of replicas, because of one odd entry of another writer: nested very deeply, with a number too large, or with a port out of range.

What was seen here, one entry of each kind beside sound ones: - Gateway and rank (records in the store, each decoded by itself): no process ended and none stopped following. 14 of 24 odd records were taken for a replica (port 0 or above 65535, no port, a name, negative or huge numbers; a huge warm-up overflowed), and one error quoted a number of 400 digits. - Entry and agent, records of the configuration: the same for port 0 and for a rank number without an upper bound. - Entry, VM list: one odd entry made the whole list unreadable, so that the entry kept its last list for good.

Change: a record with an address that can't be dialled or a number out of range is ignored with a log line of bounded length; the entries of the VM list are decoded one by one, without recursion. Registrations of processes need an address that can be dialled. One check of addresses, in package socket.

--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -9,6 +9,7 @@
 	"regexp"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/socket"
 )
 
 // Prefix is the prefix of the configuration's keys in the key-value service.
@@ -229,14 +230,14 @@
 	if u.DataCentre == "" {
 		return fieldError(u.Key(), "dataCentre", "name the data centre of the VM")
 	}
-	if !validAddress(u.Address) {
+	if !socket.ValidAddress(u.Address) {
 		return fieldError(u.Key(), "address", "give the agent's address as IP:port")
 	}
 	if (u.Group == "") == (u.Service == "") {
 		return fieldError(u.Key(), "group", "set exactly one of group and service")
 	}
-	if u.Rank < 0 {
-		return fieldError(u.Key(), "rank", "give a rank number of 0 or more")
+	if u.Rank < 0 || u.Rank >= MaxRanks {
+		return fieldError(u.Key(), "rank", "give a rank number of 0 to 1023")
 	}
 	return nil
 }
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"net/netip"
 	"slices"
 	"strings"
 
@@ -69,11 +68,6 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func validAddress(s string) bool {
-	_, err := netip.ParseAddrPort(s)
-	return err == nil
-}
-
 // RevisionOf returns the revision and the base of a configuration that consists
 // of the records. The revision is the base plus the service's highest revision
 // of any record. It depends only on the records, not on when they were read, and
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -98,6 +99,34 @@
 		Expect(cleared.Record).To(BeEmpty())
 	})
 
+	// Guards against a process that ends, or that stops following the upstreams, because
+	// another writer left one odd record among theirs.
+	It("keeps the other upstreams beside an odd record", func() {
+		upstream := func(name, spec string) config.Record {
+			key := config.Key{Kind: config.KindUpstream, Name: name}
+			return config.Record{Key: key.Path(), Value: []byte(`{"schemaVersion":2,"kind":"upstream","name":"` + name + `","spec":` + spec + `}`), Revision: 2}
+		}
+		const sound = `{"vm":"v","dataCentre":"d","address":"10.0.0.1:80","service":"s"}`
+		const deep = 200_000
+		for _, odd := range []string{
+			strings.Repeat("[", deep) + strings.Repeat("]", deep), strings.Repeat(`{"vm":`, deep) + "1" + strings.Repeat("}", deep), strings.Repeat("[", deep),
+			`{"vm":"v","dataCentre":"d","address":"10.0.0.9:65536","service":"s"}`, `{"vm":"v","dataCentre":"d","address":"10.0.0.9:0","service":"s"}`,
+			`{"vm":"v","dataCentre":"d","address":"10.0.0.9","service":"s"}`,
+			`{"vm":"v","dataCentre":"d","address":"10.0.0.9:80","group":"g","rank":9223372036854775807}`,
+			`{"vm":"v","dataCentre":"d","address":"10.0.0.9:80","group":"g","rank":1` + strings.Repeat("0", 400) + `}`,
+			`{"vm":"v","dataCentre":"d","address":"10.0.0.9:80","group":"g","rank":1e400}`, "null", "", "\xff",
+		} {
+			store := config.NewStore(codec.Decode)
+			Expect(store.Update(config.FullUpdate([]config.Record{upstream("a", sound), upstream("odd", odd), upstream("b", sound)}))).To(Succeed())
+			Expect(store.Current().Upstreams).To(And(HaveLen(2), HaveKey("a"), HaveKey("b")), "%.80s", odd)
+			Expect(store.Current().Rejected).To(HaveLen(1))
+			change := upstream("c", sound)
+			change.Revision = 3
+			Expect(store.Update(config.Update{From: 2, To: 3, Records: []config.Record{change}})).To(Succeed())
+			Expect(store.Current().Upstreams).To(HaveLen(3), "%.80s", odd)
+		}
+	})
+
 	It("sends an agent the records in its scope and the configuration's revision", func() {
 		records := []config.Record{atRevision(account("a", 2), 1)}
 		for n, group := range []string{"g", "g", "h"} {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -33,7 +33,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	kv := platform.NewStore(s.Platform, s.PlatformTimeout)
-	vms := vmlist.New(s.Platform, s.PlatformTimeout)
+	vms := vmlist.New(s.Platform, s.PlatformTimeout, p.log)
 	view := &membership.View{}
 	exchange := provider.NewExchange(p.store, view, clockwork.NewRealClock())
 	peers := &membership.Peers{Self: s.VM, DataCentre: s.DataCentre, Seeds: s.Seeds, View: view, Wire: p.wire}
--- a/internal/entry/continuation_test.go
+++ b/internal/entry/continuation_test.go
@@ -32,9 +32,15 @@
 // stream look complete.
 func TestOnlyAStreamContinuesAStream(t *testing.T) {
 	for _, head := range []wire.Head{
-		{Status: http.StatusOK, ContentType: "application/json"}, {Status: http.StatusOK}, {Status: http.StatusOK, ContentType: "text/plain"},
-		{Status: http.StatusCreated, ContentType: "text/event-stream"}, {Status: http.StatusNoContent}, {Status: http.StatusFound},
-		{Status: http.StatusNotFound, ContentType: "text/event-stream"}, {Status: http.StatusTooManyRequests}, {Status: http.StatusInternalServerError},
+		{Status: http.StatusOK, ContentType: "application/json"},
+		{Status: http.StatusOK},
+		{Status: http.StatusOK, ContentType: "text/plain"},
+		{Status: http.StatusCreated, ContentType: "text/event-stream"},
+		{Status: http.StatusNoContent},
+		{Status: http.StatusFound},
+		{Status: http.StatusNotFound, ContentType: "text/event-stream"},
+		{Status: http.StatusTooManyRequests},
+		{Status: http.StatusInternalServerError},
 		{Status: http.StatusServiceUnavailable, ContentType: "application/json"},
 	} {
 		g := NewWithT(t)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/kvstore"
+	"github.com/kingcupreel/kingcupreel/internal/socket"
 )
 
 // Prefixes of the keys that the processes of the fleet write to the key-value
@@ -138,7 +139,7 @@
 		return
 	}
 	var m Member
-	if err := json.Unmarshal(item.Value, &m); err != nil || m.Name != name || m.Address == "" {
+	if err := json.Unmarshal(item.Value, &m); err != nil || m.Name != name || !socket.ValidAddress(m.Address) {
 		v.log.Warn("invalid registration; ignoring it", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -79,3 +80,9 @@
 	})
 	return err == nil && idle
 }
+
+// ValidAddress reports whether an address is an IP address and a port that can be dialled.
+func ValidAddress(address string) bool {
+	ap, err := netip.ParseAddrPort(address)
+	return err == nil && ap.Port() > 0
+}
--- a/internal/standin/kv/vmlist_test.go
+++ b/internal/standin/kv/vmlist_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"github.com/jonboulle/clockwork"
 
@@ -32,7 +33,7 @@
 		_, _ = w.Write(rec.Body.Bytes())
 	}))
 	defer srv.Close()
-	c := vmlist.New(srv.URL, time.Minute)
+	c := vmlist.New(srv.URL, time.Minute, zap.NewNop())
 	read := func() []kvstore.VM {
 		vms, err := c.VMs(context.Background())
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -4,16 +4,21 @@
 package vmlist
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/kvstore"
+	"github.com/kingcupreel/kingcupreel/internal/socket"
 )
 
 // vmCache holds the last VM list and its entity tag, so that an unchanged list
@@ -52,12 +57,13 @@
 	http    *http.Client
 	timeout time.Duration
 	vms     vmCache
+	log     *zap.Logger
 }
 
 // New returns a client for the list at the base URL, such as
 // http://127.0.0.1:2000. Each read is limited to timeout.
-func New(base string, timeout time.Duration) *Client {
-	return &Client{base: base, http: &http.Client{}, timeout: timeout}
+func New(base string, timeout time.Duration, log *zap.Logger) *Client {
+	return &Client{base: base, http: &http.Client{}, timeout: timeout, log: log}
 }
 
 // VMs implements kvstore.VMList. If the server sent an entity tag with the last
@@ -88,10 +94,63 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fault.New(fault.Unavailable, remedy, "the service of the VM list answered with status %d: %.200s", resp.StatusCode, body)
 	}
-	var vms []kvstore.VM
-	if err := json.Unmarshal(body, &vms); err != nil {
-		return nil, fault.Wrap(fault.Unavailable, err, remedy, "decoding the VM list from %s", Path)
+	vms, err := c.decode(body)
+	if err != nil {
+		return nil, err
 	}
 	c.vms.set(resp.Header.Get("ETag"), vms)
 	return vms, nil
 }
+
+// decode decodes a list. An entry that can't be decoded, has no id or has an address that
+// can't be dialled is left out: one odd entry must not hide the others.
+func (c *Client) decode(body []byte) ([]kvstore.VM, error) {
+	entries, ok := splitArray(body)
+	if !ok {
+		return nil, fault.New(fault.Unavailable, remedy, "the VM list from %s is no JSON array", Path)
+	}
+	vms := make([]kvstore.VM, 0, len(entries))
+	for i, entry := range entries {
+		var vm kvstore.VM
+		err := json.Unmarshal(entry, &vm)
+		if err != nil || vm.ID == "" || vm.Address != "" && !socket.ValidAddress(vm.Address) {
+			c.log.Warn("entry of the VM list ignored", zap.Int("index", i), zap.String("id", fmt.Sprintf("%.64s", vm.ID)), zap.String("address", fmt.Sprintf("%.64s", vm.Address)), zap.String("error", fmt.Sprintf("%.120v", err)))
+			continue
+		}
+		vms = append(vms, vm)
+	}
+	return vms, nil
+}
+
+// splitArray returns the elements of a JSON array without decoding them, so that an element
+// that can't be decoded, or is nested too deeply for that, leaves the others intact.
+func splitArray(body []byte) ([]json.RawMessage, bool) {
+	body = bytes.TrimSpace(body)
+	if len(body) < 2 || body[0] != '[' || body[len(body)-1] != ']' {
+		return nil, false
+	}
+	body = body[1 : len(body)-1]
+	var elements []json.RawMessage
+	depth, start, inString, escaped := 0, 0, false, false
+	for i, b := range body {
+		switch {
+		case escaped:
+			escaped = false
+		case inString:
+			escaped, inString = b == '\\', b != '"'
+		case b == '"':
+			inString = true
+		case b == '[', b == '{':
+			depth++
+		case b == ']', b == '}':
+			depth--
+		case b == ',' && depth == 0:
+			elements = append(elements, body[start:i])
+			start = i + 1
+		}
+	}
+	if last := body[start:]; len(elements) > 0 || len(bytes.TrimSpace(last)) > 0 {
+		elements = append(elements, last)
+	}
+	return elements, depth == 0 && !inString
+}
