platform, agent: an engine's earlier answer is no answer to an order

On a kept connection the next order got an earlier answer as its own: an arm that was refused counted as accepted, and a report of some time ago as the present one. The leader then releases a step for which a rank isn't armed. On the stand-alone deployment a rank's yes to one switch counted for the next.

Change: orders and the readings after them, and all calls about maps of the stand-alone agent, use a connection each. Polls of the load stay on kept connections: nothing is released because of them.

--- a/internal/agent/mapengine.go
+++ b/internal/agent/mapengine.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -24,8 +25,11 @@
 
 var _ expertmap.Engine = (*mapEngine)(nil)
 
+// newMapEngine returns a client whose calls use a connection each: a faulty engine may write
+// an earlier answer again on a kept one, and answers don't name their call.
 func newMapEngine(base string) *mapEngine {
-	return &mapEngine{base: base, http: &http.Client{Timeout: mapCallTimeout}}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true, DisableCompression: true}
+	return &mapEngine{base: base, http: &http.Client{Transport: transport, Timeout: mapCallTimeout}}
 }
 
 // call sends a POST with the JSON of body, or a GET if body is nil, and decodes
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -26,6 +26,9 @@
 // Engine is the engine of a rank.
 type Engine interface {
 	Status(ctx context.Context) (ranks.Status, error)
+	// CurrentStatus is Status for a caller that takes the answer for the state since the
+	// call began: no earlier answer of the engine is taken for it.
+	CurrentStatus(ctx context.Context) (ranks.Status, error)
 	Counts(ctx context.Context) (ranks.Counts, error)
 	ExpertLists(ctx context.Context) (ranks.ExpertLists, error)
 	// Order sends an order to the engine. With an Unknown verdict, the order may
@@ -315,12 +318,18 @@
 		awaitStep(ctx, e, o.Step)
 	}
 	verdict, sends := send(ctx, e, o, timeout)
-	reply := read(ctx, e, false)
-	if o.Op == ranks.Prepare && verdict == ranks.Accepted {
-		reply = awaitCopy(ctx, e, o.Version, reply)
-	}
-	if sends > 1 && verdict == ranks.Refused && o.Op == ranks.Prepare && reply.OK && reply.Status.Prepared == o.Version {
-		verdict = ranks.Accepted // an earlier send was accepted, but its answer was lost
+	var reply *wire.RankState
+	if o.Op == ranks.Prepare {
+		reply = read(ctx, e, false)
+		if verdict == ranks.Accepted {
+			reply = awaitCopy(ctx, e, o.Version, reply)
+		}
+		if sends > 1 && verdict == ranks.Refused && reply.OK && reply.Status.Prepared == o.Version {
+			verdict = ranks.Accepted // an earlier send was accepted, but its answer was lost
+		}
+	} else {
+		st, err := e.CurrentStatus(ctx)
+		reply = &wire.RankState{Status: st, OK: err == nil}
 	}
 	reply.Verdict = verdict
 	return reply
--- a/internal/rankagent/direct.go
+++ b/internal/rankagent/direct.go
@@ -56,7 +56,7 @@
 		if g.a.sleep(g.ctx, lag); g.ctx.Err() != nil {
 			return reply
 		}
-		st, err := p.engine.Status(g.ctx)
+		st, err := p.engine.CurrentStatus(g.ctx)
 		if err != nil {
 			g.a.Log.Info("failed to read a rank's status after an order", zap.String("rank_of", p.member.Name), zap.String("order", string(o.Op)), zap.Int64("fence", o.Fence), zap.Error(err))
 			return reply
--- a/internal/rankagent/rankagent_test.go
+++ b/internal/rankagent/rankagent_test.go
@@ -152,6 +152,8 @@
 	}
 }
 
+func (e *engine) CurrentStatus(ctx context.Context) (ranks.Status, error) { return e.Status(ctx) }
+
 // remoteStatus returns the status that the engine reports to other VMs.
 func (e *engine) remoteStatus() ranks.Status {
 	e.g.mu.Lock()
@@ -266,6 +268,10 @@
 	return s.engine.Status(ctx)
 }
 
+func (s *remoteEngine) CurrentStatus(ctx context.Context) (ranks.Status, error) {
+	return s.Status(ctx)
+}
+
 func (s *remoteEngine) Order(ctx context.Context, o ranks.Order, timeout time.Duration) (ranks.Verdict, error) {
 	if err := s.checkReachable(ctx); err != nil {
 		return ranks.Unknown, err
