rankagent: read an engine only where its verdict doesn't settle an order

Change: an accepted arm, disarm of a version or release needs no reading; a Prepare stays on a kept connection, since it counts only once a report shows the map as prepared. An agent whose VM stops just after it armed its rank has so answered already, and the group isn't held for it.

--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -223,11 +223,12 @@
 		a.Log.Info("order not sent: the other agent isn't registered", zap.String("agent", agent), zap.String("order", string(o.Op)))
 		return &wire.RankState{}
 	}
-	reply := execute(ctx, p.engine, o, remoteOrderTimeout)
+	verdict, _ := send(ctx, p.engine, o, remoteOrderTimeout)
+	st, err := p.engine.Status(ctx)
 	a.Log.Info("order sent for another agent", zap.String("agent", agent), zap.String("order", string(o.Op)), zap.Int64("step", o.Step),
-		zap.Int64("fence", o.Fence), zap.Stringer("verdict", reply.Verdict), zap.Int64("at_step", reply.Status.Step))
-	reply.OK = false // the status may be from before the order (see sendOrderDirectly)
-	return reply
+		zap.Int64("fence", o.Fence), zap.Stringer("verdict", verdict), zap.Int64("at_step", st.Step), zap.Error(err))
+	// The status may be from before the order (see sendOrderDirectly).
+	return &wire.RankState{Verdict: verdict}
 }
 
 // recordFence records the fence of an order for the engine and returns the highest one so
@@ -246,7 +247,7 @@
 	reply := execute(ctx, a.Engine, o, localOrderTimeout)
 	telemetry.Counter(a.Metrics, "rank_orders."+string(o.Op)+"."+reply.Verdict.String()).Inc(1)
 	a.Log.Info("order sent to the engine", zap.String("order", string(o.Op)), zap.Int64("version", o.Version), zap.Int64("step", o.Step),
-		zap.Int64("fence", o.Fence), zap.Int64("epoch", o.Epoch), zap.Stringer("verdict", reply.Verdict), zap.Int64("at_step", reply.Status.Step))
+		zap.Int64("fence", o.Fence), zap.Int64("epoch", o.Epoch), zap.Stringer("verdict", reply.Verdict), zap.Bool("read", reply.OK), zap.Int64("at_step", reply.Status.Step))
 	return reply
 }
 
@@ -311,15 +312,20 @@
 	return verdict, sends
 }
 
-// execute sends an order to an engine and then reads the engine's status. A Prepare order
-// is held back until the engine begins the order's step (see awaitStep).
+// settles reports whether the verdict on an order alone tells the leader the rank's state.
+func settles(o ranks.Order, v ranks.Verdict) bool { return v == ranks.Accepted && !o.Confirm }
+
+// execute sends an order to an engine and then, unless the verdict settles it, reads the
+// engine's status. A Prepare order is held back until the engine begins the order's step
+// (see awaitStep).
 func execute(ctx context.Context, e Engine, o ranks.Order, timeout time.Duration) *wire.RankState {
 	if o.Op == ranks.Prepare {
 		awaitStep(ctx, e, o.Step)
 	}
 	verdict, sends := send(ctx, e, o, timeout)
-	var reply *wire.RankState
-	if o.Op == ranks.Prepare {
+	reply := &wire.RankState{}
+	switch {
+	case o.Op == ranks.Prepare:
 		reply = read(ctx, e, false)
 		if verdict == ranks.Accepted {
 			reply = awaitCopy(ctx, e, o.Version, reply)
@@ -327,9 +333,9 @@
 		if sends > 1 && verdict == ranks.Refused && reply.OK && reply.Status.Prepared == o.Version {
 			verdict = ranks.Accepted // an earlier send was accepted, but its answer was lost
 		}
-	} else {
+	case !settles(o, verdict):
 		st, err := e.CurrentStatus(ctx)
-		reply = &wire.RankState{Status: st, OK: err == nil}
+		reply.Status, reply.OK = st, err == nil
 	}
 	reply.Verdict = verdict
 	return reply
--- a/internal/rankagent/direct.go
+++ b/internal/rankagent/direct.go
@@ -40,10 +40,10 @@
 		return execute(g.ctx, p.engine, o, fallbackOrderTimeout)
 	}
 	verdict, _ := send(g.ctx, p.engine, o, fallbackOrderTimeout)
-	if verdict == ranks.Refused || verdict == ranks.Accepted && o.Confirm {
-		return g.confirmStatus(p, o, verdict)
+	if settles(o, verdict) || verdict != ranks.Accepted && verdict != ranks.Refused {
+		return &wire.RankState{Verdict: verdict}
 	}
-	return &wire.RankState{Verdict: verdict}
+	return g.confirmStatus(p, o, verdict)
 }
 
 // confirmStatus reads the status of a rank on another VM as of after an order that the
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -121,8 +121,8 @@
 
 // Answer is the answer to an order. Status is valid only if OK is set. It is then the
 // rank's status as of a moment after the order, except after a Prepare, when it may be
-// older. An engine reports its state to other VMs with a delay: if its own agent doesn't
-// answer, OK is set only for orders with Confirm and for refused ones.
+// older. OK isn't set for accepted orders without Confirm, and may not be set if the rank's
+// own agent doesn't answer: an engine reports its state to other VMs with a delay.
 type Answer struct {
 	Verdict Verdict
 	Status  Status
