rankagent: a refused arm needs no confirmed status

Cause: a leader that reaches a rank without its agent waited for a confirmed status after a refused arm, while the group was held, although the switch ends whatever the status is.

Change: only disarms and releases that the engine refused are followed by the wait. internal/rankagent passes.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -134,7 +134,7 @@
 // hasData reports whether an event has data. One without is a comment or a setting.
 func hasData(event []byte) bool {
 	for line := range bytes.Lines(event) {
-		if bytes.HasPrefix(line, []byte("data")) {
+		if bytes.HasPrefix(line, []byte("data:")) {
 			return true
 		}
 	}
--- a/internal/rankagent/direct.go
+++ b/internal/rankagent/direct.go
@@ -40,10 +40,12 @@
 		return execute(g.ctx, p.engine, o, fallbackOrderTimeout)
 	}
 	verdict, _ := send(g.ctx, p.engine, o, fallbackOrderTimeout)
-	if settles(o, verdict) || verdict != ranks.Accepted && verdict != ranks.Refused {
-		return &wire.RankState{Verdict: verdict}
+	answered := verdict == ranks.Accepted || verdict == ranks.Refused
+	if o.Op != ranks.Arm && o.Op != ranks.Hold && answered && !settles(o, verdict) {
+		return g.confirmStatus(p, o, verdict)
 	}
-	return g.confirmStatus(p, o, verdict)
+	// A refused arm or hold ends the switch, whatever the rank's state.
+	return &wire.RankState{Verdict: verdict}
 }
 
 // confirmStatus reads the status of a rank on another VM as of after an order that the
