gateway: crashes during an answer count against the request

Cause: a crash counted only before the answer began, and the first event cleared the request.

Change: a further fingerprint, of the account, path, body and prompt, counts each crash with the request, also during its answer, and is cleared only by a whole answer. It is convicted like a part, at the third crash and not by crashes at one moment; requests beside it aren't blamed, as they lack what was in flight at all these crashes, and clear themselves with a whole answer. The upstream is checked beside the stream, which isn't delayed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -149,6 +149,7 @@
 		zap.Int("attempt", q.attempts), zap.Bool("answer_started", q.answerStarted), zap.Duration("took", time.Since(start)), zap.Duration("left", q.remaining()),
 		zap.Duration("first_event_after", q.firstEventAfter), zap.Duration("last_event_age", q.lastEventAge()),
 		zap.String("resume_after", q.resumeAfter()), zap.Int64("configuration", q.configurationVersion()))...)
+	q.reportCrashDuringAnswer(m, res)
 	if q.crashedBeforeAnswer(m, res) {
 		q.reportCrash(m)
 		res.crashed = true
@@ -397,7 +398,7 @@
 	if reply.Status >= http.StatusInternalServerError {
 		return result{attemptStatus: attemptFailed, sent: true, reply: resp, cause: fault.New(fault.Crashed, "see the upstream's logs", "the upstream answered with status %d", reply.Status)}
 	}
-	q.clearSuspicion()
+	q.clearSuspicion(q.suspect)
 	m.RecordWholeAnswer(time.Since(q.attemptStartedAt))
 	q.writeResponse(resp)
 	return result{attemptStatus: attemptDelivered, sent: true}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/quarantine"
+	"github.com/kingcupreel/kingcupreel/internal/upstream"
 )
 
 // crashCheckTimeout bounds the check whether an upstream still listens. A host that is
@@ -33,6 +34,27 @@
 	return crashed
 }
 
+// reportCrashDuringAnswer counts a crash of the upstream after the answer began against the
+// request. The upstream is checked concurrently, since the stream may go on elsewhere.
+// Requests beside the one that crashes an upstream are in flight there too, but one that
+// isn't to blame gets a whole answer sooner or later.
+func (q *request) reportCrashDuringAnswer(m *Member, res result) {
+	var fromUpstream *upstream.Error
+	if !q.answerStarted || !connectionEnded(res.cause) || !errors.As(res.cause, &fromUpstream) && !errors.Is(res.cause, errEndsTooSoon) {
+		return
+	}
+	s := q.unfinished()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+		defer cancel()
+		if !q.g.Transport.Refuses(ctx, m.Address) {
+			return
+		}
+		q.log.Info("upstream crashed during the answer", zap.String("upstream", m.ID), zap.Any("fingerprints", s.Parts), zap.Error(res.cause))
+		q.g.shareReport(q.crashReport(m, s))
+	}()
+}
+
 // connectionEnded reports whether an answer broke off since the upstream closed or reset its
 // connection.
 func connectionEnded(err error) bool {
@@ -46,11 +68,26 @@
 	q.suspectOnce.Do(func() {
 		whole := quarantine.FingerprintOf(q.account, q.r.RequestURI, q.body)
 		parts := append(quarantine.PartFingerprints(q.PromptParts), whole)
-		q.suspectValue = quarantine.Suspect{Account: q.account, Parts: append(parts, quarantine.ContentFingerprints(q.account, q.r.RequestURI, q.body)...), Whole: whole}
+		parts = append(parts, quarantine.ContentFingerprints(q.account, q.r.RequestURI, q.body)...)
+		parts = append(parts, quarantine.UnfinishedFingerprint(q.account, q.r.RequestURI, q.body, q.PromptParts))
+		q.suspectValue = quarantine.Suspect{Account: q.account, Parts: parts, Whole: whole}
 	})
 	return q.suspectValue
 }
 
+// begun returns what of the suspect the beginning of an answer clears, and unfinished the
+// rest, which only a whole answer clears.
+func (q *request) begun() quarantine.Suspect {
+	s := q.suspect()
+	s.Parts = s.Parts[:len(s.Parts)-1]
+	return s
+}
+
+func (q *request) unfinished() quarantine.Suspect {
+	s := q.suspect()
+	return quarantine.Suspect{Account: s.Account, Parts: s.Parts[len(s.Parts)-1:]}
+}
+
 // checkQuarantine returns an error for a request that crashes upstreams.
 func (q *request) checkQuarantine() error {
 	if q.g.Quarantine.Empty() {
@@ -65,10 +102,7 @@
 	// A rank's crash stops its group. The rank had begun with a request if the head of an
 	// answer came; others may only have waited there.
 	s.Hold = q.headReceived && q.isRankGroup()
-	r := quarantine.Report{
-		ID: uuid.NewString(), Upstream: m.ID, Crash: m.ID + "/" + strconv.FormatInt(m.Started, 10),
-		AtMS: q.g.Clock.Now().UnixMilli(), Suspects: []quarantine.Suspect{s},
-	}
+	r := q.crashReport(m, s)
 	if s.Hold {
 		q.log.Info("request is held", zap.Any("fingerprints", r.Held()), zap.Time("until", r.HeldUntil()), zap.String("upstream", m.ID),
 			zap.String("reason", "its answer had begun when the rank of a group crashed"))
@@ -76,13 +110,21 @@
 	q.g.shareReport(r)
 }
 
-// clearSuspicion records that the request's answer has begun, if an upstream had crashed
-// with it or with a part of it.
-func (q *request) clearSuspicion() {
+// crashReport returns the report of an upstream's crash.
+func (q *request) crashReport(m *Member, s quarantine.Suspect) quarantine.Report {
+	return quarantine.Report{
+		ID: uuid.NewString(), Upstream: m.ID, Crash: m.ID + "/" + strconv.FormatInt(m.Started, 10),
+		AtMS: q.g.Clock.Now().UnixMilli(), Suspects: []quarantine.Suspect{s},
+	}
+}
+
+// clearSuspicion records that the request has succeeded as far as s says, if an upstream had
+// crashed with it or with a part of it.
+func (q *request) clearSuspicion(suspect func() quarantine.Suspect) {
 	if q.g.Quarantine.Empty() {
 		return
 	}
-	s := q.suspect()
+	s := suspect()
 	if crashed := q.g.Quarantine.CrashedWith(s); len(crashed) > 0 {
 		q.log.Info("request in flight at crashes has succeeded", zap.Strings("crashed", crashed), zap.Strings("parts", q.PromptParts))
 		acquitted := q.g.Quarantine.QuarantinedParts(s)
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -24,6 +24,8 @@
 	// request without a prompt that does.
 	crashPart = "bad1"
 	crashPath = "/safe/crash"
+	// lateCrashPath is the path of a stream that crashes upstreams after its next event.
+	lateCrashPath = "/stream/late"
 )
 
 // crashingFleet is a fixture whose upstreams crash at prompts with crashPart. The head of
@@ -54,6 +56,10 @@
 	srv = httptest.NewServer(c.record(id, func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.URL.Path == crashPath:
+		case r.URL.Path == lateCrashPath:
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 without the header
+			events(w, r, last+1, last+1, false)
+			time.Sleep(5 * time.Millisecond) // the event arrives before the connection ends
 		case strings.Contains(r.Header.Get("Prefix-Hash"), crashPart+":"):
 			events(w, r, 1, 0, false)
 			_ = http.NewResponseController(w).Flush()
@@ -163,6 +169,35 @@
 	}
 }
 
+// Guards against a request that crashes one upstream after the other once its answer has
+// begun, and is never refused. Sound streams that were at the same upstreams are served.
+func TestRequestThatCrashesUpstreamsAfterItsFirstEventIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrashingFleet(t, 4)
+	// At most allowedLate tries may reach upstreams later than window after the third crash.
+	const rounds, window, allowedLate = 12, 3 * time.Second, 3
+	late := 0
+	var thirdCrash time.Time
+	for i := range rounds {
+		start := time.Now()
+		status, _, _, _ := c.send(c.request(http.MethodPost, lateCrashPath, "deadly"))
+		if status != http.StatusServiceUnavailable && !thirdCrash.IsZero() && start.After(thirdCrash.Add(window)) {
+			late++
+		}
+		if thirdCrash.IsZero() && c.crashCount() >= 3 {
+			thirdCrash = time.Now()
+		}
+		for j := range 3 {
+			status, body := c.stream(fmt.Sprintf("aa:40,sound%d-%d:500", i, j))
+			g.Expect(status).To(Equal(http.StatusOK))
+			g.Expect(body).To(Equal(threeEventsBody))
+		}
+		time.Sleep(700 * time.Millisecond) // crashes at one moment may have another cause
+	}
+	g.Expect(thirdCrash).NotTo(BeZero())
+	g.Expect(late).To(BeNumerically("<=", allowedLate))
+}
+
 // newCrashingGroup returns a fleet whose upstreams are ranks of one group.
 func newCrashingGroup(t *testing.T, ranks int) *crashingFleet {
 	t.Helper()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -63,7 +63,7 @@
 			m.RecordPart(q.lastEventAt.Sub(before))
 		} else {
 			q.answerStarted, q.firstEventAfter = true, q.lastEventAt.Sub(q.attemptStartedAt)
-			q.clearSuspicion()
+			q.clearSuspicion(q.begun)
 			m.MarkAnswered(q.firstEventAfter)
 		}
 		if id := eventID(event); id != "" {
@@ -97,6 +97,7 @@
 		if !q.headSent {
 			q.writeHead(reply.Status, reply.Header)
 		}
+		q.clearSuspicion(q.unfinished)
 		q.recordResponse(outcome.Completed, reply.Status)
 		return result{attemptStatus: attemptDelivered, sent: true}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -73,6 +73,12 @@
 	return list
 }
 
+// UnfinishedFingerprint returns the fingerprint under which crashes count against a request
+// until it has got a whole answer: an upstream may crash with it at any event of the answer.
+func UnfinishedFingerprint(account, target string, body []byte, promptParts []string) Fingerprint {
+	return fingerprint(body, append([]string{"unfinished", account, target}, promptParts...)...)
+}
+
 // PartFingerprints returns the fingerprints of parts of a prompt, which requests of all
 // client accounts may share.
 func PartFingerprints(parts []string) []Fingerprint {
