Revert "fleet: evidence is stored also when crash reports cross"

With that entry would have stored its conviction, and every entry that starts later would have read it; docs/DESIGN.md had weighed and rejected that.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -122,7 +122,7 @@
 	g.crashes = &fleet.CrashReports{KV: p.store, Table: g.gateway.Quarantine, Clock: p.clock, Log: p.log}
 	onEvidence := func(value []byte) {
 		g.crashes.Load(value)
-		go g.enforceQuarantine(work)
+		go g.gateway.EnforceQuarantine()
 	}
 	var err error
 	if g.fleet, err = p.join(work, fleet.RoleEntry, onEvidence); err != nil {
@@ -181,14 +181,7 @@
 		g.gateway.ApplySharedLimits(m.Limits)
 	case *wire.CrashReport:
 		g.crashes.Handle(m)
-		g.enforceQuarantine(work)
-	}
-}
-
-// enforceQuarantine applies what other entries' reports or stored evidence convict.
-func (g *gatewayProcess) enforceQuarantine(work context.Context) {
-	for _, f := range g.gateway.EnforceQuarantine() {
-		go g.crashes.StoreUnlessStored(work, f)
+		g.gateway.EnforceQuarantine()
 	}
 }
 
--- a/internal/fleet/crashreports.go
+++ b/internal/fleet/crashreports.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -24,10 +23,6 @@
 	crashReportFanout = 4
 	// storeRetryInterval is the time between two tries to store evidence.
 	storeRetryInterval = 2 * time.Second
-	// minStoreDelay and maxStoreDelay bound the random delay after which an entry that
-	// convicts by the reports of others stores the evidence, unless one of them has.
-	minStoreDelay = 500 * time.Millisecond
-	maxStoreDelay = 1500 * time.Millisecond
 )
 
 // CrashReports tells other entries which requests were in flight at crashes, and learns it
@@ -41,10 +36,6 @@
 	Table     *quarantine.Table
 	Clock     clockwork.Clock
 	Log       *zap.Logger
-
-	mu sync.Mutex // leaf
-	// loadedAt holds when stored evidence was last read, by the request or part.
-	loadedAt map[quarantine.Fingerprint]time.Time
 }
 
 // Send sends a report to every entry.
@@ -84,45 +75,6 @@
 	}
 }
 
-// StoreUnlessStored stores the evidence against a request or part that this entry has
-// convicted by the reports of others, unless stored evidence arrives meanwhile. Reports
-// cross: each entry may convict by those of the others, and none by its own.
-func (c *CrashReports) StoreUnlessStored(ctx context.Context, f quarantine.Fingerprint) {
-	since := c.Clock.Now().Add(-maxStoreDelay)
-	select {
-	case <-ctx.Done():
-		return
-	case <-c.Clock.After(minStoreDelay + rand.N(maxStoreDelay-minStoreDelay)):
-	}
-	if c.loadedSince(f, since) {
-		return
-	}
-	c.Log.Info("storing evidence that no other entry has stored", zap.String("fingerprint", string(f)))
-	c.Store(ctx, f)
-}
-
-// loadedSince reports whether stored evidence against a request or part was read since a time.
-func (c *CrashReports) loadedSince(f quarantine.Fingerprint, since time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	at, loaded := c.loadedAt[f]
-	return loaded && !at.Before(since)
-}
-
-// recordLoaded records that stored evidence was read.
-func (c *CrashReports) recordLoaded(r quarantine.Report) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.loadedAt == nil || len(c.loadedAt) >= quarantine.MaxSuspects {
-		c.loadedAt = map[quarantine.Fingerprint]time.Time{}
-	}
-	for _, s := range r.Suspects {
-		for _, f := range append([]quarantine.Fingerprint{s.Fingerprint}, s.Parts...) {
-			c.loadedAt[f] = c.Clock.Now()
-		}
-	}
-}
-
 func (c *CrashReports) storeOnce(ctx context.Context, f quarantine.Fingerprint) error {
 	value, err := json.Marshal(c.Table.Evidence(f))
 	if err != nil {
@@ -151,7 +103,6 @@
 		return
 	}
 	for _, r := range reports {
-		c.recordLoaded(r)
 		c.Table.Add(r)
 	}
 }
