quarantine: reports that are repeated leave out parts that were cleared since

Cause: entries repeat the reports of crashes with what recurs, with all parts that were in flight, but not the later successes. The new entry counted crashes against the sound part that the others had cleared; those of two bad requests together convict it, so that neither explains all of them. Refused, it can't clear itself.

Change: a repeated report lacks the parts that its sender knows were cleared after the crash.

Before: the spec "doesn't report parts that were cleared since to a process that starts later" failed (in quarantine after 3 crashes).

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -50,6 +50,28 @@
 		Expect(table.Lookup(prompt("other", "second", "bad")).Part).To(BeTrue())
 	})
 
+	// Guards against a process that starts later and refuses a sound part for good: it learns of
+	// the crashes that the others repeat, and not of the successes since.
+	It("doesn't report parts that were cleared since to a process that starts later", func() {
+		for i := range 2 {
+			crashed(fmt.Sprint("crash", i), prompt(fmt.Sprint("own", i), "first", "bad"))
+			clock.Advance(time.Second)
+			crashed(fmt.Sprint("other", i), prompt(fmt.Sprint("another", i), "first", "worse"))
+			succeeded(prompt("sound", "first"))
+			clock.Advance(time.Second)
+		}
+		clock.Advance(5 * time.Second)
+		late := quarantine.NewTable(clock)
+		relevant := table.Relevant()
+		Expect(relevant).To(HaveLen(4))
+		for _, r := range relevant {
+			late.Add(r)
+			Expect(late.Check(prompt("sound", "first"))).To(Succeed())
+		}
+		Expect(late.Recurring(prompt("next", "bad"))).To(BeTrue())
+		Expect(late.Recurring(prompt("next", "worse"))).To(BeTrue())
+	})
+
 	It("counts one crash that several processes report once", func() {
 		for i := range 5 {
 			crashed("one", prompt(fmt.Sprint("own", i), "bad"))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -349,15 +349,40 @@
 
 // Relevant returns the reports, oldest first, that another process needs: the new ones, and
 // those of crashes with a request that is held, or with a request or a part that was in flight
-// at several.
+// at several. Parts that have been cleared since a crash are left out of its report.
 func (t *Table) Relevant() []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	matters := func(s Suspect) bool { return t.recurring(s) || !t.heldUntil(s).IsZero() }
-	return slices.DeleteFunc(slices.Clone(t.reports), func(r Report) bool {
+	relevant := slices.DeleteFunc(slices.Clone(t.reports), func(r Report) bool {
 		return now.Sub(time.UnixMilli(r.AtMS)) > newReport && (r.Cleared || !slices.ContainsFunc(r.Suspects, matters))
 	})
+	for i := range relevant {
+		relevant[i] = t.withoutCleared(relevant[i])
+	}
+	return relevant
+}
+
+// withoutCleared returns a report of a crash without the parts that have been cleared since:
+// a process that starts later doesn't learn of their success. The caller must hold mu.
+func (t *Table) withoutCleared(r Report) Report {
+	if r.Cleared {
+		return r
+	}
+	suspects := slices.Clone(r.Suspects)
+	for i, s := range suspects {
+		s.Parts = slices.DeleteFunc(slices.Clone(s.Parts), func(f Fingerprint) bool {
+			cleared := t.clearedAt[f]
+			return !cleared.IsZero() && !time.UnixMilli(r.AtMS).After(cleared)
+		})
+		if !slices.Contains(s.Parts, s.Whole) {
+			s.Whole, s.Hold = "", false
+		}
+		suspects[i] = s
+	}
+	r.Suspects = suspects
+	return r
 }
 
 // TakeConvicted returns the requests and parts that were convicted since its last call.
