--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -28,7 +28,9 @@
 
 // regressionSeeds holds seeds that once failed, with the cause of the failure.
 // They always run.
-var regressionSeeds = map[uint64]string{}
+var regressionSeeds = map[uint64]string{
+	36004: "an entry that started again convicted a sound part that the others had cleared",
+}
 
 func TestSoak(t *testing.T) {
 	seeds := []uint64{}
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -181,6 +181,9 @@
 		panic(http.ErrAbortHandler) // the request has run and its answer is lost
 	case x < 0.13:
 		w.WriteHeader(http.StatusInternalServerError)
+	case x < 0.40 && r.Header.Get("Last-Event-Id") != "":
+		w.WriteHeader(http.StatusNotFound)
+		_, _ = io.WriteString(w, streamEvent(request, streamEvents)) // the caller may have left
 	case len(r.URL.Path) > 8 && r.URL.Path[:8] == "/stream/":
 		u.stream(w, r, x < 0.25)
 	default:
