gateway: the crashing upstream of a test counts a crash before it shows

Cause: the test's upstream closed its connections first and counted the crash then; the gateway answered in between and the test read the count too early.

Change: the crash is counted before the connections are closed.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -71,8 +71,9 @@
 			return
 		}
 		_ = srv.Listener.Close() // a second crash of the same upstream finds it closed
+		c.countCrash()           // before the caller can learn of it
 		srv.CloseClientConnections()
-		c.crashed(id)
+		c.replace(id)
 		panic(http.ErrAbortHandler)
 	}))
 	c.t.Cleanup(srv.Close)
@@ -80,10 +81,16 @@
 	c.gateway.Pools.Reconcile(c.upstreams)
 }
 
-func (c *crashingFleet) crashed(id string) {
+func (c *crashingFleet) countCrash() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.crashes++
+}
+
+// replace removes a crashed upstream and adds another one.
+func (c *crashingFleet) replace(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for i, u := range c.upstreams {
 		if u.ID == id {
 			c.upstreams = append(c.upstreams[:i:i], c.upstreams[i+1:]...)
