platform: warm-up, evacuation bound and pace of engines are decoded

The two deployments that join state how long an upstream stays cold and what it bears meanwhile, the bound on evacuations, and what a step of an engine costs. None of it was read. The fields are decoded and checked here so that the parts that use them share one translation.

go test ./platform ./internal/settings ./internal/routing: ok.

--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -63,6 +63,10 @@
 	MaxConnections int
 	// HealthPath is the path of the upstreams' health check, empty if it isn't known.
 	HealthPath string
+	// Warmup is how long an upstream stays cold after its start, 0 if it starts at full
+	// speed. A cold upstream bears WarmupRate requests a second from all entries together.
+	Warmup     time.Duration
+	WarmupRate float64
 	// Engine is nil for a plain service, whose upstreams don't batch requests.
 	Engine *Engine
 }
@@ -77,6 +81,18 @@
 	// ReportLag is the age of the state that an engine reports to other VMs; 0 if it isn't
 	// known.
 	ReportLag time.Duration
+	// StepsPerPart is the number of token steps between two parts of an answer, 0 if it
+	// isn't known.
+	StepsPerPart int
+	// ReadRate is the number of prompt tokens that an engine reads in a second, and
+	// ReadChunk the most that it reads in one token step; 0 if they aren't known.
+	ReadRate  float64
+	ReadChunk int
+	// FormTime is how long a group takes to open once all of its ranks are there.
+	FormTime time.Duration
+	// MeanPrompt and MeanAnswer are the mean numbers of tokens of a request's prompt and
+	// answer, 0 if they aren't known.
+	MeanPrompt, MeanAnswer float64
 	// Experts is the shape of the expert maps. The zero value means that the
 	// service has none.
 	Experts ExpertShape
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -37,6 +37,12 @@
 	// MaxPartition is the longest network partition according to the platform;
 	// 0 means unknown.
 	MaxPartition time.Duration
+	// EvacuationBound is the longest time until an evacuation of a data centre is in
+	// force; 0 if the platform doesn't evacuate.
+	EvacuationBound time.Duration
+	// WarmupOverage and WarmupAllowance say at how many requests in one second a cold
+	// upstream may crash: WarmupOverage times the rate that it bears plus WarmupAllowance.
+	WarmupOverage, WarmupAllowance float64
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// MinLeaseTTL is the shortest lease TTL that the store grants.
@@ -73,6 +79,8 @@
 	require(n.Heartbeat >= 0, "upstreams' heartbeat", "give a time of 0 or more")
 	require(n.Grace > 0, "grace", "give a positive time from SIGTERM to SIGKILL")
 	require(n.RetryRatio >= 0 && n.RetryAllowance >= 0 && n.RetryWindow > 0, "retry budget", "give a ratio and an allowance of 0 or more, and a positive window")
+	require(n.EvacuationBound >= 0, "bound on evacuations", "give a time of 0 or more")
+	require(n.WarmupOverage >= 0 && n.WarmupAllowance >= 0, "bound on requests to cold upstreams", "give an overage and an allowance of 0 or more")
 	return errors.Join(faults...)
 }
 
