quarantine: a part that has succeeded isn't blamed for crashes at one that never has

The part that all streams share had been cleared at 20.084 s; then all upstreams crashed under a plain request that never succeeds, streams were in flight at most of these crashes and at one by chance, and no stream could succeed between. The crash of the shared part that the plain request didn't explain was enough to blame it, also in entries that found both convictions in the store at their start.

Crashes at which a convicted part was in flight that has never succeeded no longer count against one that has, and a part that has succeeded explains none of one that never has. Reports and stored evidence say which parts have succeeded, for entries that start later. The functions that select reports for others have a file of their own.

The new test failed before: `4 upstreams crashed while running it` for the sound part; go test ./internal/quarantine passes.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -7,9 +7,10 @@
 
 // One part of a prompt may crash every engine that begins to write an answer on it, and one
 // content every upstream, whichever client account sends it. Other parts of the same requests
-// are in flight at the same crashes, also in sound requests. Two things tell them apart: a
-// success clears a part, and a crash is blamed on a part of a request only if no part that the
-// request lacks was in flight at all the same crashes.
+// are in flight at the same crashes, also in sound requests. Three things tell them apart: a
+// success clears a part, a crash is blamed on a part of a request only if no part that the
+// request lacks was in flight at all the same crashes, and the crashes of a part that has
+// succeeded before are rather those of parts that never have.
 
 const (
 	// partThreshold is the number of crashes after which a part is convicted. By
@@ -21,13 +22,17 @@
 	minCrashSpread = 1 * time.Second
 )
 
-// recurs reports whether the record's crashes are too many to be chance.
-func (r *Record) recurs() bool {
-	threshold := partThreshold
+// threshold returns the number of crashes that are too many to be chance.
+func (r *Record) threshold() int {
 	if r.whole {
-		threshold = ConvictionThreshold
+		return ConvictionThreshold
 	}
-	return len(r.crashes) >= threshold && r.lastCrash.Sub(r.firstCrash) >= minCrashSpread
+	return partThreshold
+}
+
+// recurs reports whether the record's crashes are too many to be chance.
+func (r *Record) recurs() bool {
+	return len(r.crashes) >= r.threshold() && r.lastCrash.Sub(r.firstCrash) >= minCrashSpread
 }
 
 // partToBlame returns the record of a convicted part among those of a request, or nil. The
@@ -41,18 +46,25 @@
 	return nil
 }
 
-// blamedElsewhere reports whether a part that isn't among the given ones was in flight at
-// all crashes of the record. The caller must hold mu.
+// blamedElsewhere reports whether parts that aren't among the given ones explain the crashes of
+// the record: one of them was in flight at all, or the record is of a part that has succeeded
+// before and those that never have were in flight at all but a few. One that has succeeded
+// explains no crash of a part that never has. The caller must hold mu.
 func (t *Table) blamedElsewhere(rec *Record, parts []Fingerprint) bool {
+	unexplained, succeeded := slices.Clone(rec.crashes), t.hasSucceeded(rec.Fingerprint)
 	for f, other := range t.records {
-		if !other.Part || other.State != Convicted || slices.Contains(parts, f) {
+		if !other.Part || other.State != Convicted || slices.Contains(parts, f) || !succeeded && t.hasSucceeded(f) {
 			continue
 		}
-		if !slices.ContainsFunc(rec.crashes, func(crash string) bool { return !slices.Contains(other.crashes, crash) }) {
+		explained := func(crash string) bool { return slices.Contains(other.crashes, crash) }
+		if !slices.ContainsFunc(rec.crashes, func(crash string) bool { return !explained(crash) }) {
 			return true
 		}
+		if !t.hasSucceeded(f) {
+			unexplained = slices.DeleteFunc(unexplained, explained)
+		}
 	}
-	return false
+	return succeeded && len(unexplained) < rec.threshold()
 }
 
 // Recurring reports whether the request, or a part of it, was in flight at more than one
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -72,6 +72,39 @@
 		Expect(late.Recurring(prompt("next", "worse"))).To(BeTrue())
 	})
 
+	// Guards against a part that all streams share being refused for minutes: upstreams crash at
+	// another request's part, and by chance once more, while no stream succeeds.
+	It("doesn't blame a part that has succeeded for crashes at a part that never has", func() {
+		crashed("before", prompt("own", "first"))
+		clock.Advance(time.Second)
+		succeeded(prompt("sound", "first"))
+		for i := range 3 {
+			clock.Advance(time.Second)
+			crashed(fmt.Sprint("crash", i), prompt(fmt.Sprint("own", i), "first"), prompt(fmt.Sprint("plain", i), "bad"))
+		}
+		clock.Advance(time.Second)
+		crashed("chance", prompt("another", "first"))
+		Expect(table.Check(prompt("sound", "first"))).To(Succeed())
+		Expect(table.Check(prompt("next", "bad"))).NotTo(Succeed())
+
+		By("a process that starts later and finds the evidence in the store")
+		late := quarantine.NewTable(clock)
+		for _, part := range []string{"first", "bad"} {
+			for _, r := range table.Evidence(quarantine.PartFingerprints([]string{part})[0]) {
+				late.Add(r)
+			}
+		}
+		Expect(late.Check(prompt("sound", "first"))).To(Succeed())
+		Expect(late.Check(prompt("next", "bad"))).NotTo(Succeed())
+
+		By("crashes without another explanation")
+		for i := range 3 {
+			clock.Advance(time.Second)
+			crashed(fmt.Sprint("more", i), prompt(fmt.Sprint("again", i), "first"))
+		}
+		Expect(table.Check(prompt("sound", "first"))).NotTo(Succeed())
+	})
+
 	It("counts one crash that several processes report once", func() {
 		for i := range 5 {
 			crashed("one", prompt(fmt.Sprint("own", i), "bad"))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -120,6 +120,9 @@
 	// Cleared is set if the suspects have succeeded since their crash; the report
 	// then describes no crash.
 	Cleared bool
+	// Succeeded lists the parts of suspects that had succeeded before the crash, or have
+	// since.
+	Succeeded []Fingerprint `json:",omitempty"`
 }
 
 // Held returns the requests that the report holds.
@@ -187,7 +190,8 @@
 	// convicted lists the requests and parts convicted since the last TakeConvicted.
 	convicted []Fingerprint
 	// clearedAt holds when parts were last cleared: a report of an earlier crash that arrives
-	// later doesn't count.
+	// later doesn't count. The time is zero for a part of which another process says that it
+	// has succeeded.
 	clearedAt map[Fingerprint]time.Time
 }
 
@@ -206,6 +210,9 @@
 		return false
 	}
 	t.storeReport(r)
+	for _, f := range r.Succeeded {
+		t.markSucceeded(f, time.Time{})
+	}
 	for _, s := range r.Suspects {
 		if r.Cleared {
 			t.clear(s, time.UnixMilli(r.AtMS))
@@ -286,11 +293,26 @@
 			continue
 		}
 		delete(t.records, part)
-		if len(t.clearedAt) >= MaxSuspects {
-			clear(t.clearedAt)
-		}
-		t.clearedAt[part] = at
+		t.markSucceeded(part, at)
+	}
+}
+
+// markSucceeded records that a part has succeeded, and when; the time is zero if it isn't known.
+// The caller must hold mu.
+func (t *Table) markSucceeded(part Fingerprint, at time.Time) {
+	if at.Before(t.clearedAt[part]) {
+		return
+	}
+	if len(t.clearedAt) >= MaxSuspects {
+		clear(t.clearedAt)
 	}
+	t.clearedAt[part] = at
+}
+
+// hasSucceeded reports whether a part is known to have succeeded. The caller must hold mu.
+func (t *Table) hasSucceeded(part Fingerprint) bool {
+	_, succeeded := t.clearedAt[part]
+	return succeeded
 }
 
 // unexpired returns a request's record, or nil if there is none. It deletes a
@@ -334,57 +356,6 @@
 	return out
 }
 
-// Reports returns the reports that have not expired, oldest first.
-func (t *Table) Reports() []Report {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	return slices.DeleteFunc(slices.Clone(t.reports), func(r Report) bool {
-		return !now.Before(time.UnixMilli(r.AtMS).Add(Expiry))
-	})
-}
-
-// newReport is the age up to which every report is relevant.
-const newReport = 3 * time.Second
-
-// Relevant returns the reports, oldest first, that another process needs: the new ones, and
-// those of crashes with a request that is held, or with a request or a part that was in flight
-// at several. Parts that have been cleared since a crash are left out of its report.
-func (t *Table) Relevant() []Report {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	matters := func(s Suspect) bool { return t.recurring(s) || !t.heldUntil(s).IsZero() }
-	relevant := slices.DeleteFunc(slices.Clone(t.reports), func(r Report) bool {
-		return now.Sub(time.UnixMilli(r.AtMS)) > newReport && (r.Cleared || !slices.ContainsFunc(r.Suspects, matters))
-	})
-	for i := range relevant {
-		relevant[i] = t.withoutCleared(relevant[i])
-	}
-	return relevant
-}
-
-// withoutCleared returns a report of a crash without the parts that have been cleared since:
-// a process that starts later doesn't learn of their success. The caller must hold mu.
-func (t *Table) withoutCleared(r Report) Report {
-	if r.Cleared {
-		return r
-	}
-	suspects := slices.Clone(r.Suspects)
-	for i, s := range suspects {
-		s.Parts = slices.DeleteFunc(slices.Clone(s.Parts), func(f Fingerprint) bool {
-			cleared := t.clearedAt[f]
-			return !cleared.IsZero() && !time.UnixMilli(r.AtMS).After(cleared)
-		})
-		if !slices.Contains(s.Parts, s.Whole) {
-			s.Whole, s.Hold = "", false
-		}
-		suspects[i] = s
-	}
-	r.Suspects = suspects
-	return r
-}
-
 // TakeConvicted returns the requests and parts that were convicted since its last call.
 func (t *Table) TakeConvicted() []Fingerprint {
 	t.mu.Lock()
@@ -408,38 +379,6 @@
 	return rec != nil && (rec.State == Convicted || !rec.heldUntil.IsZero())
 }
 
-// Evidence returns reports that convict or hold a request or part in another table: one for
-// each of its crashes, with it as the only suspect.
-func (t *Table) Evidence(f Fingerprint) []Report {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var evidence []Report
-	for _, r := range t.reports {
-		if r.Cleared {
-			continue
-		}
-		i := slices.IndexFunc(r.Suspects, func(s Suspect) bool { return s.Fingerprint == f || slices.Contains(s.Parts, f) })
-		if i < 0 {
-			continue
-		}
-		suspect := Suspect{Parts: []Fingerprint{f}}
-		switch s := r.Suspects[i]; f {
-		case s.Fingerprint:
-			suspect = Suspect{Fingerprint: f, Account: s.Account}
-		case s.Whole:
-			suspect.Whole, suspect.Hold = f, s.Hold
-		}
-		known := slices.IndexFunc(evidence, func(e Report) bool { return e.crash() == r.crash() })
-		if known >= 0 {
-			evidence[known].Suspects[0].Hold = evidence[known].Suspects[0].Hold || suspect.Hold
-			continue
-		}
-		// The ID differs from that of the whole report, which may arrive too.
-		evidence = append(evidence, Report{ID: r.ID + "/" + string(f), Upstream: r.Upstream, Crash: r.crash(), AtMS: r.AtMS, Suspects: []Suspect{suspect}})
-	}
-	return evidence
-}
-
 // Empty reports whether the table holds no requests.
 func (t *Table) Empty() bool {
 	t.mu.Lock()
