--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -72,6 +72,26 @@
 	g.Expect(strings.Count(text(), `"msg":"line"`)).To(BeNumerically("==", lines-dropped))
 }
 
+// Guards against a flood of refused requests that hides what a process came to believe
+// meanwhile: lines about single requests don't displace the others.
+func TestFloodOfRequestsLeavesRoomForOtherLines(t *testing.T) {
+	g := NewWithT(t)
+	out := &blockingWriter{}
+	log, _, err := telemetry.NewBoundedLogger(out, "info", "p1")
+	g.Expect(err).NotTo(HaveOccurred())
+	const requests, others = 20000, 100
+	for i := range requests {
+		log.With(zap.Int("request", i)).Info("answered with an error")
+		if i%(requests/others) == 0 {
+			log.Info("put into quarantine")
+		}
+	}
+	text := func() string { return strings.Join(out.lines(), "\n") }
+	g.Eventually(text, "3s").Should(MatchRegexp(`"log lines dropped","process":"p1","of_requests":[1-9]`))
+	g.Expect(log.Sync()).To(Succeed())
+	g.Eventually(func() int { return strings.Count(text(), "put into quarantine") }, "3s").Should(Equal(others))
+}
+
 func TestExposition(t *testing.T) {
 	g := NewWithT(t)
 	reg := metrics.NewRegistry()
