gateway: memory for bodies is bounded by the VM's, and for each client account

An entry held up to 48 MB of bodies, more than a third of the 136 MB of the smallest VMs now in use, and one account whose callers send or read slowly could take all of it, so that everybody was refused. The bound is now a fifth of the VM's memory, at most as before, and an account gets more only while it holds no more than is left free (internal/membudget).

go test ./internal/membudget ./internal/gateway ./internal/daemon: ok.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -116,7 +116,7 @@
 				go g.crashes.Remove(work, f)
 			}
 		},
-		Clock: p.clock, Log: p.log, Metrics: p.metrics,
+		MemoryBytes: p.node.MemoryBytes, Clock: p.clock, Log: p.log, Metrics: p.metrics,
 	})
 	// Stored evidence may arrive before the rest is known.
 	g.crashes = &fleet.CrashReports{KV: p.store, Table: g.gateway.Quarantine, Clock: p.clock, Log: p.log}
@@ -135,6 +135,7 @@
 		"upstreams.usable":      func() int64 { return int64(len(g.directory.Usable())) },
 		"upstreams.limited":     func() int64 { return int64(g.gateway.Pools.Limited()) },
 		"requests_in_flight":    func() int64 { return int64(g.gateway.InFlight()) },
+		"bodies.held_bytes":     g.gateway.HeldBytes,
 		"entries.known":         func() int64 { return int64(g.fleet.view.EntryCount()) },
 		"connections.opened":    g.transport.ConnectionsOpened,
 	})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -378,7 +378,7 @@
 	if length > maxAnswerBytes {
 		return nil, errAnswerTooLarge
 	}
-	body, err := q.g.bodyMemory.read(q.ctx, io.LimitReader(reply, maxAnswerBytes+1), length)
+	body, err := q.g.bodyMemory.read(q.ctx, q.account, io.LimitReader(reply, maxAnswerBytes+1), length)
 	q.answerMemory += int64(cap(body))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errAnswerTooLarge
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,6 +122,8 @@
 	// OnAcquittal, if not nil, is called with the parts in quarantine, or held before, of a
 	// request that has succeeded. It must not block.
 	OnAcquittal func([]quarantine.Fingerprint)
+	// MemoryBytes is the memory of the VM, 0 for unknown.
+	MemoryBytes int64
 	Clock       clockwork.Clock
 	Log         *zap.Logger
 	Metrics     metrics.Registry
@@ -141,7 +143,7 @@
 	drain        drainState
 	retryBudgets map[string]*outcome.WindowBudget
 	entryShare   float64
-	bodyMemory   *bodyBudget
+	bodyMemory   bodyBudget
 }
 
 // New returns a gateway that follows the configurations of o.Routes.
@@ -153,7 +155,7 @@
 		retryBudgets: map[string]*outcome.WindowBudget{},
 		entryShare:   defaultEntryShare,
 		startedAt:    o.Clock.Now(),
-		bodyMemory:   newBodyBudget(maxBodyMemory),
+		bodyMemory:   newBodyBudget(o.MemoryBytes),
 	}
 	if g.Quarantine == nil {
 		g.Quarantine = quarantine.NewTable(o.Clock)
@@ -170,6 +172,12 @@
 // centre.
 const defaultEntryShare = 1.0 / 32
 
+// HeldBytes returns the memory that is held for bodies, in bytes.
+func (g *Gateway) HeldBytes() int64 {
+	total, _ := g.bodyMemory.Held()
+	return total
+}
+
 // SetEntryCount sets the number of entries that share the budgets and the
 // capacity.
 func (g *Gateway) SetEntryCount(n int) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -197,7 +197,7 @@
 	q.timer.Stop()
 	q.mu.Unlock()
 	q.cancel(errRequestEnded)
-	q.g.bodyMemory.release(int64(cap(q.body)) + q.answerMemory)
+	q.g.bodyMemory.Release(q.account, int64(cap(q.body))+q.answerMemory)
 }
 
 // readBody reads the body to its end, so that an attempt never waits for the
@@ -213,7 +213,7 @@
 	if q.r.Body == nil || q.r.Body == http.NoBody || q.r.ContentLength == 0 {
 		return nil
 	}
-	body, err := q.g.bodyMemory.read(q.ctx, io.LimitReader(q.r.Body, limit+1), q.r.ContentLength)
+	body, err := q.g.bodyMemory.read(q.ctx, q.account, io.LimitReader(q.r.Body, limit+1), q.r.ContentLength)
 	q.body = body
 	switch {
 	case errors.Is(err, errBodyMemory):
