evacuation: upstreams of an evacuated data centre get no further requests

The operator's requests that nothing more be sent to a data centre were read by nothing. internal/evacuation keeps them by their position in the store's history and believes an end only with proof. Where the platform states a bound, entries follow them in one watch with the configuration, pass them on at once with their digests and learn them together with a configuration from another entry. Picks pass over the upstreams, a request that was picked before is checked once more as it is sent, and one without any other upstream is refused at once.

A deployment without the bound watches and sends what it did before.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -21,6 +21,8 @@
 	// Limit means that the client account has reached its limit of requests in
 	// flight.
 	Limit Reason = "limit"
+	// Evacuated means that all upstreams of the pool are in evacuated data centres.
+	Evacuated Reason = "evacuated"
 )
 
 // Decision is the result of asking for admission.
--- a/internal/admission/waitlist.go
+++ b/internal/admission/waitlist.go
@@ -48,6 +48,15 @@
 	return started
 }
 
+// RefuseAll refuses all waiting requests.
+func (w *Waitlist) RefuseAll(reason Reason) {
+	for _, t := range w.queue.all() {
+		w.queue.remove(t)
+		t.state = finished
+		t.OnDecision(Decision{Reason: reason})
+	}
+}
+
 // Remove removes a waiting request. It returns false if the request was decided
 // before.
 func (w *Waitlist) Remove(t *Ticket) bool {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -13,6 +13,8 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/directory"
 	"github.com/kingcupreel/kingcupreel/internal/dispatch"
+	"github.com/kingcupreel/kingcupreel/internal/evacuation"
+	"github.com/kingcupreel/kingcupreel/internal/feed"
 	"github.com/kingcupreel/kingcupreel/internal/fleet"
 	"github.com/kingcupreel/kingcupreel/internal/gateway"
 	"github.com/kingcupreel/kingcupreel/internal/kvstore"
@@ -31,9 +33,11 @@
 	drainNotice = 2500 * time.Millisecond
 	// configurationWatchFactor times settings.Node.ConfigBound, and
 	// replicasWatchFactor times settings.Node.DrainBound, are the timeouts of the
-	// watches of the configuration and of the upstreams. A store that discards its
+	// watches of the configuration and of the upstreams. evacuationWatchFactor times
+	// settings.Node.EvacuationBound limits the first of them, since both come by one watch. A store that discards its
 	// history lets a watch wait in vain to its end, at all watchers alike.
 	configurationWatchFactor = 1.25
+	evacuationWatchFactor    = 0.6
 	replicasWatchFactor      = 2.5
 	// replicasBatchDelay is the pause after changes of upstreams, in which
 	// further changes are batched. It is a small fraction of DrainBound.
@@ -52,6 +56,8 @@
 	crashes   *fleet.CrashReports
 	// reachability is updated by the datagrams of other processes and by answers.
 	reachability *fleet.Reachability
+	// evacuations is nil if the platform doesn't evacuate.
+	evacuations *evacuation.Table
 }
 
 // RunGateway serves callers on a VM of the platform until ctx is done or the
@@ -118,6 +124,9 @@
 		},
 		Clock: p.clock, Log: p.log, Metrics: p.metrics,
 	})
+	if err := g.initEvacuations(); err != nil {
+		return nil, err
+	}
 	// Stored evidence may arrive before the rest is known.
 	g.crashes = &fleet.CrashReports{KV: p.store, Table: g.gateway.Quarantine, Clock: p.clock, Log: p.log}
 	onEvidence := func(value []byte) {
@@ -150,7 +159,7 @@
 func (g *gatewayProcess) startExchange(work context.Context) error {
 	g.exchange = &fleet.Exchange{
 		Self: g.fleet.self.Name, View: g.fleet.view, Datagrams: g.fleet.datagrams, Clock: g.clock, Log: g.log,
-		SharedState: &sharedState{routes: g.routes, directory: g.directory, pools: g.gateway.Pools, fleet: g.fleet, applyConfiguration: g.configurationSink().ApplyConfiguration},
+		SharedState: &sharedState{routes: g.routes, directory: g.directory, pools: g.gateway.Pools, fleet: g.fleet, evacuations: g.evacuations, applyConfiguration: g.configurationSink().ApplyConfiguration},
 	}
 	g.routes.OnChange(func(*routing.Table) { g.exchange.TriggerDigest() })
 	g.directory.OnDeparture(g.exchange.TriggerDigest)
@@ -177,6 +186,8 @@
 		g.exchange.HandleDigest(work, from, m)
 	case *wire.RankLoad:
 		g.handleLoad(m)
+	case *wire.Evacuations:
+		g.exchange.HandleEvacuations(m)
 	case *wire.UpstreamLimits:
 		g.gateway.ApplySharedLimits(m.Limits)
 	case *wire.CrashReport:
@@ -211,9 +222,11 @@
 	go g.gateway.Run(work)
 	go updateEntryCount(work, g.clock, g.gateway, g.fleet.view)
 	g.reload(work, func(n settings.Node) { g.gateway.SetLimits(retryLimits(n)) })
-	g.follow(work, g.fleet, platform.KeyConfiguration, g.configurationSink(), scale(g.node.ConfigBound, configurationWatchFactor), 0)
-	replicas := platform.ReplicaSink{Directory: g.directory, Log: g.log}
-	g.follow(work, g.fleet, platform.PrefixReplicas, replicas, scale(g.node.DrainBound, replicasWatchFactor), replicasBatchDelay)
+	g.follow(work, g.fleet, g.operatorFeed())
+	g.follow(work, g.fleet, &feed.Feed{
+		Prefix: platform.PrefixReplicas, Sink: platform.ReplicaSink{Directory: g.directory, Log: g.log},
+		WatchTimeout: scale(g.node.DrainBound, replicasWatchFactor), BatchDelay: replicasBatchDelay,
+	})
 }
 
 // scale returns a duration times a factor.
@@ -244,13 +257,14 @@
 }
 
 // sharedState is the state that an entry exchanges with other entries: its
-// configuration, and the departures and limits of upstreams. It implements
+// configuration, the departures and limits of upstreams, and evacuations. It implements
 // fleet.SharedState.
 type sharedState struct {
 	routes             *routing.Store
 	directory          *directory.Directory
 	pools              *gateway.Pools
 	fleet              *fleetMembership
+	evacuations        *evacuation.Table
 	applyConfiguration func(encoded []byte, source string, revision int64)
 }
 
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -226,18 +226,18 @@
 	}
 	registrar := &fleet.Registrar{KV: p.store, Self: f.self, Clock: p.clock, Log: p.log}
 	registrar.ReregisterOnLoss(f.view)
-	p.follow(ctx, f, fleet.Prefix, f.view, maxWatchTimeout, registrationBatchDelay)
+	p.follow(ctx, f, &feed.Feed{Prefix: fleet.Prefix, Sink: f.view, WatchTimeout: maxWatchTimeout, BatchDelay: registrationBatchDelay})
 	go registrar.Run(ctx)
 	return f, nil
 }
 
-// follow starts a feed that applies the keys below a prefix to a sink. A watch
-// lasts at most watchTimeout; batchDelay is the pause after changes.
-func (p *platformProcess) follow(ctx context.Context, f *fleetMembership, prefix string, sink feed.Sink, watchTimeout, batchDelay time.Duration) {
+// follow starts a feed, of which the caller gives the prefix, the sink and the times.
+func (p *platformProcess) follow(ctx context.Context, f *fleetMembership, keys *feed.Feed) {
 	if f.mirrors != nil {
-		m := relay.NewMirror(sink)
-		f.mirrors.Add(prefix, m)
-		sink = m
+		m := relay.NewMirror(keys.Sink)
+		f.mirrors.Add(keys.Prefix, m)
+		keys.Sink = m
 	}
-	go (&feed.Feed{KV: f.reads, Prefix: prefix, Sink: sink, WatchTimeout: watchTimeout, BatchDelay: batchDelay, Clock: p.clock, Log: p.log}).Run(ctx)
+	keys.KV, keys.Clock, keys.Log = f.reads, p.clock, p.log
+	go keys.Run(ctx)
 }
--- a/internal/daemon/rank.go
+++ b/internal/daemon/rank.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kingcupreel/kingcupreel/internal/feed"
 	"github.com/kingcupreel/kingcupreel/internal/fleet"
 	"github.com/kingcupreel/kingcupreel/internal/rankagent"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
@@ -40,8 +41,10 @@
 		Self: f.self, Service: p.node.LocalService, Engine: platform.NewEngine(p.node.LocalUpstream),
 		Connect: func(address string) rankagent.Engine { return platform.NewEngine(address) },
 		View:    f.view, Datagrams: f.datagrams, Routes: routes, KV: p.store,
-		FollowConfiguration: func(ctx context.Context) { p.follow(ctx, f, platform.KeyConfiguration, sink, maxWatchTimeout, 0) },
-		LeaderLeaseTTL:      max(leaderLeaseTTL, p.node.MinLeaseTTL), Fencing: p.node.FencingEnforced, Clock: p.clock, Log: p.log, Metrics: p.metrics,
+		FollowConfiguration: func(ctx context.Context) {
+			p.follow(ctx, f, &feed.Feed{Prefix: p.operatorPrefix(), Sink: sink, WatchTimeout: maxWatchTimeout})
+		},
+		LeaderLeaseTTL: max(leaderLeaseTTL, p.node.MinLeaseTTL), Fencing: p.node.FencingEnforced, Clock: p.clock, Log: p.log, Metrics: p.metrics,
 	})
 	if err := fleet.Serve(work, f.self.Address, a.Handler(work), p.log); err != nil {
 		return err
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Capacity describes how many requests a pool's upstreams can run at once.
+// Capacity describes how many requests a pool's upstreams can run at once. Upstreams of
+// evacuated data centres give no room and don't count.
 type Capacity struct {
 	// UsableUpstreams is the number of upstreams that can serve now.
 	// TotalSlots is the number of slots of all upstreams, including those that
@@ -30,6 +31,9 @@
 	var out Capacity
 	groups := p.groupStates(now)
 	for _, n := range p.nodes {
+		if n.evacuated {
+			continue
+		}
 		out.TotalSlots += n.Slots
 		out.InFlight += n.inFlight
 		out.Unanswered += n.unanswered
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -27,9 +27,12 @@
 
 // The obstacles.
 const (
+	// Evacuated means that all upstreams of the pool that the request doesn't exclude are in
+	// evacuated data centres. No upstream by itself has this obstacle.
+	Evacuated Obstacle = iota
 	// Unusable means that the upstream or its group doesn't serve, that it wants no requests,
-	// or that the request excludes it.
-	Unusable Obstacle = iota
+	// that its data centre is evacuated, or that the request excludes it.
+	Unusable
 	// Unheard means that it may not answer.
 	Unheard
 	// Full means that it can't begin the request in time.
@@ -40,7 +43,7 @@
 	None
 )
 
-var obstacleNames = [...]string{Unusable: "not serving", Unheard: "not heard from", Full: "full", AtLimit: "request limit", None: "none"}
+var obstacleNames = [...]string{Evacuated: "evacuated", Unusable: "not serving", Unheard: "not heard from", Full: "full", AtLimit: "request limit", None: "none"}
 
 // String returns the obstacle's name for logs.
 func (o Obstacle) String() string { return obstacleNames[o] }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -115,6 +115,8 @@
 	suspendedAt    time.Time
 	// unreachable is set if the upstream's data centre is not heard from.
 	unreachable bool
+	// evacuated is set while the upstream's data centre is evacuated.
+	evacuated bool
 	// restsUntil is the time until which the upstream wants no requests.
 	restsUntil time.Time
 	// limit is this entry's share of the limit on the rate of requests that the upstream
@@ -194,6 +196,9 @@
 		p.obstacles = append(p.obstacles, o)
 		least = max(least, o)
 	}
+	if least == Unusable && p.OnlyEvacuated(d) {
+		return nil, Evacuated
+	}
 	if least != None && least != Unheard {
 		return nil, least
 	}
@@ -264,7 +269,7 @@
 }
 
 func (n *Node) usable(now time.Time, groups []groupState) bool {
-	if now.Before(n.suspendedUntil) || now.Before(n.restsUntil) {
+	if n.evacuated || now.Before(n.suspendedUntil) || now.Before(n.restsUntil) {
 		return false
 	}
 	if now.Sub(n.reportedAt) > reportTTL {
@@ -385,10 +390,16 @@
 }
 
 // Resting returns the earliest time at which an upstream that rests can be used again.
-// all is set if every upstream rests, earliest is zero if none does.
+// all is set if every upstream rests, earliest is zero if none does. Upstreams of evacuated
+// data centres don't count.
 func (p *Pool) Resting(now time.Time) (earliest time.Time, all bool) {
-	all = len(p.nodes) > 0
+	counted := 0
+	all = true
 	for _, n := range p.nodes {
+		if n.evacuated {
+			continue
+		}
+		counted++
 		if !now.Before(n.restsUntil) {
 			all = false
 			continue
@@ -397,7 +408,7 @@
 			earliest = n.restsUntil
 		}
 	}
-	return earliest, all
+	return earliest, all && counted > 0
 }
 
 // MarkGone skips the upstream for goneDuration because another one has its
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,12 @@
 	// maxDigestDepartures bounds the departures in one digest, so that it fits
 	// into a datagram. The newest ones are sent.
 	maxDigestDepartures = 24
+	// maxDatagramEvacuations bounds the evacuations in one datagram, so that they fit.
+	maxDatagramEvacuations = 8
+	// quietEvacuationFanout is how many entries receive the evacuations with each digest
+	// while there has been no change lately, so that a loss is made up for and an entry that
+	// has started learns them.
+	quietEvacuationFanout = 1
 	// fetchTimeout bounds the fetch of a configuration from another entry.
 	fetchTimeout = 1 * time.Second
 )
@@ -55,6 +62,10 @@
 	// another entry knows.
 	UpstreamsChange() kvstore.Position
 	ObserveUpstreamsChange(at kvstore.Position)
+	// Evacuations returns the evacuations that are known, and whether there is news of them.
+	// MergeEvacuations records those that another entry knows.
+	Evacuations() (list []wire.Evacuation, news bool)
+	MergeEvacuations(list []wire.Evacuation, from string)
 }
 
 // Exchange synchronises an entry's state with other entries, whether or not the
@@ -114,6 +125,11 @@
 		d.Departures = d.Departures[excess:]
 	}
 	limits := &wire.UpstreamLimits{Limits: x.SharedState.RecentLimits(maxSharedLimits)}
+	evacuations, news := x.SharedState.Evacuations()
+	evacuationFanout := quietEvacuationFanout
+	if news {
+		evacuationFanout = digestFanout
+	}
 	sent := 0
 	for _, p := range peers {
 		if p.Name == x.Self {
@@ -123,6 +139,11 @@
 		if len(limits.Limits) > 0 {
 			x.Datagrams.Send(p.Address, limits)
 		}
+		if sent < evacuationFanout {
+			for records := range slices.Chunk(evacuations, maxDatagramEvacuations) {
+				x.Datagrams.Send(p.Address, &wire.Evacuations{Entry: x.Self, Records: records})
+			}
+		}
 		if sent++; sent == digestFanout {
 			return
 		}
@@ -149,6 +170,11 @@
 	}
 }
 
+// HandleEvacuations records the evacuations that another entry knows.
+func (x *Exchange) HandleEvacuations(m *wire.Evacuations) {
+	x.SharedState.MergeEvacuations(m.Records, m.Entry)
+}
+
 // startFetch fetches a configuration from another entry in the background.
 // While a fetch is in progress it does nothing.
 func (x *Exchange) startFetch(ctx context.Context, from string, version int64) {
@@ -177,11 +203,11 @@
 func (x *Exchange) fetch(ctx context.Context, peer Member) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	reply := make(chan []byte, 1)
+	reply := make(chan *wire.ConfigurationReply, 1)
 	handler := &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){
 		wire.KindConfigurationReply: func(_ *wire.Conn, m wire.Message) {
 			select {
-			case reply <- m.(*wire.ConfigurationReply).Encoded:
+			case reply <- m.(*wire.ConfigurationReply):
 			default:
 			}
 		},
@@ -195,8 +221,10 @@
 		return err
 	}
 	select {
-	case encoded := <-reply:
-		x.SharedState.ApplyConfiguration(encoded, peer.Name)
+	case r := <-reply:
+		// Evacuations come first: with a configuration the entry may take work.
+		x.SharedState.MergeEvacuations(r.Evacuations, peer.Name)
+		x.SharedState.ApplyConfiguration(r.Encoded, peer.Name)
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -204,7 +232,9 @@
 }
 
 // SendConfiguration answers another entry's ConfigurationRequest with the
-// configuration in force.
+// configuration in force and the evacuations.
 func (x *Exchange) SendConfiguration(c *wire.Conn, _ wire.Message) {
-	_ = c.Send(&wire.ConfigurationReply{Encoded: x.SharedState.Encoded()})
+	encoded := x.SharedState.Encoded() // first, so that the evacuations aren't older
+	evacuations, _ := x.SharedState.Evacuations()
+	_ = c.Send(&wire.ConfigurationReply{Encoded: encoded, Evacuations: evacuations})
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -111,6 +111,8 @@
 	version    int64
 	departures []wire.Departure
 	limits     []wire.UpstreamLimit
+	// evacuations is replaced by longer lists.
+	evacuations []wire.Evacuation
 }
 
 func (s *sharedState) RecentLimits(max int) []wire.UpstreamLimit {
@@ -122,6 +124,20 @@
 func (*sharedState) UpstreamsChange() kvstore.Position       { return kvstore.Position{} }
 func (*sharedState) ObserveUpstreamsChange(kvstore.Position) {}
 
+func (s *sharedState) Evacuations() (list []wire.Evacuation, news bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations, true
+}
+
+func (s *sharedState) MergeEvacuations(list []wire.Evacuation, _ string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(list) > len(s.evacuations) {
+		s.evacuations = list
+	}
+}
+
 func (s *sharedState) Version() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -186,6 +202,8 @@
 			switch m := m.(type) {
 			case *wire.EntryDigest:
 				x.HandleDigest(ctx, from, m)
+			case *wire.Evacuations:
+				x.HandleEvacuations(m)
 			case *wire.UpstreamLimits:
 				states[i].mu.Lock()
 				defer states[i].mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -235,7 +235,7 @@
 	})
 	return &upstream.Call{
 		ID: q.ID, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
-		NewConnection: !q.route.Retryable(),
+		NewConnection: !q.route.Retryable(), MaySend: m.maySend,
 	}
 }
 
@@ -362,7 +362,7 @@
 // sendFailure returns the result of an attempt that got no answer.
 func sendFailure(err error) result {
 	if upstream.IsNotSent(err) {
-		return result{attemptStatus: attemptNotRun, cause: err}
+		return result{attemptStatus: attemptNotRun, refused: errors.Is(err, errEvacuatedMeanwhile), cause: err}
 	}
 	return result{attemptStatus: attemptUnknown, sent: true, cause: err}
 }
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -52,7 +52,7 @@
 	}
 	q.log.Info("no upstream can take the request", zap.String("obstacle", obstacle.String()), zap.Duration("begin_within", d.BeginBy.Sub(q.g.Clock.Now())), zap.Duration("usual_delay", q.usualDelay()),
 		zap.Duration("service_time", q.g.Pools.times(q.service).service), zap.Bool("accepted", d.Accepted), zap.Bool("withdrawn", d.Withdrawn), zap.Strings("tried", q.attempted))
-	if obstacle > dispatch.Unheard || !q.isRankGroup() {
+	if obstacle > dispatch.Unheard || obstacle == dispatch.Evacuated || !q.isRankGroup() {
 		return nil
 	}
 	return q.awaitGroup(d)
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -15,7 +15,7 @@
 )
 
 // Pools chooses the upstreams of each service. It is safe for concurrent use.
-// Under mu only the lock of reachable is taken.
+// Under mu only the locks of reachable and evacuated are taken.
 type Pools struct {
 	clock clockwork.Clock
 	rand  *rand.Rand
@@ -45,6 +45,8 @@
 	entryShare float64
 	// reachable reports whether a data centre is heard from.
 	reachable func(dataCentre string) bool
+	// evacuated reports whether a data centre is evacuated.
+	evacuated func(dataCentre string) bool
 }
 
 // Member is an upstream of a pool. Its node is guarded by Pools.mu.
@@ -56,7 +58,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, leaving: map[*dispatch.Node]*Member{}, waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, leaving: map[*dispatch.Node]*Member{}, waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }, evacuated: func(string) bool { return false }}
 }
 
 // Configure sets the step costs of the services' engines.
@@ -137,6 +139,7 @@
 		m.node.SetLimit(&l.share)
 	}
 	m.node.SetUnreachable(!p.reachable(u.DataCentre))
+	m.node.SetEvacuated(p.evacuated(u.DataCentre))
 	p.members[u.ID] = m
 	p.byAddress[u.Address] = m
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -32,6 +32,10 @@
 // the caller is told.
 func (q *request) noUpstream() error {
 	limit := maxRetryAfterFraction * float64(q.remaining()) * (1 - retryAfterJitter*rand.Float64())
+	if q.g.Pools.onlyEvacuated(q.service, q.demand()) {
+		q.g.stats.recordEvacuated(q.service)
+		return errEvacuated.After(time.Duration(min(float64(evacuatedRetryAfter)*(1-retryAfterJitter*rand.Float64()), limit)))
+	}
 	if wait, limited := q.g.Pools.atLimit(q.service, q.demand()); limited {
 		q.g.stats.recordLimited(q.service)
 		return errLimited.After(time.Duration(min(float64(wait)+rand.Float64()*float64(returnWindow), limit)))
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -68,4 +68,7 @@
 
 func (s *stats) recordLimited(service string) { s.count("limits", service, "refused") }
 
+// recordEvacuated counts a request that was refused since evacuations left it no upstream.
+func (s *stats) recordEvacuated(service string) { s.count("evacuations", service, "refused") }
+
 func (s *stats) recordCallerLeft(service string) { s.count("requests", service, "caller_left") }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -253,6 +253,7 @@
 	r.OnDecision = func(decision admission.Decision) { decided <- waitResult{member, decision.Reason} }
 	totalSlots := float64(p.pool(service).Capacity(p.clock.Now()).TotalSlots)
 	ticket := w.Add(r, max(int(waitlistFactor*p.entryShare*totalSlots), minWaitlist))
+	p.refuseEvacuated(service)
 	p.startWaiting(service, false)
 	return ticket
 }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -77,6 +77,10 @@
 	}
 	reused := c.used
 	c.used = true
+	if err := call.maySend(); err != nil {
+		t.closeConn(address, c)
+		return nil, &Error{Stage: NotSent, Address: address, Reused: reused, Cause: err}
+	}
 	stop := c.abortOnDone(ctx)
 	fail := func(stage Stage, err error) (*Reply, error) {
 		stop()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,6 +25,16 @@
 	// not be retried, because an idle connection may break at the moment it is
 	// reused.
 	NewConnection bool
+	// MaySend, if not nil, is called once a connection is there, just before the request is
+	// written. An error ends the call with nothing sent.
+	MaySend func() error
+}
+
+func (c *Call) maySend() error {
+	if c.MaySend == nil {
+		return nil
+	}
+	return c.MaySend()
 }
 
 // Answer is a response that was read to its end.
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -16,6 +16,7 @@
 	KindStoreQuery
 	KindStoreReply
 	KindUpstreamLimits
+	KindEvacuations
 )
 
 // RankLoad reports to the entries the load of the upstream at Address.
@@ -74,12 +75,32 @@
 	AgeMS int64
 }
 
+// Evacuations tells another entry the evacuations that the sender knows. It is sent as a
+// datagram.
+type Evacuations struct {
+	Entry   string
+	Records []Evacuation
+}
+
+// Evacuation is the latest that the sender knows of the evacuation of a data centre.
+type Evacuation struct {
+	DataCentre string
+	// InForce is set from the operator's request until it is taken back, which are at the
+	// position Era and Revision.
+	InForce       bool
+	Era, Revision int64
+}
+
 // ConfigurationRequest asks an entry for its configuration, as EntryDigest
 // announces it. ConfigPull is its counterpart in a stand-alone deployment.
 type ConfigurationRequest struct{}
 
-// ConfigurationReply carries a configuration, encoded as in the store.
-type ConfigurationReply struct{ Encoded []byte }
+// ConfigurationReply carries a configuration, encoded as in the store, and the evacuations
+// that the sender knows.
+type ConfigurationReply struct {
+	Encoded     []byte
+	Evacuations []Evacuation
+}
 
 // RankQuery asks for the status of a rank. Selections also asks for the selections
 // of its experts since the last RankQuery that asked for them, ExpertLists for its
@@ -192,6 +213,9 @@
 // Kind implements Message.
 func (*UpstreamLimits) Kind() Kind { return KindUpstreamLimits }
 
+// Kind implements Message.
+func (*Evacuations) Kind() Kind { return KindEvacuations }
+
 // Kind implements Message.
 func (*StoreReply) Kind() Kind { return KindStoreReply }
 
@@ -233,4 +257,5 @@
 	KindStoreQuery:           func() Message { return new(StoreQuery) },
 	KindStoreReply:           func() Message { return new(StoreReply) },
 	KindUpstreamLimits:       func() Message { return new(UpstreamLimits) },
+	KindEvacuations:          func() Message { return new(Evacuations) },
 }
