--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -66,6 +66,8 @@
 	settingsPath string
 	ports        []int
 	storeAddress string
+	// evacuateMS is the platform's bound on evacuations, 0 if it doesn't evacuate.
+	evacuateMS int
 }
 
 func newTestSite(t *testing.T) *testSite {
@@ -131,9 +133,10 @@
 retry-budget-ratio = %g
 retry-window-s = 10
 retry-allowance = 94
+evacuate-ms = %d
 [platform]
 address = "%s"
-`, s.ports[0], s.ports[0], s.ports[1], s.ports[2], ratio, s.storeAddress)
+`, s.ports[0], s.ports[0], s.ports[1], s.ports[2], ratio, s.evacuateMS, s.storeAddress)
 	if err := os.WriteFile(s.settingsPath, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -113,6 +113,8 @@
 	limits     []wire.UpstreamLimit
 	// evacuations is replaced by longer lists.
 	evacuations []wire.Evacuation
+	// configuredFirst is set if a configuration came before the evacuations.
+	configuredFirst bool
 }
 
 func (s *sharedState) RecentLimits(max int) []wire.UpstreamLimit {
@@ -151,6 +153,7 @@
 func (s *sharedState) ApplyConfiguration(encoded []byte, _ string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.configuredFirst = len(s.evacuations) == 0
 	_, _ = fmt.Sscan(string(encoded), &s.version)
 }
 
@@ -172,8 +175,9 @@
 	return true
 }
 
-// Entries that can't reach the key-value service receive a new configuration, a departure
-// and the limits of upstreams, as many as fit into a datagram, from an entry that can.
+// Entries that can't reach the key-value service receive a new configuration, a departure,
+// evacuations, and the limits of upstreams, as many as fit into a datagram, from an entry that
+// can. The evacuations come with the configuration: an entry that has one may take work.
 func TestExchangeWithoutStore(t *testing.T) {
 	g := NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -217,11 +221,16 @@
 	for i := range 100 {
 		states[2].limits = append(states[2].limits, wire.UpstreamLimit{ID: fmt.Sprintf("i-%040d", i), Started: 1 << 50, Limit: 1.0 / 3, AgeMS: 1999})
 	}
+	for i := range 20 {
+		states[2].evacuations = append(states[2].evacuations, wire.Evacuation{DataCentre: fmt.Sprintf("%0120d", i), InForce: true, Era: 1 << 20, Revision: 1 << 50})
+	}
 	states[2].mu.Unlock()
 	states[2].Depart(wire.Departure{ID: "i-1", Started: 5})
 	for _, s := range states {
 		g.Eventually(s.Version, "5s").Should(Equal(int64(12)))
 		g.Eventually(s.Departures, "5s").Should(Equal([]wire.Departure{{ID: "i-1", Started: 5}}))
+		g.Eventually(func() int { l, _ := s.Evacuations(); return len(l) }, "5s").Should(Equal(20))
+		g.Expect(s.configuredFirst).To(BeFalse())
 		g.Eventually(func() int { return len(s.RecentLimits(100)) }, "5s").Should(BeNumerically(">=", 8))
 	}
 }
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -362,3 +362,17 @@
 	g.Expect(err).To(MatchError(syscall.ECONNREFUSED))
 	g.Expect(tr.ConnectionsOpened()).To(Equal(int64(5)))
 }
+
+// Guards against a request that is sent although its upstream became unusable while a
+// connection was opened.
+func TestNothingIsSentThatMayNotBe(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeer(t, serve)
+	forbidden := errors.New("not any more")
+	c := call("1")
+	c.MaySend = func() error { return forbidden }
+	_, err := do(newTransport(), p, c)
+	g.Expect(errors.Is(err, forbidden)).To(BeTrue())
+	g.Expect(upstream.IsNotSent(err)).To(BeTrue())
+	g.Consistently(p.arrivals, "100ms").Should(BeEmpty())
+}
