kingcupreelctl: evacuate and restore a data centre

A record of the new kind evacuation names a data centre whose upstreams get no new work. It lies in the configuration store like the others, so that it is in force by revision and never goes back; status shows the upstreams as evacuated. The entry refuses a record for a data centre without upstreams, and answers a request whose upstreams are all evacuated at once.

--- a/internal/config/codec/codec_test.go
+++ b/internal/config/codec/codec_test.go
@@ -55,6 +55,8 @@
 			p.Pinned = [][]int{{0, 1}, {2}}
 		}
 		return p
+	case config.KindEvacuation:
+		return &config.Evacuation{Name: n}
 	}
 	return &config.Operator{Name: n, TokenSHA256: hashes.Draw(t, "hashes")}
 }
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -26,10 +26,11 @@
 	KindPlainService  Kind = "plain-service"
 	KindExpertPlan    Kind = "expert-plan"
 	KindOperator      Kind = "operator"
+	KindEvacuation    Kind = "evacuation"
 )
 
 // Kinds lists all kinds.
-var Kinds = []Kind{KindModelGroup, KindUpstream, KindClientAccount, KindPlainService, KindExpertPlan, KindOperator}
+var Kinds = []Kind{KindModelGroup, KindUpstream, KindClientAccount, KindPlainService, KindExpertPlan, KindOperator, KindEvacuation}
 
 // Key identifies an object.
 type Key struct {
@@ -147,6 +148,13 @@
 	TokenSHA256 []string `json:"tokenSHA256"`
 }
 
+// Evacuation means that the upstreams of a data centre get no new work while the record is
+// there; work in flight completes.
+type Evacuation struct {
+	// Name is the data centre's name.
+	Name string `json:"-"`
+}
+
 // Key implements Object.
 func (g *ModelGroup) Key() Key { return Key{KindModelGroup, g.Name} }
 
@@ -165,6 +173,9 @@
 // Key implements Object.
 func (o *Operator) Key() Key { return Key{KindOperator, o.Name} }
 
+// Key implements Object.
+func (e *Evacuation) Key() Key { return Key{KindEvacuation, e.Name} }
+
 var (
 	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 	hashPattern  = regexp.MustCompile(`^[0-9a-f]{64}$`)
@@ -303,3 +314,6 @@
 	}
 	return checkHashes(o.Key(), o.TokenSHA256)
 }
+
+// Validate implements Object.
+func (e *Evacuation) Validate() error { return checkName(e.Key()) }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -32,6 +33,8 @@
 	Services  map[string]*PlainService
 	Plans     map[string]*ExpertPlan
 	Operators map[string]*Operator
+	// Evacuations holds the evacuated data centres.
+	Evacuations map[string]*Evacuation
 
 	accountByHash  map[string]*ClientAccount
 	operatorByHash map[string]*Operator
@@ -62,12 +65,27 @@
 	return s.operatorByHash[HashToken(token)]
 }
 
-// ModelUpstreams returns the upstreams of a model that are not draining, sorted
-// by name.
+// Evacuated reports whether a data centre is evacuated.
+func (s *Snapshot) Evacuated(dataCentre string) bool { return s.Evacuations[dataCentre] != nil }
+
+// GetsNoWork reports whether an upstream gets no new work, since it drains or its data centre
+// is evacuated.
+func (s *Snapshot) GetsNoWork(u *Upstream) bool { return u.Drain || s.Evacuated(u.DataCentre) }
+
+// DataCentres returns the data centres of the upstreams, sorted.
+func (s *Snapshot) DataCentres() []string {
+	found := map[string]bool{}
+	for _, u := range s.Upstreams {
+		found[u.DataCentre] = true
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// ModelUpstreams returns the upstreams of a model that get new work, sorted by name.
 func (s *Snapshot) ModelUpstreams(model string) []*Upstream { return s.byModel[model] }
 
-// ServiceUpstreams returns the upstreams of a plain service that are not
-// draining, sorted by name.
+// ServiceUpstreams returns the upstreams of a plain service that get new work, sorted by
+// name.
 func (s *Snapshot) ServiceUpstreams(service string) []*Upstream { return s.byService[service] }
 
 // Record returns the current record of a key; false means that there is none.
@@ -102,7 +120,7 @@
 		Records: records,
 		Groups:  map[string]*ModelGroup{}, Upstreams: map[string]*Upstream{},
 		Accounts: map[string]*ClientAccount{}, Services: map[string]*PlainService{},
-		Plans: map[string]*ExpertPlan{}, Operators: map[string]*Operator{},
+		Plans: map[string]*ExpertPlan{}, Operators: map[string]*Operator{}, Evacuations: map[string]*Evacuation{},
 		accountByHash: map[string]*ClientAccount{}, operatorByHash: map[string]*Operator{},
 		byModel: map[string][]*Upstream{}, byService: map[string][]*Upstream{},
 		keyState: make(map[string]keyState, len(records)), lastValid: parseLastValid(records),
@@ -182,6 +200,8 @@
 		s.Plans[o.Name] = o
 	case *Operator:
 		s.Operators[o.Name] = o
+	case *Evacuation:
+		s.Evacuations[o.Name] = o
 	}
 }
 
@@ -197,7 +217,7 @@
 		}
 	}
 	for _, u := range s.Upstreams {
-		if u.Drain {
+		if s.GetsNoWork(u) {
 			continue
 		}
 		if g := s.Groups[u.Group]; g != nil {
--- a/internal/config/v1/encode.go
+++ b/internal/config/v1/encode.go
@@ -44,6 +44,8 @@
 	case *config.Operator:
 		r.Type = typeAdmin
 		r.TokenHashes = strings.Join(o.TokenSHA256, ",")
+	case *config.Evacuation:
+		r.Type = typeEvacuated
 	}
 	return r, nil
 }
--- a/internal/config/v1/v1.go
+++ b/internal/config/v1/v1.go
@@ -27,6 +27,7 @@
 	typeApp       = "app"
 	typePlacement = "placement"
 	typeAdmin     = "admin"
+	typeEvacuated = "evacuated"
 )
 
 // Record is a record of schema version 1, with the attributes of all types. Each
@@ -96,8 +97,10 @@
 		return &config.ExpertPlan{Name: r.ID, Preset: r.Profile, Stopped: r.Frozen}, nil
 	case typeAdmin:
 		return &config.Operator{Name: r.ID, TokenSHA256: splitList(r.TokenHashes)}, nil
+	case typeEvacuated:
+		return &config.Evacuation{Name: r.ID}, nil
 	}
-	return nil, fault.New(fault.Invalid, "use pool, backend, tenant, app, placement or admin", "unknown type %q", r.Type)
+	return nil, fault.New(fault.Invalid, "use pool, backend, tenant, app, placement, admin or evacuated", "unknown type %q", r.Type)
 }
 
 func splitList(s string) []string {
--- a/internal/config/v2/v2.go
+++ b/internal/config/v2/v2.go
@@ -62,6 +62,8 @@
 		return &config.ExpertPlan{Name: name}, nil
 	case config.KindOperator:
 		return &config.Operator{Name: name}, nil
+	case config.KindEvacuation:
+		return &config.Evacuation{Name: name}, nil
 	}
 	return nil, fault.New(fault.Invalid, "use one of the documented kinds", "unknown kind %q", kind)
 }
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -144,6 +144,8 @@
 		return "leaving"
 	case p.Draining:
 		return "stopping"
+	case p.Evacuated:
+		return "evacuated"
 	case p.Drain:
 		return "drained"
 	}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -44,6 +44,10 @@
 // noUpstream returns the error for a request that no upstream can take, with the time after
 // which its caller may send it again.
 func (x *exchange) noUpstream() error {
+	if x.evacuated() {
+		x.entry.count("evacuations.refused")
+		return fault.New(fault.Unavailable, "send the request again after Retry-After", "all data centres with upstreams for the request are evacuated").After(x.entry.retryAfter(x.req.pool))
+	}
 	if pool := x.entry.links.poolNamed(x.req.pool); pool != nil {
 		if wait, limited := pool.atLimit(x.attempted); limited {
 			x.entry.count("limits.refused")
@@ -52,3 +56,18 @@
 	}
 	return fault.New(fault.Unavailable, "send the request again after Retry-After", "no upstream can take the request").After(x.entry.retryAfter(x.req.pool))
 }
+
+// evacuated reports whether all data centres with upstreams for the request are evacuated.
+func (x *exchange) evacuated() bool {
+	snap, found := x.entry.opts.Store.Current(), false
+	for _, u := range snap.Upstreams {
+		if poolOf(snap, u) != x.req.pool {
+			continue
+		}
+		if !snap.Evacuated(u.DataCentre) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -43,7 +43,8 @@
 	leaving bool
 	// vmLeaving is set while the VM list shows the upstream's VM as leaving.
 	vmLeaving bool
-	// drained is set while the upstream's configuration record drains it.
+	// drained is set while the upstream's configuration record drains it or its data centre is
+	// evacuated.
 	drained bool
 	// retired means that the link takes no new work and closes with its last
 	// attempt.
@@ -345,7 +346,7 @@
 	}
 }
 
-// setDrained sets whether the upstream's configuration record drains it.
+// setDrained sets whether the configuration gives the upstream no new work.
 func (l *link) setDrained(drained bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/entry/linktable.go
+++ b/internal/entry/linktable.go
@@ -49,7 +49,7 @@
 		if t.links[name] == nil {
 			t.startLink(ctx, e, s.Upstreams[name], poolOf(s, s.Upstreams[name]))
 		}
-		t.links[name].setDrained(s.Upstreams[name].Drain)
+		t.links[name].setDrained(s.GetsNoWork(s.Upstreams[name]))
 	}
 	for name, p := range t.pools {
 		p.setConfigured(sizes[name])
--- a/internal/entry/operators_config.go
+++ b/internal/entry/operators_config.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/config/codec"
@@ -118,10 +120,26 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Invalid, err, "send the whole record", "reading the record")
 	}
-	_, err = codec.Decode(key, body)
+	obj, err := codec.Decode(key, body)
+	if err == nil {
+		err = e.checkEvacuation(obj)
+	}
 	return body, err
 }
 
+// checkEvacuation returns an error if an object evacuates a data centre without upstreams.
+func (e *Entry) checkEvacuation(obj config.Object) error {
+	evacuation, ok := obj.(*config.Evacuation)
+	if !ok {
+		return nil
+	}
+	known := e.opts.Store.Current().DataCentres()
+	if slices.Contains(known, evacuation.Name) {
+		return nil
+	}
+	return fault.New(fault.Invalid, "name a data centre of the upstreams' records", "no upstream is in data centre %q; known: %s", evacuation.Name, strings.Join(known, ", "))
+}
+
 // mergeStored returns the record to store. A record in schema version 1 keeps
 // those fields of the stored record that only version 2 has.
 func (e *Entry) mergeStored(r *http.Request, key config.Key, body []byte, expect int64) ([]byte, error) {
--- a/internal/entry/operators_status.go
+++ b/internal/entry/operators_status.go
@@ -19,7 +19,7 @@
 	for _, l := range e.links.all() {
 		u := l.status()
 		if record := snap.Upstreams[u.Name]; record != nil {
-			u.Drain = record.Drain
+			u.Drain, u.Evacuated = record.Drain, snap.Evacuated(record.DataCentre)
 		}
 		s.Upstreams = append(s.Upstreams, u)
 	}
@@ -75,7 +75,7 @@
 		p, connected := l.processStatus()
 		self.InFlight += p.InFlight
 		if u := snap.Upstreams[p.Upstream]; u != nil {
-			p.Drain = u.Drain
+			p.Drain, p.Evacuated = u.Drain, snap.Evacuated(u.DataCentre)
 		}
 		if connected {
 			list = append(list, p)
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -32,11 +32,13 @@
 	Connected  bool   `json:"connected"`
 	Leaving    bool   `json:"leaving"`
 	Drain      bool   `json:"drain"`
-	Revision   int64  `json:"revision"`
-	InFlight   int    `json:"in_flight"`
-	Running    int    `json:"running"`
-	Queued     int    `json:"queued"`
-	Capacity   int    `json:"capacity"`
+	// Evacuated is set if the upstream's data centre is evacuated.
+	Evacuated bool  `json:"evacuated,omitempty"`
+	Revision  int64 `json:"revision"`
+	InFlight  int   `json:"in_flight"`
+	Running   int   `json:"running"`
+	Queued    int   `json:"queued"`
+	Capacity  int   `json:"capacity"`
 }
 
 // Status is an entry's state.
@@ -75,6 +77,8 @@
 	// whose record orders it to drain.
 	Draining bool `json:"draining"`
 	Drain    bool `json:"drain"`
+	// Evacuated is set for an upstream whose data centre is evacuated.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// InFlight, Running, Queued and Capacity are the load of an agent's
 	// upstream. InFlight is summed over all entries.
 	InFlight int `json:"in_flight"`
