--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -172,6 +172,9 @@
 	}
 	go g.fleet.datagrams.Run(work, func(from netip.AddrPort, m wire.Message) { g.handleDatagram(work, from, m) })
 	go g.exchange.Run(work)
+	if g.evacuations != nil {
+		go g.exchange.LearnAtStart(work)
+	}
 	go g.crashes.Run(work)
 	return nil
 }
--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -34,6 +34,10 @@
 	// while there has been no change lately, so that a loss is made up for and an entry that
 	// has started learns them.
 	quietEvacuationFanout = 1
+	// startQueries bounds the entries that an entry asks when it starts, startPollInterval is how
+	// often it looks whether it knows any.
+	startQueries      = 3
+	startPollInterval = 50 * time.Millisecond
 	// fetchTimeout bounds the fetch of a configuration from another entry.
 	fetchTimeout = 1 * time.Second
 )
@@ -175,6 +179,29 @@
 	x.SharedState.MergeEvacuations(m.Records, m.Entry)
 }
 
+// LearnAtStart asks another entry for its configuration and its evacuations, once the others
+// are known: what the service shows may be from an older copy. If one doesn't answer, it asks
+// the next.
+func (x *Exchange) LearnAtStart(ctx context.Context) {
+	for !x.View.Synced() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.Clock.After(startPollInterval):
+		}
+	}
+	peers := x.View.Members(RoleEntry)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers = slices.DeleteFunc(peers, func(m Member) bool { return m.Name == x.Self })
+	for _, p := range peers[:min(len(peers), startQueries)] {
+		err := x.fetch(ctx, p)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		x.Log.Info("another entry gave no answer at the start", zap.String("from", p.Name), zap.Error(err))
+	}
+}
+
 // startFetch fetches a configuration from another entry in the background.
 // While a fetch is in progress it does nothing.
 func (x *Exchange) startFetch(ctx context.Context, from string, version int64) {
@@ -224,7 +251,9 @@
 	case r := <-reply:
 		// Evacuations come first: with a configuration the entry may take work.
 		x.SharedState.MergeEvacuations(r.Evacuations, peer.Name)
-		x.SharedState.ApplyConfiguration(r.Encoded, peer.Name)
+		if len(r.Encoded) > 0 {
+			x.SharedState.ApplyConfiguration(r.Encoded, peer.Name)
+		}
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -175,6 +175,39 @@
 	return true
 }
 
+// registeredEntries returns the addresses and the registrations of n entries e0, e1, ... The
+// addresses are those of one test only, by the network's number.
+func registeredEntries(network, n int) (addresses []string, items []kvstore.Item) {
+	for i := range n {
+		// A loopback address of the process's own: a free port of a shared one may be taken
+		// before it is listened on.
+		address := fmt.Sprintf("127.%d.%d.%d:7340", network+i, os.Getpid()>>8&0xff, os.Getpid()&0xff)
+		value, _ := json.Marshal(fleet.Member{Name: fmt.Sprint("e", i), Role: fleet.RoleEntry, Address: address})
+		addresses = append(addresses, address)
+		items = append(items, kvstore.Item{Key: fmt.Sprint("kingcupreel/members/e", i), Value: value})
+	}
+	return addresses, items
+}
+
+// An entry that starts has read a service that came back from an older copy. It learns from
+// another entry what that copy lacks, although its configuration isn't newer, and passes over
+// those that don't answer.
+func TestEntryAsksAnotherAtItsStart(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	addresses, items := registeredEntries(120, 3) // nothing listens at e2
+	known := &sharedState{version: 7, evacuations: []wire.Evacuation{{DataCentre: "a", InForce: true, Era: 1, Revision: 9}}}
+	other := &fleet.Exchange{SharedState: known}
+	mux := &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){wire.KindConfigurationRequest: other.SendConfiguration}}
+	g.Expect(fleet.Serve(ctx, addresses[1], mux, zap.NewNop())).To(Succeed())
+	view, state := fleet.NewView(clockwork.NewRealClock(), zap.NewNop()), &sharedState{version: 7}
+	started := &fleet.Exchange{Self: "e0", View: view, SharedState: state, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+	go started.LearnAtStart(ctx)
+	view.Replace(kvstore.Listing{Items: items})
+	g.Eventually(func() []wire.Evacuation { l, _ := state.Evacuations(); return l }, "5s").Should(Equal(known.evacuations))
+}
+
 // Entries that can't reach the key-value service receive a new configuration, a departure,
 // evacuations, and the limits of upstreams, as many as fit into a datagram, from an entry that
 // can. The evacuations come with the configuration: an entry that has one may take work.
@@ -183,15 +216,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	const entries = 4
-	addresses := make([]string, entries)
-	var items []kvstore.Item
-	for i := range addresses {
-		// A loopback address of the process's own: a free port of a shared one may be taken
-		// before it is listened on.
-		addresses[i] = fmt.Sprintf("127.%d.%d.%d:7340", 100+i, os.Getpid()>>8&0xff, os.Getpid()&0xff)
-		value, _ := json.Marshal(fleet.Member{Name: fmt.Sprint("e", i), Role: fleet.RoleEntry, Address: addresses[i]})
-		items = append(items, kvstore.Item{Key: fmt.Sprint("kingcupreel/members/e", i), Value: value})
-	}
+	addresses, items := registeredEntries(100, entries)
 	states := make([]*sharedState, entries)
 	for i := range states {
 		states[i] = &sharedState{version: 7}
