gateway: the evacuation of all upstreams of a service isn't an outage

Its length counted as the longest outage, by which later requests judge whether to wait for a group.

go test ./internal/gateway -run 'Evac|Group|Wait': ok; the new check fails without the change.

--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -191,6 +191,10 @@
 	}
 	now := p.clock.Now()
 	pool := p.pool(service)
+	if pool.OnlyEvacuated(dispatch.Demand{}) { // that is no outage
+		h.since, h.aliveSince = time.Time{}, time.Time{}
+		return h
+	}
 	if pool.Capacity(now).UsableUpstreams > 0 {
 		if !h.since.IsZero() && h.servedBefore {
 			h.longest = max(h.longest, now.Sub(h.since))
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -65,4 +65,10 @@
 	report(true, "0", "1")
 	report(false, "0", "1")
 	g.Expect(outageAt(0)).To(Equal(outage{servedBefore: true, longest: 6 * time.Second}))
+	p.SetEvacuated(func(string) bool { return true })
+	outageAt(time.Minute)
+	p.SetEvacuated(func(string) bool { return false })
+	report(true, "0", "1")
+	report(false, "0", "1")
+	g.Expect(outageAt(0)).To(Equal(outage{servedBefore: true, longest: 6 * time.Second}), "an evacuation isn't an outage")
 }
