soak: evacuations beside kills, restarts and a store that is away or comes back older

Gateway processes, upstreams in a zone each, and an operator who evacuates and takes back. Counted is every request that reaches a zone later than the bound after the ack.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -57,6 +57,8 @@
 	// seed don't share any.
 	firstHost    int
 	storeAddress string
+	// evacuations is nil where the platform doesn't evacuate.
+	evacuations *evacuations
 }
 
 // process is a gateway or a rank agent in an operating-system process of its own.
@@ -109,6 +111,12 @@
 func newDeployment(t *testing.T, seed uint64) *deployment {
 	t.Helper()
 	d := newStore(t, seed)
+	d.startPlain()
+	return d
+}
+
+// startPlain starts a deployment of plain upstreams on the store.
+func (d *deployment) startPlain() {
 	d.services = func() []any { return []any{map[string]any{"name": "s"}} }
 	d.routes = func() []any {
 		return []any{route("/safe/", "safe", false), route("/unsafe/", "unsafe", false), route("/stream/", "streaming", true)}
@@ -118,7 +126,6 @@
 	}
 	d.writeConfiguration()
 	d.startGateways()
-	return d
 }
 
 // newStore returns a deployment that has only the store.
@@ -181,9 +188,10 @@
 retry-budget-ratio = 0.2
 retry-window-s = 10
 retry-allowance = 94
+evacuate-ms = %[6]d
 [platform]
 address = %[4]q
-`, p.name, p.ip, int(gracePeriod.Seconds()), storeAddress, extra)
+`, p.name, p.ip, int(gracePeriod.Seconds()), storeAddress, extra, d.evacuations.boundMS())
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -193,6 +193,12 @@
 func (d *deployment) restoreStore(age time.Duration) {
 	d.kvStore.Save()
 	time.Sleep(age)
+	d.restoreStoreFromCopy(age)
+}
+
+// restoreStoreFromCopy makes the store come back from the copy that was saved. What was lost
+// is written again after the given time.
+func (d *deployment) restoreStoreFromCopy(age time.Duration) {
 	d.kvStore.Revert()
 	time.Sleep(age)
 	for _, u := range d.upstreams {
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -73,11 +73,12 @@
 	limit *spell
 	id    string
 	born  int64
+	zone  string
 	rand  *rand.Rand
 }
 
 func (d *deployment) addUpstream(i int) {
-	u := &upstream{d: d, name: fmt.Sprint("u", i), rand: rand.New(rand.NewPCG(d.seed, uint64(100+i)))}
+	u := &upstream{d: d, name: fmt.Sprint("u", i), zone: d.evacuations.zone(i), rand: rand.New(rand.NewPCG(d.seed, uint64(100+i)))}
 	srv := httptest.NewServer(u)
 	d.t.Cleanup(srv.CloseClientConnections)
 	ln, err := net.Listen("tcp", net.JoinHostPort(d.loopback(101+i), "0"))
@@ -110,7 +111,7 @@
 	u.mu.Lock()
 	id, born := u.id, u.born
 	u.mu.Unlock()
-	u.d.putRecord("servers/"+id, map[string]any{"service": "s", "address": u.address, "zone": "a", "slots": 8, "state": "ready", "born": born})
+	u.d.putRecord("servers/"+id, map[string]any{"service": "s", "address": u.address, "zone": u.zone, "slots": 8, "state": "ready", "born": born})
 }
 
 // registerAgain writes the registration again after the store came back from an older
@@ -157,6 +158,7 @@
 	if r.Header.Get("Tenant") != account || r.Header.Get("Authorization") != "" {
 		u.d.recorder.recordViolation("request %s reached an upstream with client account %q and credentials %q", request, r.Header.Get("Tenant"), r.Header.Get("Authorization"))
 	}
+	u.d.evacuations.arrive(u, request)
 	defer u.d.limits.arrive(u, w, request)()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
