--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -111,6 +111,10 @@
 	version    int64
 	departures []wire.Departure
 	limits     []wire.UpstreamLimit
+	// evacuations is replaced by longer lists.
+	evacuations []wire.Evacuation
+	// configuredFirst is set if a configuration came before the evacuations.
+	configuredFirst bool
 }
 
 func (s *sharedState) RecentLimits(max int) []wire.UpstreamLimit {
@@ -122,6 +126,20 @@
 func (*sharedState) UpstreamsChange() kvstore.Position       { return kvstore.Position{} }
 func (*sharedState) ObserveUpstreamsChange(kvstore.Position) {}
 
+func (s *sharedState) Evacuations() (list []wire.Evacuation, news bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations, true
+}
+
+func (s *sharedState) MergeEvacuations(list []wire.Evacuation, _ string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(list) > len(s.evacuations) {
+		s.evacuations = list
+	}
+}
+
 func (s *sharedState) Version() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,6 +153,7 @@
 func (s *sharedState) ApplyConfiguration(encoded []byte, _ string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.configuredFirst = len(s.evacuations) == 0
 	_, _ = fmt.Sscan(string(encoded), &s.version)
 }
 
@@ -156,22 +175,48 @@
 	return true
 }
 
-// Entries that can't reach the key-value service receive a new configuration, a departure
-// and the limits of upstreams, as many as fit into a datagram, from an entry that can.
+// registeredEntries returns the addresses and the registrations of n entries e0, e1, ... The
+// addresses are those of one test only, by the network's number.
+func registeredEntries(network, n int) (addresses []string, items []kvstore.Item) {
+	for i := range n {
+		// A loopback address of the process's own: a free port of a shared one may be taken
+		// before it is listened on.
+		address := fmt.Sprintf("127.%d.%d.%d:7340", network+i, os.Getpid()>>8&0xff, os.Getpid()&0xff)
+		value, _ := json.Marshal(fleet.Member{Name: fmt.Sprint("e", i), Role: fleet.RoleEntry, Address: address})
+		addresses = append(addresses, address)
+		items = append(items, kvstore.Item{Key: fmt.Sprint("kingcupreel/members/e", i), Value: value})
+	}
+	return addresses, items
+}
+
+// An entry that starts has read a service that came back from an older copy. It learns from
+// another entry what that copy lacks, although its configuration isn't newer, and passes over
+// those that don't answer.
+func TestEntryAsksAnotherAtItsStart(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	addresses, items := registeredEntries(120, 3) // nothing listens at e2
+	known := &sharedState{version: 7, evacuations: []wire.Evacuation{{DataCentre: "a", InForce: true, Era: 1, Revision: 9}}}
+	other := &fleet.Exchange{SharedState: known}
+	mux := &wire.Mux{Funcs: map[wire.Kind]func(*wire.Conn, wire.Message){wire.KindConfigurationRequest: other.SendConfiguration}}
+	g.Expect(fleet.Serve(ctx, addresses[1], mux, zap.NewNop())).To(Succeed())
+	view, state := fleet.NewView(clockwork.NewRealClock(), zap.NewNop()), &sharedState{version: 7}
+	started := &fleet.Exchange{Self: "e0", View: view, SharedState: state, Clock: clockwork.NewRealClock(), Log: zap.NewNop()}
+	go started.LearnAtStart(ctx)
+	view.Replace(kvstore.Listing{Items: items})
+	g.Eventually(func() []wire.Evacuation { l, _ := state.Evacuations(); return l }, "5s").Should(Equal(known.evacuations))
+}
+
+// Entries that can't reach the key-value service receive a new configuration, a departure,
+// evacuations, and the limits of upstreams, as many as fit into a datagram, from an entry that
+// can. The evacuations come with the configuration: an entry that has one may take work.
 func TestExchangeWithoutStore(t *testing.T) {
 	g := NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	const entries = 4
-	addresses := make([]string, entries)
-	var items []kvstore.Item
-	for i := range addresses {
-		// A loopback address of the process's own: a free port of a shared one may be taken
-		// before it is listened on.
-		addresses[i] = fmt.Sprintf("127.%d.%d.%d:7340", 100+i, os.Getpid()>>8&0xff, os.Getpid()&0xff)
-		value, _ := json.Marshal(fleet.Member{Name: fmt.Sprint("e", i), Role: fleet.RoleEntry, Address: addresses[i]})
-		items = append(items, kvstore.Item{Key: fmt.Sprint("kingcupreel/members/e", i), Value: value})
-	}
+	addresses, items := registeredEntries(100, entries)
 	states := make([]*sharedState, entries)
 	for i := range states {
 		states[i] = &sharedState{version: 7}
@@ -186,6 +231,8 @@
 			switch m := m.(type) {
 			case *wire.EntryDigest:
 				x.HandleDigest(ctx, from, m)
+			case *wire.Evacuations:
+				x.HandleEvacuations(m)
 			case *wire.UpstreamLimits:
 				states[i].mu.Lock()
 				defer states[i].mu.Unlock()
@@ -199,11 +246,16 @@
 	for i := range 100 {
 		states[2].limits = append(states[2].limits, wire.UpstreamLimit{ID: fmt.Sprintf("i-%040d", i), Started: 1 << 50, Limit: 1.0 / 3, AgeMS: 1999})
 	}
+	for i := range 20 {
+		states[2].evacuations = append(states[2].evacuations, wire.Evacuation{DataCentre: fmt.Sprintf("%0120d", i), InForce: true, Era: 1 << 20, Revision: 1 << 50})
+	}
 	states[2].mu.Unlock()
 	states[2].Depart(wire.Departure{ID: "i-1", Started: 5})
 	for _, s := range states {
 		g.Eventually(s.Version, "5s").Should(Equal(int64(12)))
 		g.Eventually(s.Departures, "5s").Should(Equal([]wire.Departure{{ID: "i-1", Started: 5}}))
+		g.Eventually(func() int { l, _ := s.Evacuations(); return len(l) }, "5s").Should(Equal(20))
+		g.Expect(s.configuredFirst).To(BeFalse())
 		g.Eventually(func() int { return len(s.RecentLimits(100)) }, "5s").Should(BeNumerically(">=", 8))
 	}
 }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -191,6 +191,10 @@
 	}
 	now := p.clock.Now()
 	pool := p.pool(service)
+	if pool.OnlyEvacuated(dispatch.Demand{}) { // that is no outage
+		h.since, h.aliveSince = time.Time{}, time.Time{}
+		return h
+	}
 	if pool.Capacity(now).UsableUpstreams > 0 {
 		if !h.since.IsZero() && h.servedBefore {
 			h.longest = max(h.longest, now.Sub(h.since))
@@ -253,6 +257,7 @@
 	r.OnDecision = func(decision admission.Decision) { decided <- waitResult{member, decision.Reason} }
 	totalSlots := float64(p.pool(service).Capacity(p.clock.Now()).TotalSlots)
 	ticket := w.Add(r, max(int(waitlistFactor*p.entryShare*totalSlots), minWaitlist))
+	p.refuseEvacuated(service)
 	p.startWaiting(service, false)
 	return ticket
 }
