Cold upstreams get no more requests than they bear, from all entries together

An upstream of a service that declares a warm-up was sent requests like any other one. Beyond warmup-per-s times warmup-overage plus warmup-allowance within a second it crashes, and nothing kept the entries below that.

Whether an upstream is cold follows from its record, its start, the header of its answers, or the end of an evacuation (internal/warmup). What it bears is dealt to the entries in an order that all compute alike, half of the bound at most, so that two views of the fleet at once don't crash it; a permit that isn't used doesn't add up. Permits are those of the limits that upstreams name (internal/ratelimit), and a request needs one of each. An entry that doesn't know the others sends nothing to cold upstreams.

go test ./internal/warmup ./internal/ratelimit ./internal/dispatch ./internal/gateway ./internal/fleet: ok.

--- a/internal/balance/picker.go
+++ b/internal/balance/picker.go
@@ -198,7 +198,7 @@
 	now := p.clock.Now()
 	for _, list := range [][]*Node{p.local, p.remote} {
 		for _, n := range list {
-			if !n.limit.Limited() || slices.Contains(r.Exclude, n.Name) {
+			if !n.limit.Limited(now) || slices.Contains(r.Exclude, n.Name) {
 				continue
 			}
 			if w := n.limit.Wait(now); first == nil || w < wait {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -134,6 +134,7 @@
 		"configuration.age_ms":  func() int64 { return configurationAgeMS(p.clock, g.routes) },
 		"upstreams.usable":      func() int64 { return int64(len(g.directory.Usable())) },
 		"upstreams.limited":     func() int64 { return int64(g.gateway.Pools.Limited()) },
+		"upstreams.cold":        func() int64 { return int64(g.gateway.Pools.Cold()) },
 		"requests_in_flight":    func() int64 { return int64(g.gateway.InFlight()) },
 		"entries.known":         func() int64 { return int64(g.fleet.view.EntryCount()) },
 		"connections.opened":    g.transport.ConnectionsOpened,
@@ -209,8 +210,12 @@
 // the store and the settings file.
 func (g *gatewayProcess) startUpdates(work context.Context) {
 	go g.gateway.Run(work)
-	go updateEntryCount(work, g.clock, g.gateway, g.fleet.view)
-	g.reload(work, func(n settings.Node) { g.gateway.SetLimits(retryLimits(n)) })
+	g.gateway.Pools.SetWarmupBound(g.node.WarmupOverage, g.node.WarmupAllowance)
+	go updateEntries(work, g.clock, g.gateway, g.fleet)
+	g.reload(work, func(n settings.Node) {
+		g.gateway.SetLimits(retryLimits(n))
+		g.gateway.Pools.SetWarmupBound(n.WarmupOverage, n.WarmupAllowance)
+	})
 	g.follow(work, g.fleet, platform.KeyConfiguration, g.configurationSink(), scale(g.node.ConfigBound, configurationWatchFactor), 0)
 	replicas := platform.ReplicaSink{Directory: g.directory, Log: g.log}
 	g.follow(work, g.fleet, platform.PrefixReplicas, replicas, scale(g.node.DrainBound, replicasWatchFactor), replicasBatchDelay)
@@ -221,24 +226,24 @@
 	return time.Duration(float64(bound) * factor)
 }
 
-// entryCountInterval is how often an entry's share of common limits is adapted
-// to the number of entries.
-const entryCountInterval = 1 * time.Second
+// entriesInterval is how often an entry's share of common limits is adapted to the
+// entries.
+const entriesInterval = 1 * time.Second
 
-// updateEntryCount tells the gateway the number of entries every
-// entryCountInterval until ctx is done. It skips 0, which means that the number
-// is not known yet.
-func updateEntryCount(ctx context.Context, clock clockwork.Clock, g *gateway.Gateway, view *fleet.View) {
-	ticker := clock.NewTicker(entryCountInterval)
+// updateEntries tells the gateway the entries and their number every entriesInterval until ctx
+// is done. It skips the number 0, which means that it is not known yet.
+func updateEntries(ctx context.Context, clock clockwork.Clock, g *gateway.Gateway, f *fleetMembership) {
+	ticker := clock.NewTicker(entriesInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			if n := view.EntryCount(); n > 0 {
+			if n := f.view.EntryCount(); n > 0 {
 				g.SetEntryCount(n)
 			}
+			g.Pools.SetEntries(f.self.Name, f.view.EntryNames(f.self.Name))
 		}
 	}
 }
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -13,7 +13,7 @@
 	UsableUpstreams, TotalSlots int
 	// FreeSlots is the number of slots at usable upstreams, up to
 	// waitingFillFraction of each upstream's slots, that no known request
-	// occupies. An upstream that names a limit has as many as it has permits, at most one.
+	// occupies. A limited upstream has as many as it has permits, at most one.
 	FreeSlots int
 	// InFlight is the number of this entry's requests at the upstreams.
 	// Unanswered is the number of those without any part of an answer.
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -19,6 +19,9 @@
 	// Withdrawn is set if the request was withdrawn from a silent upstream. The other entries
 	// withdraw theirs at the same moment and see the same reports.
 	Withdrawn bool
+	// Urgent is set if the caller would notice a slow first answer. A cold upstream gets such
+	// a request only if no warm one can take it.
+	Urgent bool
 }
 
 // Obstacle is why an upstream can't be given a request. The obstacle of a pool is that of the
@@ -34,7 +37,7 @@
 	Unheard
 	// Full means that it can't begin the request in time.
 	Full
-	// AtLimit means that it could begin the request, but its request limit allows none now.
+	// AtLimit means that it could begin the request, but its limits allow none now.
 	AtLimit
 	// None means that the upstream can take the request.
 	None
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -11,35 +11,64 @@
 // SetLimit sets the entry's share of the limit that the upstream has named, nil for none.
 func (n *Node) SetLimit(share *ratelimit.Share) { n.limit = share }
 
-// TakePermit takes a permit of the upstream's limit, if it has named one.
+// SetWarmup sets the entry's share of what the upstream bears while it is cold, nil if its
+// service has no warm-up.
+func (n *Node) SetWarmup(share *ratelimit.Share) { n.warmup = share }
+
+// limits returns the shares of the upstream's limits. A request needs a permit of each.
+func (n *Node) limits() [2]*ratelimit.Share { return [...]*ratelimit.Share{n.limit, n.warmup} }
+
+// Cold reports whether the upstream is cold.
+func (n *Node) Cold(now time.Time) bool { return n.warmup != nil && n.warmup.Limited(now) }
+
+// limited reports whether a limit of the upstream is in force.
+func (n *Node) limited(now time.Time) bool {
+	return n.limit != nil && n.limit.Limited(now) || n.Cold(now)
+}
+
+// TakePermit takes a permit of each limit of the upstream.
 func (n *Node) TakePermit(now time.Time) {
-	if n.limit != nil {
-		n.limit.Take(now)
+	// Each permit is used when the last of them falls due.
+	at := now.Add(n.permitWait(now))
+	for _, l := range n.limits() {
+		if l != nil {
+			l.Take(at)
+		}
+	}
+}
+
+// permitWait returns the time until the upstream's limits allow a request.
+func (n *Node) permitWait(now time.Time) (wait time.Duration) {
+	for _, l := range n.limits() {
+		if l != nil {
+			wait = max(wait, l.Wait(now))
+		}
 	}
+	return wait
 }
 
-// permits returns how many requests the upstream's limit allows now, at most one if it has
-// named a limit.
+// permits returns how many requests the upstream's limits allow now, at most one if one is in
+// force.
 func (n *Node) permits(now time.Time) int {
 	switch {
-	case n.limit == nil || !n.limit.Limited():
+	case !n.limited(now):
 		return math.MaxInt
-	case n.limit.Wait(now) > 0:
+	case n.permitWait(now) > 0:
 		return 0
 	}
 	return 1
 }
 
-// NextPermit returns the upstream, of those that name limits and could take the request but
-// for these, whose next permit comes first, and the time until then. It returns nil if there
+// NextPermit returns the upstream, of those that are limited and could take the request but
+// for that, whose next permit comes first, and the time until then. It returns nil if there
 // is none.
 func (p *Pool) NextPermit(now time.Time, d Demand) (first *Node, wait time.Duration) {
 	v := p.view(now, d)
 	for _, n := range p.nodes {
-		if n.limit == nil || !n.limit.Limited() || p.obstacle(n, v, d) < AtLimit {
+		if !n.limited(now) || p.obstacle(n, v, d) < AtLimit {
 			continue
 		}
-		if w := n.limit.Wait(now); first == nil || w < wait {
+		if w := n.permitWait(now); first == nil || w < wait {
 			first, wait = n, w
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -119,7 +119,10 @@
 	restsUntil time.Time
 	// limit is this entry's share of the limit on the rate of requests that the upstream
 	// has named, nil for none.
-	limit         *ratelimit.Share
+	limit *ratelimit.Share
+	// warmup is this entry's share of what the upstream bears while it is cold, nil if its
+	// service has no warm-up.
+	warmup        *ratelimit.Share
 	failureMean   float64
 	failureMeanAt time.Time
 	// withdrawnSent counts the withdrawn requests that this entry has sent since the last
@@ -197,10 +200,17 @@
 	if least != None && least != Unheard {
 		return nil, least
 	}
-	best := p.cheapest(now, func(i int) bool {
+	usable := func(i int) bool {
 		n := p.nodes[i]
 		return p.obstacles[i] == least && (least == None || n.permits(now) > 0 && p.beginsInTime(n, v, d, 1) && !(n.unreachable && now.Sub(p.probedAt) < probeInterval))
-	})
+	}
+	var best *Node
+	if d.Urgent {
+		best = p.cheapest(now, func(i int) bool { return !p.nodes[i].Cold(now) && usable(i) })
+	}
+	if best == nil {
+		best = p.cheapest(now, usable)
+	}
 	if best == nil {
 		return nil, least
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -64,6 +64,8 @@
 	// within expiryGrace; expiredAt is when the latter ended. Both are by name.
 	members   map[string]Member
 	expiredAt map[string]time.Time
+	// seenAt is when each member's registration was first seen.
+	seenAt map[string]time.Time
 	// leaders holds the name of each group's leader.
 	leaders map[string]string
 	// onRegistrationEnd is called with the name of each process whose registration
@@ -77,7 +79,7 @@
 
 // NewView returns an empty view.
 func NewView(clock clockwork.Clock, log *zap.Logger) *View {
-	return &View{clock: clock, log: log, members: map[string]Member{}, expiredAt: map[string]time.Time{}, leaders: map[string]string{}}
+	return &View{clock: clock, log: log, members: map[string]Member{}, expiredAt: map[string]time.Time{}, seenAt: map[string]time.Time{}, leaders: map[string]string{}}
 }
 
 // Replace implements feed.Sink.
@@ -145,6 +147,9 @@
 	}
 	v.members[name] = m
 	delete(v.expiredAt, name)
+	if v.seenAt[name].IsZero() {
+		v.seenAt[name] = v.clock.Now()
+	}
 }
 
 // expiryGrace is how long a process is still listed after its registration has
@@ -167,6 +172,7 @@
 		if now.Sub(at) > expiryGrace {
 			delete(v.members, n)
 			delete(v.expiredAt, n)
+			delete(v.seenAt, n)
 		}
 	}
 }
@@ -238,6 +244,26 @@
 	return v.entryPeak.max(v.clock.Now())
 }
 
+// EntryNames returns the sorted names of the entries, or nil while the entry self can't act on
+// them in common with the others: until settleDelay after the registrations, and its own among
+// them, have been read for the first time. By then the others know of it too.
+func (v *View) EntryNames(self string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	seenAt, registered := v.seenAt[self]
+	if now := v.clock.Now(); !registered || now.Sub(seenAt) < settleDelay || now.Sub(v.syncedAt) < settleDelay {
+		return nil
+	}
+	var names []string
+	for name, m := range v.members {
+		if m.Role == RoleEntry {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // recordEntryCount records the current number of entries. The caller holds mu.
 func (v *View) recordEntryCount() {
 	n := 0
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -313,6 +313,9 @@
 	} else {
 		q.applyLimit(m, reply.RequestLimit, q.attemptStartedAt)
 	}
+	if reply.Warmup > 0 {
+		m.applyAnsweredWarmup(reply.Warmup)
+	}
 	if reply.InvalidRetryAfter != "" {
 		q.log.Warn("upstream's retry delay can't be read; ignoring it", zap.String("upstream", m.ID), zap.String("delay", truncate(reply.InvalidRetryAfter)))
 	}
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -32,6 +32,7 @@
 func (q *request) demand() dispatch.Demand {
 	d := dispatch.Demand{Exclude: q.attempted, Accepted: q.accepted(), Withdrawn: q.withdrawn}
 	wait, usual := q.waitLimit(), q.usualDelay()
+	d.Urgent = isUrgent(q.headSent, q.route.TargetLatency, time.Since(q.startedAt), usual)
 	switch {
 	case q.withdrawn:
 		wait, usual = q.patienceLeft(), time.Duration(withdrawnDelayFactor*float64(usual))
@@ -42,6 +43,20 @@
 	return d
 }
 
+// coldDelayFactor times the usual delay of an answer is the delay that a cold upstream may
+// cause.
+const coldDelayFactor = 3
+
+// isUrgent reports whether the caller of a request would notice a slow first answer: its
+// target latency can be kept, but not at several times the usual delay, or its stream has begun.
+func isUrgent(streaming bool, target, waited, usual time.Duration) bool {
+	if streaming {
+		return true
+	}
+	left := target - waited
+	return left > usual && left < coldDelayFactor*usual
+}
+
 // pick chooses an upstream for the next attempt, or returns nil. A request to
 // a group that can't serve waits for the group first.
 func (q *request) pick() *Member {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -282,7 +282,9 @@
 			}
 		}
 		usable := g.Directory.Usable()
-		if !g.Pools.Reconcile(usable) {
+		changed := g.Pools.Reconcile(usable)
+		g.logWarmups()
+		if !changed {
 			continue
 		}
 		addresses := map[string]bool{}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -13,6 +13,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/dispatch"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/ratelimit"
+	"github.com/kingcupreel/kingcupreel/internal/warmup"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
@@ -33,7 +34,7 @@
 	limitNewsTime = 2 * time.Second
 )
 
-var errLimited = fault.New(fault.Unavailable, "try again shortly", "the upstreams of the service have no room within the request limits that they named")
+var errLimited = fault.New(fault.Unavailable, "try again shortly", "the upstreams of the service have no room within their request limits")
 
 // namedLimit is what an upstream has said of its limit.
 type namedLimit struct {
@@ -182,13 +183,14 @@
 	})
 }
 
-// atLimit returns the time until the next permit of the service's upstreams, if some name
-// limits and could take the request but for these.
-func (p *Pools) atLimit(service string, d dispatch.Demand) (wait time.Duration, limited bool) {
+// atLimit returns the time until the next permit of the service's upstreams, if some are
+// limited and could take the request but for that, and whether that one is cold.
+func (p *Pools) atLimit(service string, d dispatch.Demand) (wait time.Duration, limited, cold bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n, wait := p.pool(service).NextPermit(p.clock.Now(), d)
-	return wait, n != nil
+	now := p.clock.Now()
+	n, wait := p.pool(service).NextPermit(now, d)
+	return wait, n != nil, n != nil && n.Cold(now)
 }
 
 // reservePermit takes the next permit of the service's upstreams and counts a request to its
@@ -204,12 +206,17 @@
 	return p.member(n), wait
 }
 
-// canTake reports whether the upstream can take a request for which a permit was reserved: it
-// may have left meanwhile, or want no requests.
-func (m *Member) canTake(d dispatch.Demand) bool {
+// canTake reports whether the upstream can take a request for which a permit was reserved that
+// fell due so long ago: it may have left meanwhile, or want no requests. A process that has
+// stood still finds all its permits due at once, which a cold upstream may not bear.
+func (m *Member) canTake(d dispatch.Demand, late time.Duration) bool {
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
-	return m.pools.pool(m.Service).CanTake(m.node, m.pools.clock.Now(), d)
+	now := m.pools.clock.Now()
+	if late > warmup.MaxDelay && m.node.Cold(now) {
+		return false
+	}
+	return m.pools.pool(m.Service).CanTake(m.node, now, d)
 }
 
 // awaitPermit waits for the next permit of the service's upstreams and returns its upstream,
@@ -220,17 +227,22 @@
 	if m == nil {
 		return nil
 	}
+	if m.isCold() {
+		q.g.stats.recordColdUpstream(q.service, "waited")
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	ended := false
+	start := time.Now()
 	select {
 	case <-timer.C:
 	case <-q.ctx.Done():
 		ended = true
 	}
-	usable := !ended && m.canTake(q.demand())
+	late := time.Since(start) - wait
+	usable := !ended && m.canTake(q.demand(), late)
 	q.g.stats.recordWait(q.service, usable, wait)
-	q.log.Info("waited for an upstream's request limit", zap.String("upstream", m.ID), zap.Bool("may_start", usable), zap.Duration("waited", wait), zap.Duration("limit", maxWait))
+	q.log.Info("waited for an upstream's request limit", zap.String("upstream", m.ID), zap.Bool("may_start", usable), zap.Duration("late", late), zap.Duration("waited", wait), zap.Duration("limit", maxWait))
 	if usable {
 		return m
 	}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -40,7 +40,8 @@
 	rests map[directory.Departure]time.Time
 	// limits holds the limits that incarnations have named. An upstream keeps its limit as it
 	// keeps its rest.
-	limits map[directory.Departure]*namedLimit
+	limits  map[directory.Departure]*namedLimit
+	warmups warmups
 	// entryShare is this entry's share of the upstreams' capacity, 0 to 1.
 	entryShare float64
 	// reachable reports whether a data centre is heard from.
@@ -56,10 +57,10 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, leaving: map[*dispatch.Node]*Member{}, waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, leaving: map[*dispatch.Node]*Member{}, waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, warmups: newWarmups(), entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
 }
 
-// Configure sets the step costs of the services' engines.
+// Configure sets the step costs of the services' engines and the warm-ups of the services.
 func (p *Pools) Configure(services []routing.Service) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -68,6 +69,7 @@
 			p.pool(s.Name).SetStepCost(dispatch.StepCost{Base: s.Engine.StepTime, PerRequest: s.Engine.StepTimePerSequence})
 		}
 	}
+	p.configureWarmups(services)
 }
 
 // pool returns the pool of a service. The caller holds mu.
@@ -92,6 +94,7 @@
 		wanted[u.ID] = true
 		m := p.members[u.ID]
 		if m != nil && m.matches(u) {
+			p.applyRecordedWarmup(m, u.Warmup)
 			continue
 		}
 		changed = true
@@ -109,6 +112,7 @@
 	now := p.clock.Now()
 	maps.DeleteFunc(p.rests, func(_ directory.Departure, until time.Time) bool { return !now.Before(until) })
 	p.removeExpiredLimits(now)
+	p.removeWarmups(now)
 	return changed
 }
 
@@ -136,6 +140,7 @@
 	if l := p.limits[u.Incarnation()]; l != nil {
 		m.node.SetLimit(&l.share)
 	}
+	p.trackWarmup(m)
 	m.node.SetUnreachable(!p.reachable(u.DataCentre))
 	p.members[u.ID] = m
 	p.byAddress[u.Address] = m
@@ -208,6 +213,7 @@
 	defer p.mu.Unlock()
 	m := p.byAddress[address]
 	if m == nil || m.Started != started {
+		p.applyLaterStart(m, started)
 		p.updateLeaving(address, started, load)
 		return nil
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -32,8 +32,11 @@
 // the caller is told.
 func (q *request) noUpstream() error {
 	limit := maxRetryAfterFraction * float64(q.remaining()) * (1 - retryAfterJitter*rand.Float64())
-	if wait, limited := q.g.Pools.atLimit(q.service, q.demand()); limited {
+	if wait, limited, cold := q.g.Pools.atLimit(q.service, q.demand()); limited {
 		q.g.stats.recordLimited(q.service)
+		if cold {
+			q.g.stats.recordColdUpstream(q.service, "refused")
+		}
 		return errLimited.After(time.Duration(min(float64(wait)+rand.Float64()*float64(returnWindow), limit)))
 	}
 	return errNoUpstream.After(q.retryAfter(limit))
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -68,4 +68,8 @@
 
 func (s *stats) recordLimited(service string) { s.count("limits", service, "refused") }
 
+// recordColdUpstream counts a request that waited for a permit of a cold upstream, or was
+// refused for want of one.
+func (s *stats) recordColdUpstream(service, result string) { s.count("warmups", service, result) }
+
 func (s *stats) recordCallerLeft(service string) { s.count("requests", service, "caller_left") }
--- /dev/null
+++ b/internal/gateway/warmup_test.go
@@ -0,0 +1,185 @@
+package gateway_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/directory"
+	"github.com/kingcupreel/kingcupreel/internal/dispatch"
+	"github.com/kingcupreel/kingcupreel/internal/gateway"
+	"github.com/kingcupreel/kingcupreel/internal/routing"
+)
+
+const (
+	testWarmup     = 3 * time.Second
+	testWarmupRate = 14
+)
+
+// warmupFleet is one entry of several before upstreams in data centres a, b and c.
+type warmupFleet struct {
+	*gateway.Pools
+	clock     *clockwork.FakeClock
+	upstreams []directory.Upstream
+}
+
+// newWarmupFleet returns an entry that doesn't know the others yet. Its upstreams started long
+// before.
+func newWarmupFleet(upstreams int) *warmupFleet {
+	clock := clockwork.NewFakeClock()
+	f := &warmupFleet{Pools: gateway.NewPools(clock, rand.New(rand.NewPCG(1, 1))), clock: clock}
+	f.SetWarmupBound(1.5, 5)
+	f.Configure([]routing.Service{{Name: "s", Warmup: testWarmup, WarmupRate: testWarmupRate}})
+	for i := range upstreams {
+		f.upstreams = append(f.upstreams, directory.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: fmt.Sprint("u", i), DataCentre: string(rune('a' + i%3)), Slots: 100, Started: clock.Now().Add(-time.Hour).UnixMilli()})
+	}
+	f.Reconcile(f.upstreams)
+	return f
+}
+
+// know tells the entry that there are n of them.
+func (f *warmupFleet) know(n int) {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	f.SetEntries("e0", names)
+}
+
+// turnCold lets the records of the upstreams with the given property say that they are cold.
+func (f *warmupFleet) turnCold(cold func(i int) bool) {
+	for i := range f.upstreams {
+		if cold(i) {
+			f.upstreams[i].Warmup = testWarmup
+		}
+	}
+	f.Reconcile(f.upstreams)
+}
+
+// sent picks upstreams for n requests and returns how many each data centre gets; "" stands for
+// requests without an upstream.
+func (f *warmupFleet) sent(n int, d dispatch.Demand) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		m, _ := f.Pick("s", d)
+		if m == nil {
+			counts[""]++
+			continue
+		}
+		counts[m.DataCentre]++
+		m.Finish(true, false)
+	}
+	return counts
+}
+
+// Two of three data centres are given back cold before one of 43 entries, and a burst comes:
+// their upstreams get no more than the entry's permits, the rest goes to the warm ones.
+func TestTwoColdDataCentres(t *testing.T) {
+	g := NewWithT(t)
+	f := newWarmupFleet(63)
+	f.know(43)
+	f.turnCold(func(i int) bool { return i%3 != 0 })
+	g.Expect(f.Cold()).To(Equal(42))
+	counts := f.sent(1000, dispatch.Demand{})
+	g.Expect(counts["b"] + counts["c"]).To(BeNumerically("~", 42*13/43, 8))
+	g.Expect(counts[""]).To(BeZero())
+	g.Expect(counts["a"]).To(Equal(1000 - counts["b"] - counts["c"]))
+	f.clock.Advance(testWarmup)
+	g.Expect(f.Cold()).To(BeZero())
+	counts = f.sent(1000, dispatch.Demand{})
+	g.Expect(counts["b"]).To(BeNumerically(">", 200), "the load is back")
+}
+
+// Requests whose callers would notice a slow answer stay with warm upstreams while these have
+// room.
+func TestColdUpstreamsGetPatientRequests(t *testing.T) {
+	g := NewWithT(t)
+	f := newWarmupFleet(6)
+	f.know(1)
+	f.turnCold(func(i int) bool { return i%3 == 1 })
+	g.Expect(f.sent(100, dispatch.Demand{Urgent: true})["b"]).To(BeZero())
+	g.Expect(f.sent(100, dispatch.Demand{})["b"]).To(BeNumerically(">", 0))
+	f = newWarmupFleet(2)
+	f.know(1)
+	f.turnCold(func(int) bool { return true })
+	g.Expect(f.sent(10, dispatch.Demand{Urgent: true})[""]).To(Equal(8), "no warm one is left")
+}
+
+// An entry that has just started doesn't know the others: it sends nothing to cold upstreams,
+// and takes those whose records were written long after their start for warm.
+func TestEntryThatJustStartedSpares(t *testing.T) {
+	g := NewWithT(t)
+	f := newWarmupFleet(6)
+	g.Expect(f.Cold()).To(BeZero())
+	f.turnCold(func(i int) bool { return i%3 == 1 })
+	counts := f.sent(100, dispatch.Demand{})
+	g.Expect(counts["b"]).To(BeZero())
+	g.Expect(counts[""]).To(BeZero())
+	f.know(43)
+	f.know(0) // its registration has been lost
+	g.Expect(f.sent(100, dispatch.Demand{})["b"]).To(BeZero())
+}
+
+// A later incarnation starts under the same ID and takes its requests before its record shows.
+func TestIncarnationUnderTheSameIDIsCold(t *testing.T) {
+	g := NewWithT(t)
+	f := newWarmupFleet(2)
+	f.UpdateLoad("u0", f.clock.Now().UnixMilli(), dispatch.Load{})
+	g.Expect(f.Cold()).To(Equal(1))
+	f.upstreams[0].Started, f.upstreams[0].Warmup = f.clock.Now().UnixMilli(), testWarmup
+	f.Reconcile(f.upstreams)
+	f.clock.Advance(time.Second)
+	g.Expect(f.Cold()).To(Equal(1))
+	f.clock.Advance(testWarmup)
+	g.Expect(f.Cold()).To(BeZero())
+}
+
+// A data centre is given back while nobody can read whether its upstreams have turned cold. An
+// upstream's coldness outlasts a change of its registration.
+func TestReturnedDataCentreCountsAsCold(t *testing.T) {
+	g := NewWithT(t)
+	f := newWarmupFleet(6)
+	f.know(1)
+	f.CountAsCold("b")
+	g.Expect(f.Cold()).To(Equal(2))
+	f.Reconcile(nil)
+	f.Reconcile(f.upstreams)
+	g.Expect(f.Cold()).To(Equal(2))
+	f.Configure([]routing.Service{{Name: "s"}})
+	g.Expect(f.Cold()).To(BeZero(), "the service declares no warm-up any more")
+}
+
+// A burst meets a service all of whose upstreams are cold: requests wait for permits that come
+// in time, the others are refused at once, and nothing is served beyond the limit. An answer
+// tells that the upstream is cold.
+func TestServiceWithColdUpstreamsOnly(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Warmup-Ms", "3000")
+		stamped(w, r, http.StatusOK, "done")
+	})
+	c := configuration()
+	c.Version, c.Services = 2, []routing.Service{{Name: "s", Warmup: testWarmup, WarmupRate: 3}}
+	f.routes.Apply(c, time.Now())
+	g.Expect(f.sendFor(50*time.Millisecond, 0)[http.StatusOK]).To(Equal(1), "the others aren't known yet")
+	f.gateway.Pools.SetWarmupBound(1.5, 5)
+	f.gateway.Pools.SetEntries("e", []string{"e"})
+	f.gateway.SetEntryCount(1)
+	served := 0
+	answers := []<-chan answer{}
+	for range 20 {
+		answers = append(answers, f.sendAsync(f.request(http.MethodGet, "/safe/x", "")))
+	}
+	for _, a := range answers {
+		if (<-a).Status == http.StatusOK {
+			served++
+		}
+	}
+	g.Expect(served).To(BeNumerically(">=", 1), "these had or awaited a permit")
+	g.Expect(served).To(BeNumerically("<=", 4))
+}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -52,6 +52,11 @@
 	// permit that isn't taken falls due.
 	interval time.Duration
 	nextAt   time.Time
+	// spaced is set if an interval passes after the use of a permit, however late that was,
+	// until the next one falls due. endsAt is when such a limit ends, lastAt when its last
+	// permit was used, or will be.
+	spaced         bool
+	endsAt, lastAt time.Time
 }
 
 // Set sets the entry's share of a limit, in requests a second. Its first permit falls due
@@ -75,32 +80,66 @@
 	s.interval = interval
 }
 
+// SetSpaced sets the least time between two requests until a time, 0 for no requests at all.
+// Unused permits don't add up, whatever the number of entries.
+func (s *Share) SetSpaced(interval time.Duration, endsAt time.Time) {
+	switch {
+	case interval == 0:
+		interval, s.nextAt = maxInterval, endsAt
+	case s.lastAt.IsZero():
+		s.nextAt = time.Time{}
+	default:
+		s.nextAt = s.lastAt.Add(interval)
+	}
+	s.spaced, s.interval, s.endsAt = true, interval, endsAt
+}
+
 // Clear removes the limit.
-func (s *Share) Clear() { *s = Share{} }
+func (s *Share) Clear() { *s = Share{lastAt: s.lastAt} }
 
 // Limited reports whether there is a limit.
-func (s *Share) Limited() bool { return s.interval > 0 }
+func (s *Share) Limited(now time.Time) bool {
+	return s.interval > 0 && !(s.spaced && !now.Before(s.endsAt))
+}
 
 // Interval returns the time between two permits, 0 without a limit.
 func (s *Share) Interval() time.Duration { return s.interval }
 
 // Wait returns the time until the next permit, 0 if one is due or there is no limit.
 func (s *Share) Wait(now time.Time) time.Duration {
-	if !s.Limited() {
+	if !s.Limited(now) {
 		return 0
 	}
-	return max(s.next(now).Sub(now), 0)
+	wait := max(s.next(now).Sub(now), 0)
+	if s.spaced {
+		wait = min(wait, s.endsAt.Sub(now))
+	}
+	return wait
 }
 
 // Take takes the next permit, which may lie in the future.
 func (s *Share) Take(now time.Time) {
-	if s.Limited() {
-		s.nextAt = s.next(now).Add(s.interval)
+	if !s.Limited(now) {
+		return
+	}
+	next := s.next(now)
+	if s.spaced {
+		if !next.Before(s.endsAt) {
+			return // it is sent once the limit has ended
+		}
+		s.lastAt = next
 	}
+	s.nextAt = next.Add(s.interval)
 }
 
 // next returns when the first permit falls due that is neither taken nor expired.
 func (s *Share) next(now time.Time) time.Time {
+	if s.spaced {
+		if s.nextAt.Before(now) {
+			return now
+		}
+		return s.nextAt
+	}
 	unused := now.Add(-maxUnused).Sub(s.nextAt)
 	if unused <= 0 {
 		return s.nextAt
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -67,6 +67,8 @@
 	// could not be read.
 	RequestLimit        float64
 	InvalidRequestLimit string
+	// Warmup is how long the upstream says that it stays cold, 0 if it doesn't say so.
+	Warmup time.Duration
 }
 
 // Codec reads the response headers of the upstreams' protocol.
