An entry that restarts under its name takes its place at cold upstreams after 1.2 s

After all entries had restarted at once, none sent anything to cold upstreams for 3 s: each waited for the others to learn of it, though they had known its name all along.

go test ./internal/fleet ./internal/warmup ./internal/gateway -run 'Cold|EntryNames': ok.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -105,6 +105,7 @@
 		Routes: g.routes, Directory: g.directory, Codec: platform.Headers{}, Transport: g.transport,
 		Pools:       gateway.NewPools(p.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		RetryLimits: retryLimits(p.node), MinOutage: p.node.MaxPartition,
+		Self: p.node.Name, Entries: func() []string { return g.fleet.view.EntryNames(p.node.Name) },
 		Reachability: g.reachability, OnDeparture: func() { g.exchange.TriggerDigest() }, OnCrashReport: func(r quarantine.Report) { g.crashes.Send(r) },
 		OnQuarantine: func(quarantined []quarantine.Fingerprint) {
 			for _, f := range quarantined {
@@ -211,7 +212,7 @@
 func (g *gatewayProcess) startUpdates(work context.Context) {
 	go g.gateway.Run(work)
 	g.gateway.Pools.SetWarmupBound(g.node.WarmupOverage, g.node.WarmupAllowance)
-	go updateEntries(work, g.clock, g.gateway, g.fleet)
+	go updateEntryCount(work, g.clock, g.gateway, g.fleet.view)
 	g.reload(work, func(n settings.Node) {
 		g.gateway.SetLimits(retryLimits(n))
 		g.gateway.Pools.SetWarmupBound(n.WarmupOverage, n.WarmupAllowance)
@@ -226,24 +227,24 @@
 	return time.Duration(float64(bound) * factor)
 }
 
-// entriesInterval is how often an entry's share of common limits is adapted to the
-// entries.
-const entriesInterval = 1 * time.Second
+// entryCountInterval is how often an entry's share of common limits is adapted
+// to the number of entries.
+const entryCountInterval = 1 * time.Second
 
-// updateEntries tells the gateway the entries and their number every entriesInterval until ctx
-// is done. It skips the number 0, which means that it is not known yet.
-func updateEntries(ctx context.Context, clock clockwork.Clock, g *gateway.Gateway, f *fleetMembership) {
-	ticker := clock.NewTicker(entriesInterval)
+// updateEntryCount tells the gateway the number of entries every
+// entryCountInterval until ctx is done. It skips 0, which means that the number
+// is not known yet.
+func updateEntryCount(ctx context.Context, clock clockwork.Clock, g *gateway.Gateway, view *fleet.View) {
+	ticker := clock.NewTicker(entryCountInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			if n := f.view.EntryCount(); n > 0 {
+			if n := view.EntryCount(); n > 0 {
 				g.SetEntryCount(n)
 			}
-			g.Pools.SetEntries(f.self.Name, f.view.EntryNames(f.self.Name))
 		}
 	}
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -244,14 +244,23 @@
 	return v.entryPeak.max(v.clock.Now())
 }
 
+// restartDelay is how long an entry that has restarted under its name leaves permits unused that
+// the process before it may have used within the same second.
+const restartDelay = 1200 * time.Millisecond
+
 // EntryNames returns the sorted names of the entries, or nil while the entry self can't act on
-// them in common with the others: until settleDelay after the registrations, and its own among
-// them, have been read for the first time. By then the others know of it too.
+// them in common with the others: until settleDelay after it has first seen its registration,
+// when the others know of it too. They have known an entry that finds itself registered when it
+// starts.
 func (v *View) EntryNames(self string) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	seenAt, registered := v.seenAt[self]
-	if now := v.clock.Now(); !registered || now.Sub(seenAt) < settleDelay || now.Sub(v.syncedAt) < settleDelay {
+	delay := settleDelay
+	if !seenAt.After(v.syncedAt) {
+		delay = restartDelay
+	}
+	if !registered || v.clock.Since(seenAt) < delay {
 		return nil
 	}
 	var names []string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,6 +105,10 @@
 	// means defaultMinOutage. A negative value means that the group may reopen
 	// at any moment.
 	MinOutage time.Duration
+	// Self is the name of this entry. Entries, if not nil, returns those of all entries that
+	// act in common, none while this one isn't among them.
+	Self    string
+	Entries func() []string
 	// Reachability may be nil; then every data centre counts as reachable.
 	Reachability Reachability
 	// OnDeparture, if not nil, is called after an answer has shown that an upstream is
@@ -280,6 +284,9 @@
 			if g.Reachability != nil {
 				g.Pools.SetReachable(g.Reachability.Reachable)
 			}
+			if g.Entries != nil {
+				g.Pools.SetEntries(g.Self, g.Entries())
+			}
 		}
 		usable := g.Directory.Usable()
 		changed := g.Pools.Reconcile(usable)
