--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -183,11 +183,16 @@
 	defer p.mu.Unlock()
 	for _, m := range p.members {
 		if m.DataCentre == dataCentre {
-			p.applyWarmup(m, func(w *upstreamWarmup, length time.Duration, now time.Time) { w.ApplyReturn(length, now) })
+			p.countAsCold(m)
 		}
 	}
 }
 
+// countAsCold is CountAsCold for one upstream. The caller holds mu.
+func (p *Pools) countAsCold(m *Member) {
+	p.applyWarmup(m, func(w *upstreamWarmup, length time.Duration, now time.Time) { w.ApplyReturn(length, now) })
+}
+
 func (m *Member) isCold() bool {
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
