--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -20,7 +20,7 @@
 	// withdraw theirs at the same moment and see the same reports.
 	Withdrawn bool
 	// Urgent is set if the caller would notice a slow first answer. A cold upstream gets such
-	// a request only if no warm one can take it.
+	// a request only if no warm one has room.
 	Urgent bool
 }
 
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -21,6 +21,12 @@
 // Cold reports whether the upstream is cold.
 func (n *Node) Cold(now time.Time) bool { return n.warmup != nil && n.warmup.Limited(now) }
 
+// isWarmWithRoom reports whether the upstream is warm and would run one more request fast enough
+// for one with a target latency.
+func (n *Node) isWarmWithRoom(now time.Time) bool {
+	return !n.Cold(now) && (n.Slots == 0 || n.load(now) < int(waitingFillFraction*float64(n.Slots)))
+}
+
 // limited reports whether a limit of the upstream is in force.
 func (n *Node) limited(now time.Time) bool {
 	return n.limit != nil && n.limit.Limited(now) || n.Cold(now)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -206,7 +206,7 @@
 	}
 	var best *Node
 	if d.Urgent {
-		best = p.cheapest(now, func(i int) bool { return !p.nodes[i].Cold(now) && usable(i) })
+		best = p.cheapest(now, func(i int) bool { return p.nodes[i].isWarmWithRoom(now) && usable(i) })
 	}
 	if best == nil {
 		best = p.cheapest(now, usable)
