--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -111,6 +111,7 @@
 		Routes: g.routes, Directory: g.directory, Codec: platform.Headers{}, Transport: g.transport,
 		Pools:       gateway.NewPools(p.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		RetryLimits: retryLimits(p.node), MinOutage: p.node.MaxPartition,
+		Self: p.node.Name, Entries: func() []string { return g.fleet.view.EntryNames(p.node.Name) },
 		Reachability: g.reachability, OnDeparture: func() { g.exchange.TriggerDigest() }, OnCrashReport: func(r quarantine.Report) { g.crashes.Send(r) },
 		OnQuarantine: func(quarantined []quarantine.Fingerprint) {
 			for _, f := range quarantined {
@@ -143,6 +144,7 @@
 		"configuration.age_ms":  func() int64 { return configurationAgeMS(p.clock, g.routes) },
 		"upstreams.usable":      func() int64 { return int64(len(g.directory.Usable())) },
 		"upstreams.limited":     func() int64 { return int64(g.gateway.Pools.Limited()) },
+		"upstreams.cold":        func() int64 { return int64(g.gateway.Pools.Cold()) },
 		"requests_in_flight":    func() int64 { return int64(g.gateway.InFlight()) },
 		"bodies.held_bytes":     g.gateway.HeldBytes,
 		"entries.known":         func() int64 { return int64(g.fleet.view.EntryCount()) },
@@ -224,8 +226,12 @@
 // the store and the settings file.
 func (g *gatewayProcess) startUpdates(work context.Context) {
 	go g.gateway.Run(work)
+	g.gateway.Pools.SetWarmupBound(g.node.WarmupOverage, g.node.WarmupAllowance)
 	go updateEntryCount(work, g.clock, g.gateway, g.fleet.view)
-	g.reload(work, func(n settings.Node) { g.gateway.SetLimits(retryLimits(n)) })
+	g.reload(work, func(n settings.Node) {
+		g.gateway.SetLimits(retryLimits(n))
+		g.gateway.Pools.SetWarmupBound(n.WarmupOverage, n.WarmupAllowance)
+	})
 	g.follow(work, g.fleet, g.operatorFeed())
 	g.follow(work, g.fleet, &feed.Feed{
 		Prefix: platform.PrefixReplicas, Sink: platform.ReplicaSink{Directory: g.directory, Log: g.log},
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -2,9 +2,14 @@
 
 import "slices"
 
-// SetEvacuated records whether the upstream's data centre is evacuated. Such an upstream gets
-// no requests. It still counts as a rank of its group, which steps with it.
-func (n *Node) SetEvacuated(evacuated bool) { n.evacuated = evacuated }
+// SetEvacuated records whether the upstream's data centre is evacuated, and reports whether it
+// has been given back. An upstream of an evacuated one gets no requests. It still counts as a
+// rank of its group, which steps with it.
+func (n *Node) SetEvacuated(evacuated bool) (givenBack bool) {
+	givenBack = n.evacuated && !evacuated
+	n.evacuated = evacuated
+	return givenBack
+}
 
 // OnlyEvacuated reports whether evacuations leave the request no upstream: of those that it
 // doesn't exclude, there are some and all are evacuated.
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -22,13 +22,17 @@
 var errEvacuatedMeanwhile = fault.New(fault.Unavailable, "try another upstream", "the upstream's data centre was evacuated before the request was sent")
 
 // SetEvacuated sets which data centres are evacuated. It is called again at each change.
-// Requests that wait for a service without any other upstream are refused.
+// Requests that wait for a service without any other upstream are refused. The upstreams of a
+// data centre that is given back count as cold unless they have said lately whether they are:
+// they may have turned cold while nothing was sent there.
 func (p *Pools) SetEvacuated(evacuated func(dataCentre string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.evacuated = evacuated
 	for _, m := range p.members {
-		m.node.SetEvacuated(evacuated(m.DataCentre))
+		if m.node.SetEvacuated(evacuated(m.DataCentre)) {
+			p.countAsCold(m)
+		}
 	}
 	for service := range p.waiting {
 		p.refuseEvacuated(service)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -36,8 +36,11 @@
 		q.g.stats.recordEvacuated(q.service)
 		return errEvacuated.After(time.Duration(min(float64(evacuatedRetryAfter)*(1-retryAfterJitter*rand.Float64()), limit)))
 	}
-	if wait, limited := q.g.Pools.atLimit(q.service, q.demand()); limited {
+	if wait, limited, cold := q.g.Pools.atLimit(q.service, q.demand()); limited {
 		q.g.stats.recordLimited(q.service)
+		if cold {
+			q.g.stats.recordColdUpstream(q.service, "refused")
+		}
 		return errLimited.After(time.Duration(min(float64(wait)+rand.Float64()*float64(returnWindow), limit)))
 	}
 	return errNoUpstream.After(q.retryAfter(limit))
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -71,4 +71,8 @@
 // recordEvacuated counts a request that was refused since evacuations left it no upstream.
 func (s *stats) recordEvacuated(service string) { s.count("evacuations", service, "refused") }
 
+// recordColdUpstream counts a request that waited for a permit of a cold upstream, or was
+// refused for want of one.
+func (s *stats) recordColdUpstream(service, result string) { s.count("warmups", service, result) }
+
 func (s *stats) recordCallerLeft(service string) { s.count("requests", service, "caller_left") }
