evacuation: a data centre that is given back counts as heard

Where a data centre has upstreams only, nothing is heard from it while it gets no requests, so that it counted as unreachable at the end of its evacuation and was used only if no other could take a request. Found by the soak, which now restores older copies of the store and places each upstream beside a gateway.

go test ./internal/evacuation ./internal/daemon -run Evac: ok.

--- a/internal/daemon/evacuation.go
+++ b/internal/daemon/evacuation.go
@@ -45,8 +45,16 @@
 	})
 }
 
-// applyEvacuations puts the evacuations in force and passes them on at once.
-func (g *gatewayProcess) applyEvacuations() {
+// applyEvacuations puts the evacuations in force and passes them on at once. A data centre that
+// is evacuated no longer counts as heard from now: where it has no entries, it could not be
+// heard while it got no requests.
+func (g *gatewayProcess) applyEvacuations(ended []string) {
+	for _, name := range ended {
+		g.reachability.Heard(name)
+	}
+	if len(ended) > 0 {
+		g.gateway.Pools.SetReachable(g.reachability.Reachable)
+	}
 	g.gateway.Pools.SetEvacuated(g.evacuations.Evacuated)
 	g.exchange.TriggerDigest()
 	for _, name := range g.evacuations.InForce() {
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -72,7 +72,9 @@
 	// first listing.
 	asOf      kvstore.Position
 	changedAt time.Time
-	onChange  []func()
+	// ended collects the data centres whose evacuations end within an update.
+	ended    []string
+	onChange []func(ended []string)
 }
 
 // known is a record with the time since when its state has been known here.
@@ -86,9 +88,9 @@
 	return &Table{clock: clock, log: log, records: map[string]known{}}
 }
 
-// OnChange adds a function that is called after each change of an evacuation. It is called
-// before the table is used.
-func (t *Table) OnChange(f func()) { t.onChange = append(t.onChange, f) }
+// OnChange adds a function that is called after each change of evacuations, with the data
+// centres that are evacuated no longer. It is called before the table is used.
+func (t *Table) OnChange(f func(ended []string)) { t.onChange = append(t.onChange, f) }
 
 // Evacuated reports whether a data centre is evacuated.
 func (t *Table) Evacuated(dataCentre string) bool {
@@ -197,16 +199,18 @@
 // evacuation.
 func (t *Table) update(f func() (changed bool)) {
 	t.mu.Lock()
+	t.ended = nil
 	changed := f()
 	if changed {
 		t.changedAt = t.clock.Now()
 	}
+	ended := t.ended
 	t.mu.Unlock()
 	if !changed {
 		return
 	}
 	for _, notify := range t.onChange {
-		notify()
+		notify(ended)
 	}
 }
 
@@ -243,6 +247,7 @@
 		t.log.Info("data centre is evacuated", fields...)
 		return true
 	}
+	t.ended = append(t.ended, r.DataCentre)
 	t.log.Info("evacuation has ended", append(fields, zap.String("proof", string(proof)), zap.Int64("requested_at", before.Position.Revision),
 		zap.Duration("was_in_force_for", after.since.Sub(before.since)))...)
 	return true
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -73,11 +73,13 @@
 	g := NewWithT(t)
 	table := newTable()
 	changes := 0
-	table.OnChange(func() { changes++ })
+	var over []string
+	table.OnChange(func(ended []string) { changes, over = changes+1, append(over, ended...) })
 	table.Apply([]evacuation.Record{requested("a", 1, 5), requested("b", 1, 6)}, position(1, 6))
 	table.Apply([]evacuation.Record{ended("a", 1, 7)}, position(1, 7))
 	g.Expect(table.InForce()).To(ConsistOf("b"))
 	g.Expect(changes).To(Equal(2))
+	g.Expect(over).To(Equal([]string{"a"}))
 }
 
 // A store that comes back from an older copy may lack an operator's request, or show one that
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -172,7 +172,7 @@
 func (d *deployment) writeSettings(p *process, storeAddress, extra string) {
 	text := fmt.Sprintf(`node-name = %q
 ip = %q
-zone = "a"
+zone = %[7]q
 internal-ports = [7340, 7355]
 %[5]s
 [listen]
@@ -191,7 +191,7 @@
 evacuate-ms = %[6]d
 [platform]
 address = %[4]q
-`, p.name, p.ip, int(gracePeriod.Seconds()), storeAddress, extra, d.evacuations.boundMS())
+`, p.name, p.ip, int(gracePeriod.Seconds()), storeAddress, extra, d.evacuations.boundMS(), d.evacuations.zone(len(d.processes)))
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
--- a/test/soak/evacuation_test.go
+++ b/test/soak/evacuation_test.go
@@ -23,7 +23,7 @@
 )
 
 // evacuations is what the operator has evacuated, and what the upstreams get meanwhile. Each
-// upstream is in a zone of its own.
+// upstream is in a zone of its own, with one of the gateways.
 type evacuations struct {
 	d *deployment
 	// operator is held while the operator writes. Under it only mu is taken.
@@ -43,7 +43,7 @@
 	return evacuationBound.Milliseconds()
 }
 
-// zone returns the zone of upstream i.
+// zone returns the zone of upstream i and of gateway i.
 func (e *evacuations) zone(i int) string {
 	if e == nil {
 		return "a"
@@ -98,14 +98,12 @@
 	_, _ = e.d.kvStore.Delete(key, kvstore.AnyRevision) // it may not exist
 }
 
-// restoreStore makes the store come back from an older copy. The operator writes what was lost
-// again, later.
-func (e *evacuations) restoreStore(age time.Duration) {
-	e.d.kvStore.Save()
-	time.Sleep(age)
+// restoreStore makes the store come back from the copy of the last time or of the start. The
+// operator writes what was lost again after the given time.
+func (e *evacuations) restoreStore(pause time.Duration) {
 	e.operator.Lock()
 	defer e.operator.Unlock()
-	e.d.restoreStoreFromCopy(age)
+	e.d.restoreStoreFromCopy(pause)
 	for i := range e.d.upstreams {
 		zone := e.zone(i)
 		e.mu.Lock()
@@ -113,6 +111,7 @@
 		e.mu.Unlock()
 		e.write(zone, evacuated)
 	}
+	e.d.kvStore.Save()
 }
 
 // Evacuations overlap with kills, restarts, a store that is away for some or all processes, and
@@ -144,6 +143,7 @@
 	for _, p := range d.processes {
 		g.Eventually(p.ready, recoveryTimeout).Should(BeTrue(), p.name)
 	}
+	d.kvStore.Save()
 	stop := make(chan struct{})
 	var running sync.WaitGroup
 	for i := range callers {
@@ -175,6 +175,12 @@
 	for zone := range e.since {
 		e.toggle(zone)
 	}
+	// What was taken back while nobody could read it, and lost with an older copy, stays in
+	// force until the operator writes and deletes it.
+	for i := range d.upstreams {
+		e.write(e.zone(i), true)
+		e.write(e.zone(i), false)
+	}
 	e.mu.Lock()
 	e.reached = map[string]bool{}
 	e.mu.Unlock()
