--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -58,6 +58,8 @@
 type View struct {
 	clock clockwork.Clock
 	log   *zap.Logger
+	// createdAt is when the process started.
+	createdAt time.Time
 
 	mu sync.Mutex
 	// members holds the registered processes and those whose registrations ended
@@ -79,7 +81,7 @@
 
 // NewView returns an empty view.
 func NewView(clock clockwork.Clock, log *zap.Logger) *View {
-	return &View{clock: clock, log: log, members: map[string]Member{}, expiredAt: map[string]time.Time{}, seenAt: map[string]time.Time{}, leaders: map[string]string{}}
+	return &View{clock: clock, log: log, createdAt: clock.Now(), members: map[string]Member{}, expiredAt: map[string]time.Time{}, seenAt: map[string]time.Time{}, leaders: map[string]string{}}
 }
 
 // Replace implements feed.Sink.
@@ -246,21 +248,21 @@
 
 // restartDelay is how long an entry that has restarted under its name leaves permits unused that
 // the process before it may have used within the same second.
-const restartDelay = 1200 * time.Millisecond
+const restartDelay = 1100 * time.Millisecond
 
 // EntryNames returns the sorted names of the entries, or nil while the entry self can't act on
 // them in common with the others: until settleDelay after it has first seen its registration,
-// when the others know of it too. They have known an entry that finds itself registered when it
-// starts.
+// when the others know of it too. They have known an entry all along that finds itself registered
+// when it starts: it waits for restartDelay after its start.
 func (v *View) EntryNames(self string) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	seenAt, registered := v.seenAt[self]
-	delay := settleDelay
+	actsFrom := seenAt.Add(settleDelay)
 	if !seenAt.After(v.syncedAt) {
-		delay = restartDelay
+		actsFrom = v.createdAt.Add(restartDelay)
 	}
-	if !registered || v.clock.Since(seenAt) < delay {
+	if !registered || v.clock.Now().Before(actsFrom) {
 		return nil
 	}
 	var names []string
