dispatch: cold upstreams with a permit are compared apart

A sample of six of all upstreams seldom held one of the few cold ones at which an entry has a permit, so that warm ones queued up beside unused permits. The permits of entries that join stay with those that were there for 2 s, since a new entry doesn't use its own for 3 s.

go test ./internal/dispatch ./internal/fleet; ./internal/gateway -run Cold: ok.

--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -87,3 +87,26 @@
 	v := p.view(now, d)
 	return slices.Contains(p.nodes, n) && p.reachable(n, v, d) == None && p.beginsInTime(n, v, d, 0)
 }
+
+// cheapestByWarmth returns the cheapest of the upstreams that usable accepts by their indices.
+// Cold ones are compared apart: few of them have a permit, and most samples of all upstreams
+// would miss these. An urgent request goes to a cold one only if no warm one has room.
+func (p *Pool) cheapestByWarmth(now time.Time, d Demand, usable func(i int) bool) *Node {
+	if !slices.ContainsFunc(p.nodes, func(n *Node) bool { return n.Cold(now) }) {
+		return p.cheapest(now, usable)
+	}
+	cold := p.cheapest(now, func(i int) bool { return p.nodes[i].Cold(now) && usable(i) })
+	if cold == nil {
+		return p.cheapest(now, usable)
+	}
+	if d.Urgent {
+		if warm := p.cheapest(now, func(i int) bool { return p.nodes[i].isWarmWithRoom(now) && usable(i) }); warm != nil {
+			return warm
+		}
+	}
+	warm := p.cheapest(now, func(i int) bool { return !p.nodes[i].Cold(now) && usable(i) })
+	if warm == nil || p.costAt(cold, now) <= p.costAt(warm, now) {
+		return cold
+	}
+	return warm
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -204,13 +204,7 @@
 		n := p.nodes[i]
 		return p.obstacles[i] == least && (least == None || n.permits(now) > 0 && p.beginsInTime(n, v, d, 1) && !(n.unreachable && now.Sub(p.probedAt) < probeInterval))
 	}
-	var best *Node
-	if d.Urgent {
-		best = p.cheapest(now, func(i int) bool { return p.nodes[i].isWarmWithRoom(now) && usable(i) })
-	}
-	if best == nil {
-		best = p.cheapest(now, usable)
-	}
+	best := p.cheapestByWarmth(now, d, usable)
 	if best == nil {
 		return nil, least
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -250,6 +250,10 @@
 // the process before it may have used within the same second.
 const restartDelay = 1100 * time.Millisecond
 
+// joinDelay is how long a new entry isn't counted among those that act in common: it doesn't act
+// before settleDelay has passed, which lets it count all that have joined within a second.
+const joinDelay = settleDelay - time.Second
+
 // EntryNames returns the sorted names of the entries, or nil while the entry self can't act on
 // them in common with the others: until settleDelay after it has first seen its registration,
 // when the others know of it too. They have known an entry all along that finds itself registered
@@ -262,12 +266,14 @@
 	if !seenAt.After(v.syncedAt) {
 		actsFrom = v.createdAt.Add(restartDelay)
 	}
-	if !registered || v.clock.Now().Before(actsFrom) {
+	now := v.clock.Now()
+	if !registered || now.Before(actsFrom) {
 		return nil
 	}
 	var names []string
 	for name, m := range v.members {
-		if m.Role == RoleEntry {
+		joined := v.seenAt[name].After(v.syncedAt) && now.Sub(v.seenAt[name]) < joinDelay
+		if m.Role == RoleEntry && !joined {
 			names = append(names, name)
 		}
 	}
