Map switches: no hold at silent ranks; arm and go reach engines without free slots

Each long hold (2.0 to 7.9 s) was set by its leader for a switch and then waited for a single rank that left the arm unanswered: one of the seven engines whose health answers hang. Their slots are taken, so that a new connection waits for seconds, and a held group frees no slot. Calls on kept connections were answered all the while. The store had no part in it: no lease was lost.

- An unanswered arm or go is sent again on a kept connection.
An answer there may be that of an earlier call, so only a status that no earlier one can show (the version armed or in force, the step begun) counts as carried out.
Fences are as before.
- Calls on kept connections wait for a free one of three, rather than open another that would wait for a slot; a prepare has four times the time before its connection is given up.
- ranks.Gate: a switch ends before the hold if a rank leaves an order of it unanswered, the group is held at a rank that has just answered an order, and the next switch waits a second while the rank is silent.
Once held, the rank's answer is needed to complete as well as to withdraw, so a withdrawal can't end a hold sooner.

TestSwitchNeverMixesMaps runs half of its schedules with the gate.

--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -34,6 +34,10 @@
 	// Order sends an order to the engine. With an Unknown verdict, the order may
 	// have been carried out or may be carried out later.
 	Order(ctx context.Context, o ranks.Order, timeout time.Duration) (ranks.Verdict, error)
+	// OrderOnKeptConnection sends an order on a connection that has carried other calls. An
+	// engine that serves no new connections still answers there, but the answer may be that
+	// of an earlier call: only the engine's status shows whether the order was carried out.
+	OrderOnKeptConnection(ctx context.Context, o ranks.Order, timeout time.Duration) error
 }
 
 // Options are the settings and dependencies of an agent.
@@ -244,25 +248,17 @@
 // the verdict.
 func (a *Agent) execute(ctx context.Context, o ranks.Order) *wire.RankState {
 	a.recordFence(o.Fence + ranks.MaxSends - 1)
-	reply := execute(ctx, a.Engine, o, localOrderTimeout)
+	timeout := localOrderTimeout
+	if o.Op == ranks.Prepare {
+		timeout = localPrepareTimeout
+	}
+	reply := execute(ctx, a.Engine, o, timeout)
 	telemetry.Counter(a.Metrics, "rank_orders."+string(o.Op)+"."+reply.Verdict.String()).Inc(1)
 	a.Log.Info("order sent to the engine", zap.String("order", string(o.Op)), zap.Int64("version", o.Version), zap.Int64("step", o.Step),
 		zap.Int64("fence", o.Fence), zap.Int64("epoch", o.Epoch), zap.Stringer("verdict", reply.Verdict), zap.Bool("read", reply.OK), zap.Int64("at_step", reply.Status.Step))
 	return reply
 }
 
-const (
-	// localOrderTimeout bounds an order to the engine on the same VM, which answers
-	// within milliseconds or not at all.
-	localOrderTimeout = 12 * time.Millisecond
-	// fallbackOrderTimeout bounds an order that is sent directly to an engine on
-	// another VM because its agent doesn't answer.
-	fallbackOrderTimeout = 150 * time.Millisecond
-	// remoteOrderTimeout bounds an order that an agent sends for the leader to a
-	// reachable engine on another VM: a few round trips.
-	remoteOrderTimeout = 30 * time.Millisecond
-)
-
 const (
 	// copyPollInterval is how often the status of an engine that copies experts is
 	// read.
@@ -300,43 +296,3 @@
 		}
 	}
 }
-
-// send sends an order to an engine, up to ranks.MaxSends times while the verdict is
-// Unknown. Each resend has a higher fence, so that the engine refuses the earlier copies if
-// they arrive late.
-func send(ctx context.Context, e Engine, o ranks.Order, timeout time.Duration) (verdict ranks.Verdict, sends int) {
-	for ; sends < ranks.MaxSends && verdict == ranks.Unknown && ctx.Err() == nil; sends++ {
-		verdict, _ = e.Order(ctx, o, timeout) // the leader needs only the verdict
-		o.Fence++
-	}
-	return verdict, sends
-}
-
-// settles reports whether the verdict on an order alone tells the leader the rank's state.
-func settles(o ranks.Order, v ranks.Verdict) bool { return v == ranks.Accepted && !o.Confirm }
-
-// execute sends an order to an engine and then, unless the verdict settles it, reads the
-// engine's status. A Prepare order is held back until the engine begins the order's step
-// (see awaitStep).
-func execute(ctx context.Context, e Engine, o ranks.Order, timeout time.Duration) *wire.RankState {
-	if o.Op == ranks.Prepare {
-		awaitStep(ctx, e, o.Step)
-	}
-	verdict, sends := send(ctx, e, o, timeout)
-	reply := &wire.RankState{}
-	switch {
-	case o.Op == ranks.Prepare:
-		reply = read(ctx, e, false)
-		if verdict == ranks.Accepted {
-			reply = awaitCopy(ctx, e, o.Version, reply)
-		}
-		if sends > 1 && verdict == ranks.Refused && reply.OK && reply.Status.Prepared == o.Version {
-			verdict = ranks.Accepted // an earlier send was accepted, but its answer was lost
-		}
-	case !settles(o, verdict):
-		st, err := e.CurrentStatus(ctx)
-		reply.Status, reply.OK = st, err == nil
-	}
-	reply.Verdict = verdict
-	return reply
-}
--- a/internal/rankagent/group.go
+++ b/internal/rankagent/group.go
@@ -262,16 +262,22 @@
 	return nil
 }
 
-// remoteRank returns a rank of another agent, or 0 if no such rank is known.
-func (g *group) remoteRank(size int) int {
+// remoteRanks returns up to n ranks of other agents, from rank first on and then from rank 0.
+// If none is known, it returns rank 0.
+func (g *group) remoteRanks(size, first, n int) []int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for rank := range size {
-		if name, known := g.agentByRank[rank]; known && name != g.a.Self.Name {
-			return rank
+	var list []int
+	for i := range size {
+		rank := (first + i) % size
+		if name, known := g.agentByRank[rank]; known && name != g.a.Self.Name && len(list) < n {
+			list = append(list, rank)
 		}
 	}
-	return 0
+	if list == nil {
+		return []int{0}
+	}
+	return list
 }
 
 // containsPrepare reports whether any order is a Prepare, whose answer waits for a copy.
--- a/internal/rankagent/leader.go
+++ b/internal/rankagent/leader.go
@@ -23,13 +23,6 @@
 	// campaignStagger is the delay per rank number before a rank tries to acquire
 	// the lease, so that ranks don't campaign simultaneously.
 	campaignStagger = 150 * time.Millisecond
-	// minSwitchLeadTime is the minimum time between planning a switch and the step
-	// at which it takes effect.
-	minSwitchLeadTime = 50 * time.Millisecond
-	// mapSpreadTime is the time that a map takes to reach all agents of a large group.
-	mapSpreadTime = 100 * time.Millisecond
-	// maxSwitchLeadTime bounds the lead time when orders take long.
-	maxSwitchLeadTime = 800 * time.Millisecond
 	// maxPlanMoves bounds the search for a plan of one set.
 	maxPlanMoves = 120
 )
@@ -52,6 +45,12 @@
 	// version is the version of the map in force.
 	version  int64
 	stepRate ranks.StepRate
+	// gate, switchEndedAt and holdRank carry over from one switch to the next: how the
+	// ranks answered, when the last one ended, and where it held the group.
+	gate          ranks.Gate
+	switchEndedAt time.Time
+	holdRank      int
+	holdTimer     holdTimer
 	// termChosen is set once the fences that the ranks have seen are known.
 	termChosen bool
 }
@@ -226,6 +225,10 @@
 		l.a.Log.Info("load is uneven", zap.Float64("peak", peak), zap.Float64("moved", l.moved), zap.Int64("in_force", l.version))
 		return
 	}
+	if !l.gate.MayBegin(l.a.Clock.Now(), l.switchEndedAt) {
+		telemetry.Counter(l.a.Metrics, "map_switches.not_begun.silent_rank").Inc(1)
+		return
+	}
 	next := l.plan(loads, peak)
 	if next == nil {
 		return
@@ -236,19 +239,6 @@
 	l.demand.SkipNext()
 }
 
-func (l *leader) switcher(size int) *ranks.Switcher {
-	return &ranks.Switcher{
-		Group: l.group, Size: size, HoldRank: l.group.remoteRank(size), Fence: l.leadership.next, IsLeader: l.leadership.isLeader,
-		ConfirmLeader: func() bool { return l.leadership.confirm(l.group.ctx) }, OnSuperseded: l.leadership.markSuperseded,
-		OnAnswer: func(rank int, o ranks.Order, a ranks.Answer) {
-			if a.Verdict != ranks.Accepted {
-				l.a.Log.Info("order not accepted", zap.Int("rank", rank), zap.String("order", string(o.Op)), zap.Int64("version", o.Version),
-					zap.Int64("step", o.Step), zap.Int64("fence", o.Fence), zap.Stringer("verdict", a.Verdict), zap.Bool("read", a.OK))
-			}
-		},
-	}
-}
-
 // observe updates the epoch, the step rate and the map in force from a reading. It
 // returns false if no new map can be planned now: the group isn't serving, its ranks
 // differ in their epoch or map, a rank is armed, or the map in force could not be read.
@@ -264,7 +254,7 @@
 		if l.epoch != 0 {
 			l.a.Log.Info("group formed a new epoch", zap.Int64("epoch", epoch), zap.Int64("before", l.epoch))
 		}
-		l.epoch, l.placements, l.demand, l.stepRate = epoch, nil, ranks.Demand{}, ranks.StepRate{}
+		l.epoch, l.placements, l.demand, l.stepRate, l.gate = epoch, nil, ranks.Demand{}, ranks.StepRate{}, ranks.Gate{}
 	}
 	version := ranks.None
 	for _, st := range statuses {
@@ -374,31 +364,3 @@
 func (l *leader) isUrgent(peak float64) bool {
 	return peak >= urgentPeak && minUrgentCopies*l.shape.CopyTime <= urgentCopyBudget
 }
-
-// switchMap puts a planned map into force.
-func (l *leader) switchMap(s *ranks.Switcher, next []planner.Placement, urgent bool) {
-	m := make(ranks.Map, len(next))
-	for set, p := range next {
-		m[set] = p
-	}
-	version := l.leadership.next()
-	// The lead time covers two rounds of orders: arming all ranks and releasing the
-	// hold. Both then finish before the step is due, so the group doesn't wait.
-	leadTime := min(max(minSwitchLeadTime, 2*l.group.expectedRoundTrip()), maxSwitchLeadTime)
-	leadSteps := l.stepRate.LeadSteps(leadTime)
-	start := l.a.Clock.Now()
-	if urgent {
-		s.CopyFromStep = l.step + l.stepRate.StepsUntil(start.Add(mapSpreadTime))
-	}
-	err := s.Switch(l.epoch, version, m, leadSteps)
-	result := "done"
-	if err != nil {
-		// The map in force is read again only if its version changes.
-		result = string(fault.KindOf(err))
-	} else {
-		l.placements, l.version = next, version
-	}
-	telemetry.Counter(l.a.Metrics, "map_switches."+result).Inc(1)
-	l.a.Log.Info("map switch ended", zap.Int64("version", version), zap.Int64("epoch", l.epoch), zap.String("result", result), zap.Error(err),
-		zap.Int64("lead", leadSteps), zap.Duration("ahead", leadTime), zap.Duration("took", l.a.Clock.Since(start)))
-}
--- a/internal/rankagent/rankagent_test.go
+++ b/internal/rankagent/rankagent_test.go
@@ -81,6 +81,8 @@
 	selections                         []int64
 	// reports are the last statuses, oldest first.
 	reports []datedStatus
+	// noNewConnections makes the engine leave orders on new connections unanswered.
+	noNewConnections atomic.Bool
 }
 
 func newSimulatedGroup(size int) *simulatedGroup {
@@ -276,6 +278,10 @@
 	if err := s.checkReachable(ctx); err != nil {
 		return ranks.Unknown, err
 	}
+	if o.Op != ranks.Prepare && s.noNewConnections.Load() {
+		time.Sleep(timeout)
+		return ranks.Unknown, errors.New("no answer")
+	}
 	verdict, err := s.engine.Order(ctx, o, timeout)
 	s.g.mu.Lock()
 	freeze := s.g.freezeOnHold && o.Op == ranks.Hold && verdict == ranks.Accepted
@@ -289,6 +295,15 @@
 	return verdict, err
 }
 
+// OrderOnKeptConnection reaches an engine that serves no new connections.
+func (s *remoteEngine) OrderOnKeptConnection(ctx context.Context, o ranks.Order, timeout time.Duration) error {
+	if err := s.checkReachable(ctx); err != nil {
+		return err
+	}
+	_, err := s.engine.Order(ctx, o, timeout)
+	return err
+}
+
 // deployment is a simulatedGroup with an agent for each rank.
 type deployment struct {
 	g     *simulatedGroup
--- a/internal/ranks/leftover_test.go
+++ b/internal/ranks/leftover_test.go
@@ -65,7 +65,7 @@
 	w.faultRate = 0
 	n, armed := int64(0), false
 	s := &ranks.Switcher{
-		Group: w, Size: 4, HoldRank: 2, IsLeader: func() bool { return true },
+		Group: w, Size: 4, HoldRanks: []int{2}, IsLeader: func() bool { return true },
 		Fence:    func() int64 { n += ranks.MaxSends; return 1<<20 + n },
 		OnAnswer: func(_ int, o ranks.Order, _ ranks.Answer) { armed = armed || o.Op == ranks.Arm },
 	}
--- a/internal/ranks/ranks.go
+++ b/internal/ranks/ranks.go
@@ -96,6 +96,23 @@
 	Map Map
 }
 
+// HasVisibleEffect reports whether a status can show that the order was carried out,
+// however old the status is.
+func (o Order) HasVisibleEffect() bool { return o.Op == Arm || o.Op == Release }
+
+// IsShownBy reports whether a status shows that the order was carried out. No status from
+// before an Arm has its version as armed or in force, and none from before a Release has its
+// step as begun.
+func (o Order) IsShownBy(st Status) bool {
+	switch {
+	case st.Epoch != o.Epoch:
+		return false
+	case o.Op == Arm:
+		return st.Armed == o.Version || st.Map == o.Version
+	}
+	return o.Op == Release && st.Step >= o.Step
+}
+
 // Verdict is the outcome of an order.
 type Verdict int
 
--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -9,10 +9,12 @@
 	Group Group
 	// Size is the number of ranks.
 	Size int
-	// HoldRank is the rank at which the group is held. It should not be on the
-	// leader's own VM: if that VM stops while the group is held, no other agent
-	// can reach the rank to release it.
-	HoldRank int
+	// HoldRanks are the ranks at which the group may be held, the preferred one first.
+	// None of them should be on the leader's own VM: if that VM stops while the group
+	// is held, no other agent can reach the rank to release it. Empty means rank 0.
+	HoldRanks []int
+	// Gate decides whether the group may be held; nil means always.
+	Gate *Gate
 	// CopyFromStep is the step at whose start the ranks begin to copy the experts
 	// of a map; 0 means at once. A copy that starts with a step and ends before the
 	// next one doesn't slow any step.
@@ -33,6 +35,8 @@
 	// OnAnswer is called with each order and its answer; nil is allowed.
 	OnAnswer func(rank int, o Order, a Answer)
 
+	// holdRank is the one of HoldRanks that the switch uses.
+	holdRank int
 	// fencedRanks holds the ranks that have fenced an order although this process was
 	// the leader.
 	fencedRanks map[int]bool
@@ -81,11 +85,22 @@
 	return fault.New(fault.Conflict, "no action needed; the leader cleans up the unfinished switch first", "rank %d holds step %d for another switch", rank, step)
 }
 
+// errSilent is the error for a switch that ends before the group is held because ranks
+// leave orders unanswered. Once the group is held, such a rank would keep it held: it has to
+// answer before the group is released, whether the switch is completed or withdrawn.
+func errSilent(ranks []int) error {
+	return fault.New(fault.Unavailable, "check the engines and agents of these ranks if this persists; the leader tries again", "the group is not held while ranks %v leave orders unanswered", ranks)
+}
+
 // Switch puts a map into force under a version, from the step that is leadSteps
 // ahead. It returns once that step has been released. With an error, the old map
 // stays in force, unless the release of an armed group failed: then the next leader
 // completes or cancels the switch.
 func (s *Switcher) Switch(epoch, version int64, m Map, leadSteps int64) error {
+	s.Gate.Begin()
+	if err := s.chooseHoldRank(epoch); err != nil {
+		return err
+	}
 	lastStep, err := s.prepare(epoch, version, m)
 	if err != nil {
 		return err
@@ -101,12 +116,43 @@
 			return disarmErr
 		}
 	}
-	if releaseErr := s.release(epoch, s.HoldRank, step); releaseErr != nil {
+	if releaseErr := s.release(epoch, s.holdRank, step); releaseErr != nil {
 		return releaseErr
 	}
 	return err
 }
 
+// chooseHoldRank chooses the first of HoldRanks that answers an order without effect: an
+// engine that answers readings may still leave orders unanswered, and the rank that holds
+// the group has to answer the order that releases it.
+func (s *Switcher) chooseHoldRank(epoch int64) error {
+	candidates := s.HoldRanks
+	if len(candidates) == 0 {
+		candidates = []int{0}
+	}
+	s.holdRank = candidates[0]
+	if s.Gate == nil {
+		return nil
+	}
+	for _, r := range candidates {
+		if !s.IsLeader() {
+			return errNotLeader
+		}
+		fence := s.Fence()
+		a := s.Group.Order(map[int]Order{r: {Op: Disarm, Version: fence, Epoch: epoch, Fence: fence}})[r]
+		switch {
+		case s.superseded(r, a):
+			return errNotLeader
+		case a.OK && a.Status.Epoch != epoch:
+			return errGroupChanged
+		case a.Verdict == Accepted:
+			s.holdRank = r
+			return nil
+		}
+	}
+	return errSilent(candidates)
+}
+
 // step returns the last step begun. It fails unless every rank can be read, is
 // serving and is in the epoch.
 func (s *Switcher) step(epoch int64) (step int64, err error) {
@@ -133,9 +179,12 @@
 	return s.sendOrders(orders)
 }
 
-// sendOrders sends orders and passes the answers to OnAnswer.
+// sendOrders sends orders and passes the answers to Gate and OnAnswer.
 func (s *Switcher) sendOrders(orders map[int]Order) map[int]Answer {
 	answers := s.Group.Order(orders)
+	for r := range orders {
+		s.Gate.Add(r, answers[r].Verdict)
+	}
 	for r, a := range answers {
 		if s.OnAnswer != nil {
 			s.OnAnswer(r, orders[r], a)
@@ -179,6 +228,9 @@
 				return 0, fault.New(fault.Conflict, "no action needed; the leader plans a new map", "rank %d answered %s to map version %d", r, a.Verdict, version)
 			}
 		}
+		if silent := s.Gate.Unanswered(); len(silent) > 0 {
+			return 0, errSilent(silent)
+		}
 		if len(pending) == 0 && !copying {
 			return step, nil
 		}
@@ -239,8 +291,8 @@
 		if !s.IsLeader() {
 			return 0, errNotLeader
 		}
-		a := s.sendToEach(Order{Op: Hold, Step: step, Epoch: epoch}, map[int]bool{s.HoldRank: true})[s.HoldRank]
-		if s.superseded(s.HoldRank, a) {
+		a := s.sendToEach(Order{Op: Hold, Step: step, Epoch: epoch}, map[int]bool{s.holdRank: true})[s.holdRank]
+		if s.superseded(s.holdRank, a) {
 			return 0, errNotLeader
 		}
 		switch a.Verdict {
@@ -265,11 +317,11 @@
 // was carried out. No rank is armed at that point: a switch arms ranks only after its
 // Hold was accepted, and a failed switch has disarmed every rank.
 func (s *Switcher) cancelHold(epoch int64) error {
-	step, err := s.invalidateOlderOrders(s.HoldRank, epoch)
+	step, err := s.invalidateOlderOrders(s.holdRank, epoch)
 	if err != nil || step == None {
 		return err
 	}
-	return s.release(epoch, s.HoldRank, step)
+	return s.release(epoch, s.holdRank, step)
 }
 
 // arm arms every rank for the held step. It reports whether every rank was seen armed after
@@ -344,106 +396,3 @@
 		}
 	}
 }
-
-// Recover cleans up an unfinished switch, left by an earlier leader or by an order
-// without an answer: it disarms the ranks and releases every held rank. Without a
-// held rank it does nothing: ranks armed without a hold are all armed, because the
-// Release has already been sent.
-func (s *Switcher) Recover() error {
-	statuses := s.Group.ReadStatuses()
-	for r, st := range statuses {
-		if st.Held == None {
-			continue
-		}
-		if err := s.recoverHold(r, st.Epoch); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// recoverHold invalidates all older orders, disarms every rank, and releases the step
-// that a rank holds. If an older Release arrived first, the rank holds no step, every
-// rank is armed, and recoverHold leaves them armed.
-func (s *Switcher) recoverHold(rank int, epoch int64) error {
-	step, err := s.invalidateOlderOrders(rank, epoch)
-	if err != nil || step == None {
-		return err
-	}
-	if err := s.disarmAll(epoch); err != nil {
-		return err
-	}
-	return s.release(epoch, rank, step)
-}
-
-// invalidateOlderOrders makes a rank refuse all older orders and returns the step that
-// it holds after them, or None.
-func (s *Switcher) invalidateOlderOrders(rank int, epoch int64) (held int64, err error) {
-	for {
-		a := s.sendToEach(s.invalidation(epoch), map[int]bool{rank: true})[rank]
-		switch {
-		case s.superseded(rank, a):
-			return None, errNotLeader
-		case a.OK && a.Status.Epoch != epoch:
-			return None, errGroupChanged
-		case a.Verdict == Accepted && a.OK:
-			return a.Status.Held, nil
-		}
-		if !s.Group.Pause() {
-			return None, errStopped
-		}
-	}
-}
-
-// invalidation returns an order that only makes a rank refuse all older ones: no map has a
-// fence as its version. Only an accepted one has done so.
-func (s *Switcher) invalidation(epoch int64) Order {
-	return Order{Op: Disarm, Version: s.Fence(), Epoch: epoch, Confirm: true}
-}
-
-// disarmAll disarms every rank, whatever its version, and makes it refuse all older
-// orders.
-func (s *Switcher) disarmAll(epoch int64) error {
-	// The answers to the first orders contain the versions to disarm.
-	pending := map[int]Order{}
-	for r := range s.Size {
-		pending[r] = s.invalidation(epoch)
-	}
-	for {
-		orders := map[int]Order{}
-		for r, o := range pending {
-			o.Fence = s.Fence()
-			orders[r] = o
-		}
-		for r, a := range s.sendOrders(orders) {
-			invalidating := orders[r].Confirm
-			switch {
-			case s.superseded(r, a):
-				return errNotLeader
-			case a.OK && a.Status.Epoch != epoch:
-				return errGroupChanged
-			case invalidating && a.Verdict == Accepted && a.OK && a.Status.Armed != None:
-				pending[r] = Order{Op: Disarm, Version: a.Status.Armed, Epoch: epoch}
-			case a.Verdict == Accepted && (!invalidating || a.OK), a.Verdict == Refused && !invalidating && a.OK && a.Status.Armed == None:
-				delete(pending, r)
-			}
-		}
-		if len(pending) == 0 {
-			return nil
-		}
-		if !s.Group.Pause() {
-			return errStopped
-		}
-	}
-}
-
-// HasUnfinishedSwitch reports whether any rank is held or armed, which means that a
-// switch is in progress or was left unfinished by an earlier leader.
-func HasUnfinishedSwitch(statuses map[int]Status) bool {
-	for _, st := range statuses {
-		if st.Held != None || st.Armed != None {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/ranks/switch_test.go
+++ b/internal/ranks/switch_test.go
@@ -48,6 +48,8 @@
 	agentDown  []bool
 	// reports holds the last statuses of each rank, oldest first.
 	reports [][]ranks.Status
+	// gate decides whether the leaders may hold the group; nil means always.
+	gate *ranks.Gate
 	// mixed is set once a step has begun with two maps.
 	mixed bool
 	// switches counts the successful switches.
@@ -299,7 +301,7 @@
 	}()
 	n := int64(0)
 	s := &ranks.Switcher{
-		Group: w, Size: len(w.engines), HoldRank: int(fenceBase) % len(w.engines), IsLeader: func() bool { return true },
+		Group: w, Size: len(w.engines), HoldRanks: []int{int(fenceBase) % len(w.engines), 0}, Gate: w.gate, IsLeader: func() bool { return true },
 		ConfirmLeader: func() bool { return true },
 		Fence:         func() int64 { n += ranks.MaxSends; return fenceBase<<20 + n },
 	}
@@ -339,7 +341,7 @@
 // TestSwitchNeverMixesMaps runs random schedules in which orders or their answers are
 // lost, orders are carried out after newer ones, leaders die at any call, ranks
 // restart, and new epochs form. In every second schedule agents stop too, so that ranks
-// report late. No step may begin with two maps, and after the last
+// report late, and in half of each kind leaders give up if orders go unanswered. No step may begin with two maps, and after the last
 // leader the group must not be held.
 func TestSwitchNeverMixesMaps(t *testing.T) {
 	g := NewWithT(t)
@@ -348,6 +350,9 @@
 	for seed := range uint64(schedules) {
 		w := newSimulatedGroup(seed, 4)
 		w.agentsStop = seed%2 == 1
+		if seed%4 >= 2 {
+			w.gate = &ranks.Gate{}
+		}
 		for leader := range int64(3) {
 			if leader < 2 && w.rng.IntN(2) == 0 {
 				w.leaderDeathCall = w.calls + w.rng.IntN(120)
@@ -461,7 +466,7 @@
 			defer func() { ended <- struct{}{} }()
 			fenceBase, n, superseded := int64(i+1), int64(0), false
 			s := &ranks.Switcher{
-				Group: c, Size: len(w.engines), HoldRank: i, IsLeader: func() bool { return !superseded },
+				Group: c, Size: len(w.engines), HoldRanks: []int{i}, IsLeader: func() bool { return !superseded },
 				Fence: func() int64 { n += ranks.MaxSends; return fenceBase<<20 + n },
 				// A leader may think that it still leads: the ranks must not depend on it.
 				ConfirmLeader: func() bool { return c.t.rng.IntN(2) == 0 },
