Entries log a group that starts or stops serving once, not once a rank

The reports of half a second are now counted into one line a group, with the numbers of ranks that started and stopped and their requests.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -52,6 +52,7 @@
 	crashes   *fleet.CrashReports
 	// reachability is updated by the datagrams of other processes and by answers.
 	reachability *fleet.Reachability
+	groups       *groupLog
 }
 
 // RunGateway serves callers on a VM of the platform until ctx is done or the
@@ -95,7 +96,7 @@
 // newGatewayProcess builds the gateway, joins the fleet and registers the
 // gauges.
 func newGatewayProcess(work context.Context, p *platformProcess) (*gatewayProcess, error) {
-	g := &gatewayProcess{platformProcess: p, routes: &routing.Store{}, directory: directory.New(p.clock), reachability: fleet.NewReachability(p.clock, p.node.DataCentre)}
+	g := &gatewayProcess{platformProcess: p, routes: &routing.Store{}, directory: directory.New(p.clock), reachability: fleet.NewReachability(p.clock, p.node.DataCentre), groups: newGroupLog(p.clock, p.log)}
 	if p.node.Heartbeat > 0 {
 		g.directory.SetHeartbeat(p.node.Heartbeat)
 	}
@@ -200,8 +201,7 @@
 	}
 	g.gateway.ApplyReportedLimit(u, m.RequestLimit)
 	if g.gateway.Pools.UpdateLoad(m.Address, m.Started, load) != nil {
-		g.log.Info("rank's group started or stopped serving", zap.String("upstream", u.ID), zap.String("group", m.Group), zap.Bool("group_serves", m.GroupServing),
-			zap.Int64("step", m.Step), zap.Int("queued", m.Queued), zap.Int("active", m.Active))
+		g.groups.add(m)
 	}
 }
 
