Planner: the copies of a switch go to the sets where they gain most

The sets were planned one after the other, the most uneven first, so that the first ones used up the copies for changes that gain little, and the others kept their peaks. A step waits for the most loaded rank of each set in turn: the falls of the peaks add up. The changes of all sets are now made in the order of how much they lower the peak of their set for each copy. Thresholds and the time for copies are as they were.

--- a/internal/planner/rebalance.go
+++ b/internal/planner/rebalance.go
@@ -11,34 +11,6 @@
 // for the most loaded rank. Shares can't be weighted, so the balance depends
 // only on which ranks hold the replicas.
 
-// RebalanceSets plans all sets of layers together. Each rank gets at most
-// maxAdds new experts over all sets; the sets with the highest peak ratio are
-// planned first.
-func RebalanceSets(current []Placement, load [][]float64, limits RebalanceLimits, maxAdds int) []Placement {
-	next := make([]Placement, len(current))
-	order := make([]int, len(current))
-	peaks := make([]float64, len(current))
-	for set := range current {
-		order[set], peaks[set] = set, current[set].PeakRatio(load[set])
-	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(peaks[b], peaks[a]) })
-	limits.AddsLeft = make([]int, len(current[0]))
-	for r := range limits.AddsLeft {
-		limits.AddsLeft[r] = maxAdds
-	}
-	for _, set := range order {
-		next[set] = Rebalance(current[set], load[set], limits)
-		for r, experts := range next[set] {
-			for _, e := range experts {
-				if !slices.Contains(current[set][r], e) {
-					limits.AddsLeft[r]--
-				}
-			}
-		}
-	}
-	return next
-}
-
 // Placement lists the experts that each rank holds in one set of layers, by
 // rank.
 type Placement [][]int
@@ -102,7 +74,9 @@
 	// SlotsPerRank is the number of experts that a rank can hold, MaxNewExperts
 	// the number of new experts that it may get in one change of the placement.
 	SlotsPerRank, MaxNewExperts int
-	// AddsLeft also bounds the new experts, by rank; nil means no such bound.
+	// AddsLeft is the number of new experts that each rank may still get; nil means no
+	// such bound. The search counts it down, so that the searches of several sets can
+	// share it.
 	AddsLeft []int
 	// MaxChanges bounds the number of single changes that the search makes.
 	MaxChanges int
@@ -196,6 +170,9 @@
 	swapped bool
 }
 
+// penaltyExponent is the exponent in penalty.
+const penaltyExponent = 8
+
 // penalty weights a rank's load by its eighth power, so that the most loaded
 // rank dominates while the others still count.
 func penalty(load float64) float64 {
@@ -207,21 +184,35 @@
 // applyBestChange applies the best change at the most loaded rank. It returns
 // false if no change lowers the penalty enough.
 func (s *placementSearch) applyBestChange() bool {
+	top := s.mostLoadedRank()
+	s.addPrice = s.limits.MinAddGain * penaltyExponent * math.Pow(s.rankLoads[top], penaltyExponent-1)
+	best, bestGain := placementChange{expert: -1}, minPenaltyGain
+	s.forEachChange(top, func(c placementChange) {
+		if gain := s.gain(c); gain > bestGain {
+			best, bestGain = c, gain
+		}
+	})
+	if bestGain <= minPenaltyGain {
+		return false
+	}
+	s.apply(best)
+	return true
+}
+
+// mostLoadedRank returns the rank with the highest load.
+func (s *placementSearch) mostLoadedRank() int {
 	top := 0
 	for r, l := range s.rankLoads {
 		if l > s.rankLoads[top] {
 			top = r
 		}
 	}
-	const penaltyExponent = 8 // exponent in penalty
-	s.addPrice = s.limits.MinAddGain * penaltyExponent * math.Pow(s.rankLoads[top], penaltyExponent-1)
+	return top
+}
+
+// forEachChange calls consider with each change at rank top that the limits allow.
+func (s *placementSearch) forEachChange(top int, consider func(placementChange)) {
 	targets := s.lightestRanks()
-	best, bestGain := placementChange{expert: -1}, minPenaltyGain
-	consider := func(c placementChange) {
-		if gain := s.gain(c); gain > bestGain {
-			best, bestGain = c, gain
-		}
-	}
 	for _, e := range s.placement[top] {
 		if s.replicas[e] > 1 {
 			consider(placementChange{expert: -1, from: top, to: top, drop: e})
@@ -232,11 +223,6 @@
 			}
 		}
 	}
-	if bestGain <= minPenaltyGain {
-		return false
-	}
-	s.apply(best)
-	return true
 }
 
 // maxTargetRanks is the number of least loaded ranks that may get an expert. In
@@ -275,7 +261,7 @@
 
 // atAddLimit reports whether a rank may get no more new experts.
 func (s *placementSearch) atAddLimit(r int) bool {
-	return s.added[r] >= s.limits.MaxNewExperts || s.limits.AddsLeft != nil && s.added[r] >= s.limits.AddsLeft[r]
+	return s.added[r] >= s.limits.MaxNewExperts || s.limits.AddsLeft != nil && s.limits.AddsLeft[r] <= 0
 }
 
 // gain returns by how much a change lowers the penalty, less the price of the
@@ -347,6 +333,12 @@
 // addCost returns the price, as penalty, of the experts that a change adds to
 // ranks that did not hold them before the search.
 func (s *placementSearch) addCost(c placementChange) float64 {
+	return float64(s.copies(c)) * s.addPrice
+}
+
+// copies returns the number of experts that a change adds to ranks that did not hold them
+// before the search: 0, 1 or 2.
+func (s *placementSearch) copies(c placementChange) int {
 	n := 0
 	if c.expert >= 0 && !s.heldBefore[c.to][c.expert] {
 		n++
@@ -354,7 +346,7 @@
 	if c.swapped && !s.heldBefore[c.from][c.drop] {
 		n++
 	}
-	return float64(n) * s.addPrice
+	return n
 }
 
 func (s *placementSearch) apply(c placementChange) {
@@ -378,9 +370,7 @@
 	s.holds[r][e] = true
 	s.holders[e] = append(s.holders[e], r)
 	s.replicas[e]++
-	if !s.heldBefore[r][e] {
-		s.added[r]++
-	}
+	s.countAdded(r, e, 1)
 }
 
 func (s *placementSearch) remove(r, e int) {
@@ -389,7 +379,16 @@
 	s.holds[r][e] = false
 	s.holders[e] = slices.DeleteFunc(s.holders[e], func(o int) bool { return o == r })
 	s.replicas[e]--
-	if !s.heldBefore[r][e] {
-		s.added[r]--
+	s.countAdded(r, e, -1)
+}
+
+// countAdded counts n more new experts of rank r if it did not hold e before the search.
+func (s *placementSearch) countAdded(r, e, n int) {
+	if s.heldBefore[r][e] {
+		return
+	}
+	s.added[r] += n
+	if s.limits.AddsLeft != nil {
+		s.limits.AddsLeft[r] -= n
 	}
 }
