evacuation: no more calls to the store than the configuration needs

The first listing of the operator's keys was a current one, and their watch ended sooner than that of the configuration did. Another entry is asked at the start anyway.

go test ./internal/feed ./internal/daemon: ok.

--- a/internal/daemon/evacuation.go
+++ b/internal/daemon/evacuation.go
@@ -21,7 +21,7 @@
 
 // operatorFeed returns the feed of the configuration and, where the platform evacuates, of
 // the evacuations. These are applied first, so that an entry that knows a configuration, and
-// may take work, knows them too. A stale listing could be older than their bound.
+// may take work, knows them too.
 func (g *gatewayProcess) operatorFeed() *feed.Feed {
 	f := &feed.Feed{Prefix: g.operatorPrefix(), Sink: g.configurationSink(), WatchTimeout: scale(g.node.ConfigBound, configurationWatchFactor)}
 	if g.evacuations == nil {
@@ -29,7 +29,6 @@
 	}
 	f.Sink = feed.Sinks{platform.EvacuationSink{Table: g.evacuations, Log: g.log}, f.Sink}
 	f.WatchTimeout = min(f.WatchTimeout, scale(g.node.EvacuationBound, evacuationWatchFactor))
-	f.ListCurrent = true
 	return f
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -37,7 +37,7 @@
 	// settings.Node.EvacuationBound limits the first of them, since both come by one watch. A store that discards its
 	// history lets a watch wait in vain to its end, at all watchers alike.
 	configurationWatchFactor = 1.25
-	evacuationWatchFactor    = 0.6
+	evacuationWatchFactor    = 0.75
 	replicasWatchFactor      = 2.5
 	// replicasBatchDelay is the pause after changes of upstreams, in which
 	// further changes are batched. It is a small fraction of DrainBound.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -53,9 +53,6 @@
 	// WatchTimeout is how long a watch waits for changes; 0 means
 	// DefaultWatchTimeout.
 	WatchTimeout time.Duration
-	// ListCurrent makes the first listing a current one, at the full cost. Otherwise it may
-	// be as old as a stale listing is, until the first watch adds what it lacks.
-	ListCurrent bool
 	// BatchDelay is the pause after changes, which lets further changes accumulate
 	// for the next watch; 0 means no pause. While the deployment may still be
 	// starting, a pause takes at least startupBatchDelay.
@@ -146,7 +143,7 @@
 func (f *Feed) list(ctx context.Context) error {
 	// The first watch adds what a stale listing lacks.
 	list := f.KV.ListStale
-	if f.relisting || f.ListCurrent {
+	if f.relisting {
 		list = f.KV.List
 	}
 	l, err := list(ctx, f.Prefix)
