evacuation: an end counts also if this process's own reading covers it

A process that read a new era after a request was written again there and taken back keeps the request of the era before, rightly. What others, or an older history, then said of the end was ignored, so that it kept it for good.

TestEndThatWasNotReadInTheNewEra failed before, in both cases.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -157,29 +157,27 @@
 	})
 }
 
-// Apply applies changes of the service's records up to a position, in order. Those that are
-// covered by what has been read before are ignored.
+// Apply applies changes of the service's records up to a position, in order.
 func (t *Table) Apply(changes []Record, upTo kvstore.Position) {
 	t.update(func() (changed bool) {
 		for _, r := range changes {
-			if t.asOf.After(r.Position) {
-				continue
+			if !t.superseded(r) {
+				changed = t.learn(r, SourceStore, ProofDeletion) || changed
 			}
-			changed = t.learn(r, SourceStore, ProofDeletion) || changed
 		}
 		t.advance(upTo)
 		return changed
 	})
 }
 
-// Merge applies what another entry knows. What this process has read from the service itself
-// covers everything up to asOf.
+// Merge applies what another entry knows.
 func (t *Table) Merge(records []Record, from string) {
 	t.update(func() (changed bool) {
 		for _, r := range records {
-			if r.Position.Era != t.asOf.Era || r.Position.After(t.asOf) {
+			switch {
+			case !t.superseded(r):
 				changed = t.learn(r, from, ProofEntry) || changed
-			} else if r.InForce && !t.records[r.DataCentre].InForce {
+			case !t.records[r.DataCentre].InForce:
 				t.contradict(r.DataCentre)
 			}
 		}
@@ -187,6 +185,13 @@
 	})
 }
 
+// superseded reports whether a request to evacuate is covered by what this process has read
+// from the service itself. An end isn't: a request of an earlier era may still be in force,
+// since a listing of a later one doesn't end it. The caller holds mu.
+func (t *Table) superseded(r Record) bool {
+	return r.InForce && r.Position.Era == t.asOf.Era && !r.Position.After(t.asOf)
+}
+
 // contradict records that an evacuation which another entry takes to be in force isn't, as of
 // the position up to which this process has read the service, so that the other one learns it.
 // The caller holds mu.
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -107,6 +107,27 @@
 	g.Expect(fresh.Evacuated("a")).To(BeFalse())
 }
 
+// Between two readings of a process the operator writes a request again in a new era, and takes
+// it back. The process hears of the end only from others, or from an older history passed on.
+func TestEndThatWasNotReadInTheNewEra(t *testing.T) {
+	for name, tell := range map[string]func(*evacuation.Table){
+		"by another entry": func(table *evacuation.Table) { table.Merge([]evacuation.Record{ended("a", 2, 67)}, "e1") },
+		"by a history": func(table *evacuation.Table) {
+			table.Apply([]evacuation.Record{requested("a", 2, 66), ended("a", 2, 67)}, position(2, 67))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := newTable()
+			table.Apply([]evacuation.Record{requested("a", 1, 50)}, position(1, 50))
+			table.Replace(listing(position(2, 70)))
+			g.Expect(table.Evacuated("a")).To(BeTrue())
+			tell(table)
+			g.Expect(table.Evacuated("a")).To(BeFalse())
+		})
+	}
+}
+
 // schedule is a store, entries that read it at their own pace or not at all, and datagrams
 // between them that are lost and overtake each other. Time goes in rounds of a digest interval.
 type schedule struct {
