--- a/internal/ranks/steprate.go
+++ b/internal/ranks/steprate.go
@@ -71,7 +71,7 @@
 type RoundTrips struct{ recent []time.Duration }
 
 // maxRoundTrips is the number of rounds kept: about two switches' worth.
-const maxRoundTrips = 6
+const maxRoundTrips = 8
 
 // Add adds the duration of a round.
 func (r *RoundTrips) Add(d time.Duration) {
--- a/internal/ranks/switch.go
+++ b/internal/ranks/switch.go
@@ -139,7 +139,11 @@
 			return errNotLeader
 		}
 		fence := s.Fence()
-		a := s.Group.Order(map[int]Order{r: {Op: Disarm, Version: fence, Epoch: epoch, Fence: fence}})[r]
+		o := Order{Op: Disarm, Version: fence, Epoch: epoch, Fence: fence}
+		a := s.Group.Order(map[int]Order{r: o})[r]
+		if s.OnAnswer != nil {
+			s.OnAnswer(r, o, a)
+		}
 		switch {
 		case s.superseded(r, a):
 			return errNotLeader
