soak: cold upstreams beside the faults of TestSoak

Each incarnation after the first is cold for 1.5 s and bears 14 requests a second, 26 in any second before it would crash; crashes, new incarnations, entries that start, freeze or don't reach the store come beside it. TestSoak itself stays as it was.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -57,6 +57,8 @@
 	// seed don't share any.
 	firstHost    int
 	storeAddress string
+	// warmsUp is set if upstreams are cold after a start.
+	warmsUp bool
 	// evacuations is nil where the platform doesn't evacuate.
 	evacuations *evacuations
 }
@@ -117,7 +119,7 @@
 
 // startPlain starts a deployment of plain upstreams on the store.
 func (d *deployment) startPlain() {
-	d.services = func() []any { return []any{map[string]any{"name": "s"}} }
+	d.services = func() []any { return []any{d.service()} }
 	d.routes = func() []any {
 		return []any{route("/safe/", "safe", false), route("/unsafe/", "unsafe", false), route("/stream/", "streaming", true)}
 	}
@@ -189,9 +191,11 @@
 retry-window-s = 10
 retry-allowance = 94
 evacuate-ms = %[6]d
+warmup-overage = %[8]g
+warmup-allowance = %[9]d
 [platform]
 address = %[4]q
-`, p.name, p.ip, int(gracePeriod.Seconds()), storeAddress, extra, d.evacuations.boundMS(), d.evacuations.zone(len(d.processes)))
+`, p.name, p.ip, int(gracePeriod.Seconds()), storeAddress, extra, d.evacuations.boundMS(), d.evacuations.zone(len(d.processes)), warmupOverage, warmupAllowance)
 	if err := os.WriteFile(p.settingsFile, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
@@ -222,6 +226,15 @@
 	}
 }
 
+// service returns the service "s" of the configuration.
+func (d *deployment) service() map[string]any {
+	s := map[string]any{"name": "s"}
+	if d.warmsUp {
+		s["warmup-s"], s["warmup-per-s"] = warmup.Seconds(), warmupRate
+	}
+	return s
+}
+
 // putConfiguration writes the present configuration.
 func (d *deployment) putConfiguration() {
 	routes := d.routes()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -43,14 +43,14 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed)
+			soak(t, newDeployment(t, seed))
 		})
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
-	g := NewWithT(t)
-	d := newDeployment(t, seed)
+// soak plays faults beside callers of all kinds, and checks what must hold.
+func soak(t *testing.T, d *deployment) {
+	g, seed := NewWithT(t), d.seed
 	t.Cleanup(func() {
 		if t.Failed() {
 			d.logProcessOutput()
--- a/test/soak/upstream_test.go
+++ b/test/soak/upstream_test.go
@@ -71,6 +71,7 @@
 	stopListening func()
 	// limit is the limit that the upstream names.
 	limit *spell
+	cold  coldSpell
 	id    string
 	born  int64
 	zone  string
@@ -97,6 +98,9 @@
 	u.mu.Lock()
 	previous := u.id
 	u.id, u.born = fmt.Sprintf("i-%s-%d", u.name, u.rand.Uint32()), time.Now().UnixMilli()
+	if previous != "" && u.d.warmsUp {
+		u.cold = coldSpell{until: time.UnixMilli(u.born).Add(warmup)}
+	}
 	u.mu.Unlock()
 	u.register()
 	if previous != "" {
@@ -158,6 +162,7 @@
 	if r.Header.Get("Tenant") != account || r.Header.Get("Authorization") != "" {
 		u.d.recorder.recordViolation("request %s reached an upstream with client account %q and credentials %q", request, r.Header.Get("Tenant"), r.Header.Get("Authorization"))
 	}
+	u.arriveCold()
 	u.d.evacuations.arrive(u, request)
 	defer u.d.limits.arrive(u, w, request)()
 	body, err := io.ReadAll(r.Body)
