dispatch: ranks that say their group has stopped speak for those that can't

A data centre was cut off from a group. The ranks beside it reported after 0.4 s that the group had stopped, but those in it kept their last report, that it serves, for 1.2 s.

Three ranks' newer reports now hold for all ranks of the group that have not reported since.

--- a/internal/dispatch/groups.go
+++ b/internal/dispatch/groups.go
@@ -10,6 +10,31 @@
 	// fastest is the lowest slowness of the ranks that could take a request, 0 if there are
 	// none.
 	fastest float64
+	// stops are the times of the newest reports that the group doesn't serve, of one rank
+	// each, the newest first. size is the number of its ranks.
+	stops [maxStopReports]time.Time
+	size  int
+}
+
+// maxStopReports is the number of ranks whose reports that their group doesn't serve hold for
+// all ranks that have not reported since: ranks step together, and those that are cut off can't
+// say that they have stopped. One rank alone may be wrong about the others.
+const maxStopReports = 3
+
+// recordStop adds the time of a rank's report that the group doesn't serve.
+func (g *groupState) recordStop(at time.Time) {
+	for i, t := range g.stops {
+		if at.After(t) {
+			g.stops[i], at = at, t
+		}
+	}
+}
+
+// stoppedAfter reports whether enough ranks have reported since the given time that the group
+// doesn't serve.
+func (g *groupState) stoppedAfter(at time.Time) bool {
+	needed := min(maxStopReports, g.size-1)
+	return needed > 0 && g.stops[needed-1].After(at)
 }
 
 // groupStates returns the states of the groups with valid reports, and sets the nodes' groupAt.
@@ -27,7 +52,16 @@
 			p.groupIndex[n.group] = i
 		}
 		n.groupAt = i
-		states[i].serving = states[i].serving || n.groupServing
+		states[i].size = max(states[i].size, n.groupSize)
+		if !n.groupServing {
+			states[i].recordStop(n.reportedAt)
+		}
+	}
+	for _, n := range p.nodes {
+		if n.groupServing && now.Sub(n.reportedAt) <= reportTTL {
+			g := &states[n.groupAt]
+			g.serving = g.serving || !g.stoppedAfter(n.reportedAt)
+		}
 	}
 	return states
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -270,7 +270,7 @@
 	if now.Sub(n.reportedAt) > reportTTL {
 		return !n.suspended(groups)
 	}
-	return n.groupServing
+	return n.groupServing && !groups[n.groupAt].stoppedAfter(n.reportedAt)
 }
 
 // failureRate returns the fraction of recent attempts that failed, decayed to
