admission: a waitlist orders by time and refuses who can't be served

Requests that wait for a group were ordered by age within priority and share. At the return of a group those that could still be on time came after those that were late anyway, and a caller whose turn couldn't come was told when its own time was up.

Those that can still be on time now go first, then the others, each by priority, share and the latest begin for which the caller waits. RefuseHopeless tells those whose turn comes too late. Requests without these times keep their order.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -48,6 +48,10 @@
 	MaxInFlight int
 	// Deadline is when the caller stops waiting. Zero means no deadline.
 	Deadline time.Time
+	// OnTimeUntil is until when a request on a Waitlist can start and still be on time, zero
+	// if it is late or that isn't known. BeginBy is the latest start for which its caller
+	// waits, zero if that isn't known.
+	OnTimeUntil, BeginBy time.Time
 	// TryStart, if not nil, is asked by a Waitlist before the request starts. If it returns
 	// false, the request goes on waiting.
 	TryStart func() bool
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -9,7 +9,7 @@
 const priorityCount = 10
 
 // queue holds waiting tickets, ordered by priority, then by the accounts'
-// shares, then by age.
+// shares, then by their latest begin, then by age.
 type queue struct {
 	levels [priorityCount]level
 	size   int
@@ -59,11 +59,21 @@
 		b.next = max(b.next, l.virtualTime)
 		l.active = append(l.active, b)
 	}
-	b.tickets = append(b.tickets, t)
+	b.insert(t)
 	l.size++
 	q.size++
 }
 
+// insert adds a ticket behind those that have to begin no later. One without such a time goes
+// to the end.
+func (b *backlog) insert(t *Ticket) {
+	at := len(b.tickets)
+	for !t.BeginBy.IsZero() && at > 0 && (b.tickets[at-1].BeginBy.IsZero() || b.tickets[at-1].BeginBy.After(t.BeginBy)) {
+		at--
+	}
+	b.tickets = slices.Insert(b.tickets, at, t)
+}
+
 // peek returns the ticket to start next, or nil.
 func (q *queue) peek() *Ticket {
 	for i := priorityCount - 1; i >= 0; i-- {
@@ -179,6 +189,29 @@
 	return n + int(before)
 }
 
+// order returns the waiting tickets in the order in which they would be dequeued.
+func (q *queue) order() []*Ticket {
+	c := queue{size: q.size}
+	for i, l := range q.levels {
+		c.levels[i] = level{accounts: map[string]*backlog{}, virtualTime: l.virtualTime, size: l.size}
+		for account, b := range l.accounts {
+			copied := *b
+			copied.tickets = slices.Clone(b.tickets)
+			c.levels[i].accounts[account] = &copied
+		}
+		for _, b := range l.active {
+			c.levels[i].active = append(c.levels[i].active, c.levels[i].accounts[b.tickets[0].Account])
+		}
+	}
+	out := make([]*Ticket, 0, q.size)
+	for c.size > 0 {
+		t := c.peek()
+		c.dequeue(t)
+		out = append(out, t)
+	}
+	return out
+}
+
 // all returns the waiting tickets in no particular order.
 func (q *queue) all() []*Ticket {
 	out := make([]*Ticket, 0, q.size)
--- a/internal/admission/waitlist_test.go
+++ b/internal/admission/waitlist_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -85,3 +86,56 @@
 	g.Expect(started).To(Equal([]string{"second", "first", "third"}))
 	g.Expect(w.Len()).To(BeZero())
 }
+
+// The wave at the return of a group: callers that can still be on time go first, then those that
+// have waited, by the time that they have left. Who can't be served before it leaves is told
+// while the others wait.
+func TestWaveAtTheReturnOfAGroup(t *testing.T) {
+	g := NewWithT(t)
+	w := admission.NewWaitlist()
+	now := time.Unix(1000, 0)
+	var started, refused []string
+	add := func(name string, onTimeFor, beginWithin time.Duration) {
+		r := admission.Request{Account: "a", Priority: 4, BeginBy: now.Add(beginWithin), OnDecision: func(d admission.Decision) {
+			if d.Start {
+				started = append(started, name)
+				return
+			}
+			g.Expect(d.Reason).To(Equal(admission.Deadline))
+			refused = append(refused, name)
+		}}
+		if onTimeFor > 0 {
+			r.OnTimeUntil = now.Add(onTimeFor)
+		}
+		w.Add(r, 20)
+	}
+	add("patient", 0, 1500*time.Millisecond)
+	add("nearly gone", 0, 250*time.Millisecond)
+	add("was on time", 50*time.Millisecond, 900*time.Millisecond)
+	add("on time", 300*time.Millisecond, 1400*time.Millisecond)
+	add("last on time", 200*time.Millisecond, 1300*time.Millisecond)
+	now = now.Add(100 * time.Millisecond)
+	w.MarkLate(now)
+	g.Expect(w.RefuseHopeless(now, func(ahead int) time.Duration { return time.Duration(ahead) * 100 * time.Millisecond })).To(Equal(1))
+	g.Expect(refused).To(Equal([]string{"nearly gone"}), "its turn would come after 200 ms")
+	g.Expect(w.Start(3)).To(Equal(3))
+	g.Expect(started).To(Equal([]string{"last on time", "on time", "was on time"}))
+	g.Expect(w.Len()).To(Equal(1))
+}
+
+// A large account's backlog waits beside one request of a small one: looking for those that
+// can't be served changes nobody's turn.
+func TestHopelessRequestsLeaveTheSharesAlone(t *testing.T) {
+	g := NewWithT(t)
+	w := admission.NewWaitlist()
+	now := time.Unix(1000, 0)
+	var started []string
+	for _, account := range []string{"large", "large", "large", "small"} {
+		w.Add(admission.Request{Account: account, BeginBy: now.Add(time.Minute), OnDecision: func(admission.Decision) { started = append(started, account) }}, 20)
+	}
+	for range 5 {
+		g.Expect(w.RefuseHopeless(now, func(int) time.Duration { return time.Second })).To(BeZero())
+	}
+	w.Start(2)
+	g.Expect(started).To(ConsistOf("large", "small"))
+}
