gateway: callers are carried through a group's outage by its expected end

A data centre is cut off before one group of 63: callers were told to retry after 2.5 s whenever they came, and most came back while the outage went on. At its end every entry sent a request to the first rank that said the group was open; 30 went to one rank, and half of their callers left.

internal/outage forecasts the end from what the ranks report, the bound on partitions and the time in which the group forms, and works out whether a caller can be carried by a wait, a delay of a third of its time and a second wait. The others are told at once. Retries are known by their timeout, wait behind callers who can be on time, and are spread over the rate at which slots become free. A returned group counts as open once half of its live ranks say so. All of this needs a declared time in which groups form and a bound on partitions.

--- a/internal/dispatch/groups.go
+++ b/internal/dispatch/groups.go
@@ -66,19 +66,43 @@
 	return states
 }
 
-// Reforming reports whether all ranks of a group are alive, so that the group can serve
-// as soon as it has formed.
-func (p *Pool) Reforming(now time.Time) bool {
-	alive := map[string]int{}
+// GroupStatus is what the ranks' reports say about one group.
+type GroupStatus struct {
+	Name string
+	// Size is the number of ranks, 0 if not known. Alive is the number of those that have
+	// reported within AliveTTL.
+	Size, Alive int
+	// Usable is the number of ranks that can take requests.
+	Usable int
+}
+
+// Groups returns the states of the groups whose ranks have reported. usable is set if an
+// upstream can take requests, whether it has reported or not.
+func (p *Pool) Groups(now time.Time) (groups []GroupStatus, usable bool) {
+	states := p.groupStates(now)
+	index := map[string]int{}
 	for _, n := range p.nodes {
-		if now.Sub(n.reportedAt) > AliveTTL || n.groupSize == 0 {
+		serves := n.usable(now, states) && !p.unheard(n, now)
+		usable = usable || serves
+		if n.reportedAt.IsZero() {
 			continue
 		}
-		if alive[n.group]++; alive[n.group] == n.groupSize {
-			return true
+		i, ok := index[n.group]
+		if !ok {
+			i = len(groups)
+			index[n.group] = i
+			groups = append(groups, GroupStatus{Name: n.group})
+		}
+		g := &groups[i]
+		g.Size = max(g.Size, n.groupSize)
+		if serves {
+			g.Usable++
+		}
+		if now.Sub(n.reportedAt) <= AliveTTL {
+			g.Alive++
 		}
 	}
-	return false
+	return groups, usable
 }
 
 // SuspendGroup skips the group of an upstream for suspendDuration because it can't serve.
@@ -90,3 +114,6 @@
 		}
 	}
 }
+
+// Len returns the number of upstreams.
+func (p *Pool) Len() int { return len(p.nodes) }
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -46,6 +46,9 @@
 // a group that can't serve waits for the group first.
 func (q *request) pick() *Member {
 	d := q.demand()
+	if q.mustQueue() {
+		return q.awaitTurn(q.bearable().WaitLimit, d)
+	}
 	m, obstacle := q.g.Pools.Pick(q.service, d)
 	if m != nil {
 		return m
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/directory"
+	"github.com/kingcupreel/kingcupreel/internal/outage"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
@@ -142,6 +143,8 @@
 	retryBudgets map[string]*outcome.WindowBudget
 	entryShare   float64
 	bodyMemory   *bodyBudget
+	// callerTimeouts holds the timeouts that callers named last, by route.
+	callerTimeouts map[string]*outage.Timeouts
 }
 
 // New returns a gateway that follows the configurations of o.Routes.
@@ -154,6 +157,8 @@
 		entryShare:   defaultEntryShare,
 		startedAt:    o.Clock.Now(),
 		bodyMemory:   newBodyBudget(maxBodyMemory),
+
+		callerTimeouts: map[string]*outage.Timeouts{},
 	}
 	if g.Quarantine == nil {
 		g.Quarantine = quarantine.NewTable(o.Clock)
@@ -222,6 +227,8 @@
 // requests in flight.
 func (g *Gateway) applyTable(t *routing.Table) {
 	g.Pools.Configure(t.Services)
+	g.Pools.configureOutages(t)
+	g.forgetTimeouts(t)
 	for _, r := range g.inProgress() {
 		if route := t.Route(r.route.Name); route != nil {
 			r.setTimeout(route.Timeout)
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -11,6 +11,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/admission"
 	"github.com/kingcupreel/kingcupreel/internal/directory"
 	"github.com/kingcupreel/kingcupreel/internal/dispatch"
+	"github.com/kingcupreel/kingcupreel/internal/outage"
 	"github.com/kingcupreel/kingcupreel/internal/routing"
 )
 
@@ -30,8 +31,12 @@
 	leaving map[*dispatch.Node]*Member
 	// waiting holds the requests that wait for an upstream, by service.
 	waiting map[string]*admission.Waitlist
-	// suspensions holds what is known of the outages of each service.
-	suspensions map[string]*suspension
+	// outages holds what is known of the outages of each service, and engines what its
+	// engines declare about the return from one. returning counts the callers of a service
+	// that were told to retry after its present outage.
+	outages   map[string]*outage.Tracker
+	engines   map[string]outage.Engine
+	returning map[string]int
 	// lastSuspendedAt is the last time when requests waited for a service
 	// without a usable upstream, by service.
 	lastSuspendedAt map[string]time.Time
@@ -56,7 +61,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, leaving: map[*dispatch.Node]*Member{}, waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, leaving: map[*dispatch.Node]*Member{}, waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, outages: map[string]*outage.Tracker{}, engines: map[string]outage.Engine{}, returning: map[string]int{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
 }
 
 // Configure sets the step costs of the services' engines.
@@ -213,7 +218,7 @@
 	}
 	before := m.node.GroupServing()
 	m.node.UpdateLoad(load, p.clock.Now())
-	p.trackSuspension(m.Service)
+	p.observeOutage(m.Service)
 	p.startWaiting(m.Service, false)
 	if before == load.GroupServing {
 		return nil
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -36,6 +36,9 @@
 		q.g.stats.recordLimited(q.service)
 		return errLimited.After(time.Duration(min(float64(wait)+rand.Float64()*float64(returnWindow), limit)))
 	}
+	if q.returnAfter > 0 {
+		return errNoUpstream.After(q.returnAfter)
+	}
 	return errNoUpstream.After(q.retryAfter(limit))
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -63,6 +63,10 @@
 	attempts   int
 	attempted  []string
 	mayHaveRun bool
+	// attemptAge is how long before this request its caller sent its first one, as far as its
+	// timeout tells. returnAfter is the delay after which the caller of a group that can't
+	// serve should retry, 0 if that isn't planned.
+	attemptAge, returnAfter time.Duration
 	// withdrawn is set if the last attempt was withdrawn from a silent upstream.
 	withdrawn bool
 	// headSent is set if the head of an answer has been sent to the caller, with the
@@ -131,6 +135,9 @@
 		return err
 	}
 	q.g.retryBudget(q.service).RecordRequest()
+	if q.g.plansOutages(q.service) {
+		q.attemptAge = q.g.attemptAge(q.route.Name, q.service, q.CallerTimeout)
+	}
 	return nil
 }
 
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/kingcupreel/kingcupreel/internal/outage"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 )
 
@@ -66,6 +67,14 @@
 	s.observe(took, "wait_ms", service)
 }
 
+// recordOutagePlan counts what is done with a caller whose group can't serve.
+func (s *stats) recordOutagePlan(service string, action outage.Action) {
+	s.count("outages", service, string(action))
+}
+
+// recordReturn counts a caller that has come back after a refusal.
+func (s *stats) recordReturn(service string) { s.count("outages", service, "came_back") }
+
 func (s *stats) recordLimited(service string) { s.count("limits", service, "refused") }
 
 func (s *stats) recordCallerLeft(service string) { s.count("requests", service, "caller_left") }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -55,6 +55,9 @@
 // awaitGroup waits for a group that can't serve, if it may be back in time, and chooses an
 // upstream.
 func (q *request) awaitGroup(d dispatch.Demand) *Member {
+	if !q.headSent && q.g.plansOutages(q.service) {
+		return q.carryThroughOutage(d)
+	}
 	limit := q.waitLimit()
 	if o := q.g.Pools.outage(q.service); !q.headSent && !o.mayEndWithin(limit, q.g.MinOutage) {
 		q.log.Info("group isn't expected back in time", zap.Duration("outage", o.age), zap.Bool("all_ranks_alive", o.reforming), zap.Bool("served_before", o.servedBefore),
@@ -67,8 +70,8 @@
 	return q.await(limit, d)
 }
 
-// outage describes why a service has no usable upstream.
-type outage struct {
+// serviceOutage describes why a service has no usable upstream.
+type serviceOutage struct {
 	// age is the time since when there has been none.
 	age time.Duration
 	// reforming is set if all ranks of a group are alive, and have not been for long.
@@ -89,7 +92,7 @@
 
 // mayEndWithin reports whether a request should wait for the end of the outage up to
 // limit. minOutage is the shortest expected outage.
-func (o outage) mayEndWithin(limit, minOutage time.Duration) bool {
+func (o serviceOutage) mayEndWithin(limit, minOutage time.Duration) bool {
 	switch {
 	case o.reforming || minOutage < 0:
 		return true
@@ -125,14 +128,20 @@
 // await waits until an upstream may begin the request and returns it, or nil if the limit has
 // passed or too many requests wait.
 func (q *request) await(limit time.Duration, d dispatch.Demand) *Member {
+	return q.awaitAs(admission.Request{}, limit, d)
+}
+
+// awaitAs is await with the times of r, by which waiting requests are ordered.
+func (q *request) awaitAs(r admission.Request, limit time.Duration, d dispatch.Demand) *Member {
 	if limit <= 0 {
 		return nil
 	}
+	r.Pool, r.Account, r.Priority = q.service, q.account, lowestPriority-q.priority()
 	waitStart := time.Now()
 	ctx, cancel := context.WithTimeout(q.ctx, limit)
 	defer cancel()
 	decided := make(chan waitResult, 1)
-	ticket := q.g.Pools.enqueue(q.service, admission.Request{Pool: q.service, Account: q.account, Priority: lowestPriority - q.priority()}, d, decided)
+	ticket := q.g.Pools.enqueue(q.service, r, d, decided)
 	var result waitResult
 	select {
 	case result = <-decided:
@@ -159,58 +168,18 @@
 const defaultMinOutage = 5 * time.Second
 
 // outage returns why the service has no usable upstream.
-func (p *Pools) outage(service string) outage {
+func (p *Pools) outage(service string) serviceOutage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.trackSuspension(service)
-	now := p.clock.Now()
-	o := outage{servedBefore: h.servedBefore, longest: h.longest}
-	if !h.since.IsZero() {
-		o.age = now.Sub(h.since)
+	span, now := p.observeOutage(service).Service(), p.clock.Now()
+	o := serviceOutage{servedBefore: span.ServedBefore, longest: span.Longest}
+	if !span.Since.IsZero() {
+		o.age = now.Sub(span.Since)
 	}
-	o.reforming = !h.aliveSince.IsZero() && now.Sub(h.aliveSince) < maxReformTime
+	o.reforming = !span.AliveSince.IsZero() && now.Sub(span.AliveSince) < maxReformTime
 	return o
 }
 
-// suspension is what is known of the outages of a service.
-type suspension struct {
-	// since is the time since when the service has had no usable upstream, zero if it
-	// has one. aliveSince is the time since when all ranks of a group have been alive
-	// meanwhile, zero if they aren't.
-	since, aliveSince time.Time
-	servedBefore      bool
-	longest           time.Duration
-}
-
-// trackSuspension updates and returns a service's suspension. The caller holds mu.
-func (p *Pools) trackSuspension(service string) *suspension {
-	h := p.suspensions[service]
-	if h == nil {
-		h = &suspension{}
-		p.suspensions[service] = h
-	}
-	now := p.clock.Now()
-	pool := p.pool(service)
-	if pool.Capacity(now).UsableUpstreams > 0 {
-		if !h.since.IsZero() && h.servedBefore {
-			h.longest = max(h.longest, now.Sub(h.since))
-		}
-		h.servedBefore, h.since, h.aliveSince = true, time.Time{}, time.Time{}
-		return h
-	}
-	if h.since.IsZero() {
-		h.since = now
-	}
-	switch {
-	// Just after a rank's end its last report is still recent.
-	case !pool.Reforming(now) || now.Sub(h.since) < dispatch.AliveTTL:
-		h.aliveSince = time.Time{}
-	case h.aliveSince.IsZero():
-		h.aliveSince = now
-	}
-	return h
-}
-
 // SetEntryShare sets this entry's share of the upstreams' capacity, 0 to 1.
 func (p *Pools) SetEntryShare(entryShare float64) {
 	p.mu.Lock()
@@ -270,7 +239,7 @@
 // other entries leave free. The caller holds mu.
 func (p *Pools) startWaiting(service string, leftover bool) {
 	w := p.waiting[service]
-	if w == nil || w.Len() == 0 {
+	if w == nil || w.Len() == 0 || p.opening(service) {
 		return
 	}
 	now := p.clock.Now()
@@ -278,9 +247,10 @@
 	if capacity.UsableUpstreams == 0 {
 		p.lastSuspendedAt[service] = now
 	}
+	w.MarkLate(now)
 	quota := capacity.StartQuota(p.entryShare)
 	if leftover && now.Sub(p.lastSuspendedAt[service]) > reopenPromptWindow {
-		quota = max(quota, capacity.LeftoverQuota(p.entryShare))
+		quota = max(quota, p.leftoverStarts(service, capacity))
 	}
 	w.Start(quota)
 }
@@ -292,5 +262,6 @@
 	defer p.mu.Unlock()
 	for service := range p.waiting {
 		p.startWaiting(service, true)
+		p.refuseHopeless(service)
 	}
 }
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -16,16 +16,16 @@
 func TestWhoWaitsForTheEndOfAnOutage(t *testing.T) {
 	const limit, minOutage = 1400 * time.Millisecond, 5 * time.Second
 	for name, c := range map[string]struct {
-		outage outage
+		outage serviceOutage
 		waits  bool
 	}{
-		"just begun":         {outage{age: time.Second, servedBefore: true}, false},
-		"nearly over":        {outage{age: 4 * time.Second, servedBefore: true}, true},
-		"all ranks are back": {outage{age: time.Second, servedBefore: true, reforming: true}, true},
-		"all ranks are back after a restart of this entry": {outage{reforming: true}, true},
-		"never served":         {outage{age: 4 * time.Second}, false},
-		"longer than expected": {outage{age: 11 * time.Second, servedBefore: true}, false},
-		"long, but not longer than an outage that has ended": {outage{age: 11 * time.Second, servedBefore: true, longest: 8 * time.Second}, true},
+		"just begun":         {serviceOutage{age: time.Second, servedBefore: true}, false},
+		"nearly over":        {serviceOutage{age: 4 * time.Second, servedBefore: true}, true},
+		"all ranks are back": {serviceOutage{age: time.Second, servedBefore: true, reforming: true}, true},
+		"all ranks are back after a restart of this entry": {serviceOutage{reforming: true}, true},
+		"never served":         {serviceOutage{age: 4 * time.Second}, false},
+		"longer than expected": {serviceOutage{age: 11 * time.Second, servedBefore: true}, false},
+		"long, but not longer than an outage that has ended": {serviceOutage{age: 11 * time.Second, servedBefore: true, longest: 8 * time.Second}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			NewWithT(t).Expect(c.outage.mayEndWithin(limit, minOutage)).To(Equal(c.waits))
@@ -45,17 +45,17 @@
 			p.UpdateLoad(a, 0, dispatch.Load{GroupServing: serving, Group: "g", GroupSize: 2})
 		}
 	}
-	outageAt := func(after time.Duration) outage {
+	outageAt := func(after time.Duration) serviceOutage {
 		clock.Advance(after)
 		return p.outage("s")
 	}
 	report(true, "0", "1")
 	report(false, "0", "1")
-	g.Expect(outageAt(0)).To(Equal(outage{servedBefore: true}))
+	g.Expect(outageAt(0)).To(Equal(serviceOutage{servedBefore: true}))
 	report(false, "0")
 	g.Expect(outageAt(time.Second).reforming).To(BeFalse())
 	report(false, "0", "1")
-	g.Expect(outageAt(0)).To(Equal(outage{age: time.Second, servedBefore: true, reforming: true}))
+	g.Expect(outageAt(0)).To(Equal(serviceOutage{age: time.Second, servedBefore: true, reforming: true}))
 	for range 10 {
 		report(false, "0", "1")
 		clock.Advance(500 * time.Millisecond)
@@ -64,5 +64,5 @@
 	g.Expect(outageAt(0).reforming).To(BeFalse(), "it should have formed long ago")
 	report(true, "0", "1")
 	report(false, "0", "1")
-	g.Expect(outageAt(0)).To(Equal(outage{servedBefore: true, longest: 6 * time.Second}))
+	g.Expect(outageAt(0)).To(Equal(serviceOutage{servedBefore: true, longest: 6 * time.Second}))
 }
