gateway: a data centre whose reports stop is known to be cut off after 0.3 s

Where a group lies in one data centre, nobody says that it has stopped when that data centre is cut off: each of its upstreams counted as silent after 0.7 s or more, and until then got a share of what came. Dozens of reports are missing long before. If ten are due and none comes for 0.3 s and one and a half intervals, while others come, its upstreams are the last choice until they are heard from. What runs there is still withdrawn by the rule for single upstreams.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -115,6 +115,8 @@
 	suspendedAt    time.Time
 	// unreachable is set if the upstream's data centre is not heard from.
 	unreachable bool
+	// quiet is set while nothing is heard from its data centre.
+	quiet bool
 	// restsUntil is the time until which the upstream wants no requests.
 	restsUntil time.Time
 	// limit is this entry's share of the limit on the rate of requests that the upstream
@@ -321,7 +323,7 @@
 	n.slowness = l.Slowness
 	n.groupServing, n.group, n.groupSize = l.GroupServing, l.Group, l.GroupSize
 	n.recordInterval(now)
-	n.reportedAt, n.heardAt = now, now
+	n.reportedAt, n.heardAt, n.quiet = now, now, false
 	if l.GroupServing && now.Sub(n.suspendedAt) > maxReportDelay {
 		n.suspendedUntil = time.Time{}
 	}
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -29,7 +29,20 @@
 }
 
 // Hear records a sign of life from an upstream other than a load report.
-func (n *Node) Hear(now time.Time) { n.heardAt = now }
+func (n *Node) Hear(now time.Time) { n.heardAt, n.quiet = now, false }
+
+// LastHeard returns when the upstream was last heard from, and how many load reports it sends in
+// a second, 0 if it has sent none for long.
+func (n *Node) LastHeard(now time.Time) (at time.Time, reportsPerSecond float64) {
+	if now.Sub(n.reportedAt) <= silenceWindow && n.reportInterval > 0 {
+		reportsPerSecond = 1 / n.reportInterval.Seconds()
+	}
+	return n.heardAt, reportsPerSecond
+}
+
+// SetQuiet records whether nothing is heard from the upstream's data centre at present. Such an
+// upstream is used only if no other one can take the request, until it is heard from.
+func (n *Node) SetQuiet(quiet bool) { n.quiet = quiet }
 
 // silentAt reports whether the upstream has shown no sign of life for too long. One whose
 // last report is older than silenceWindow has no load reports to miss.
@@ -58,7 +71,7 @@
 		return n.unreachable || n.firstCheckedAt.IsZero() || now.Sub(n.firstCheckedAt) <= silenceWindow
 	}
 	age := now.Sub(n.reportedAt)
-	return n.unreachable || n.silent || age > reportTTL && age <= silenceWindow
+	return n.unreachable || n.quiet || n.silent || age > reportTTL && age <= silenceWindow
 }
 
 // CheckSilence updates which upstreams are silent and returns the changes. Call it several
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -37,6 +37,8 @@
 	outages   map[string]*outage.Tracker
 	engines   map[string]outage.Engine
 	returning map[string]int
+	// quiet holds the data centres whose reports have stopped.
+	quiet map[string]bool
 	// lastSuspendedAt is the last time when requests waited for a service
 	// without a usable upstream, by service.
 	lastSuspendedAt map[string]time.Time
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/outage"
 )
 
 var errSilentUpstream = fault.New(fault.Unavailable, "no action needed; the request is sent to another upstream if one can take it", "the upstream has fallen silent")
@@ -41,9 +42,49 @@
 	return changes
 }
 
+// checkSites marks the upstreams of data centres whose reports have stopped, and returns how long
+// ago the last came from those that have just become quiet. It concerns services whose return
+// from an outage is declared.
+func (p *Pools) checkSites() map[string]time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, sites := p.clock.Now(), map[string]outage.Site{}
+	for _, m := range p.members {
+		if _, planned := p.engines[m.Service]; !planned {
+			continue
+		}
+		s := sites[m.DataCentre]
+		at, rate := m.node.LastHeard(now)
+		if at.After(s.HeardAt) {
+			s.HeardAt = at
+		}
+		if rate > 0 {
+			s.Reporting++
+			s.ReportsPerSecond += rate
+		}
+		sites[m.DataCentre] = s
+	}
+	quiet, changed := outage.Quiet(sites, now), map[string]time.Duration{}
+	for name := range quiet {
+		if !p.quiet[name] {
+			changed[name] = now.Sub(sites[name].HeardAt)
+		}
+	}
+	p.quiet = quiet
+	for _, m := range p.members {
+		if _, planned := p.engines[m.Service]; planned && quiet[m.DataCentre] {
+			m.node.SetQuiet(true)
+		}
+	}
+	return changed
+}
+
 // checkSilence looks for upstreams that have fallen silent or are heard from again. An
 // upstream that has just fallen silent loses the requests that may run elsewhere.
 func (g *Gateway) checkSilence() {
+	for dataCentre, age := range g.Pools.checkSites() {
+		g.Log.Info("reports from a data centre have stopped", zap.String("data_centre", dataCentre), zap.Duration("age", age))
+	}
 	for _, c := range g.Pools.checkSilence() {
 		if !c.silent {
 			g.Log.Info("upstream is heard from again", zap.String("upstream", c.member.ID), zap.Int("in_flight", c.inFlight))
--- a/internal/outage/plan_test.go
+++ b/internal/outage/plan_test.go
@@ -143,3 +143,13 @@
 	g.Expect(observe(1, 50*time.Millisecond)).To(BeFalse())
 	g.Expect(observe(1, 250*time.Millisecond)).To(BeTrue(), "the others don't follow")
 }
+
+// A data centre with a group of its own is cut off: nobody says that the group has stopped, but
+// dozens of reports are missing.
+func TestDataCentreIsQuietOnceItsReportsAreMissing(t *testing.T) {
+	g := NewWithT(t)
+	sites := map[string]outage.Site{"cut": {start, 21, 140}, "own": {start.Add(350 * time.Millisecond), 21, 140}, "small": {start, 4, 20}, "idle": {start, 21, 42}}
+	g.Expect(outage.Quiet(sites, start.Add(250*time.Millisecond))).To(BeEmpty())
+	g.Expect(outage.Quiet(sites, start.Add(400*time.Millisecond))).To(Equal(map[string]bool{"cut": true}))
+	g.Expect(outage.Quiet(sites, start.Add(700*time.Millisecond))).To(BeEmpty(), "nothing comes from anywhere")
+}
