--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -58,7 +58,7 @@
 	reachability *fleet.Reachability
 	// evacuations is nil if the platform doesn't evacuate.
 	evacuations *evacuation.Table
-	groups       *groupLog
+	groups      *groupLog
 }
 
 // RunGateway serves callers on a VM of the platform until ctx is done or the
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -19,9 +19,12 @@
 	for _, n := range nodes {
 		n.UpdateLoad(dispatch.Load{Slowness: 1, Group: "g", GroupSize: 4}, start)
 	}
-	g.Expect(p.Reforming(start)).To(BeTrue())
+	allAlive := dispatch.GroupStatus{Name: "g", Size: 4, Alive: 4}
+	groups, _ := p.Groups(start)
+	g.Expect(groups).To(ConsistOf(allAlive))
 	nodes[0].SetEvacuated(true)
-	g.Expect(p.Reforming(start)).To(BeTrue(), "its ranks step with the group")
+	groups, _ = p.Groups(start)
+	g.Expect(groups).To(ConsistOf(allAlive), "its ranks step with the group")
 	for _, n := range nodes {
 		n.UpdateLoad(dispatch.Load{Slowness: 1, GroupServing: true, Group: "g", GroupSize: 4}, start)
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -117,6 +117,8 @@
 	unreachable bool
 	// evacuated is set while the upstream's data centre is evacuated.
 	evacuated bool
+	// quiet is set while nothing is heard from its data centre.
+	quiet bool
 	// restsUntil is the time until which the upstream wants no requests.
 	restsUntil time.Time
 	// limit is this entry's share of the limit on the rate of requests that the upstream
@@ -279,7 +281,7 @@
 	if now.Sub(n.reportedAt) > reportTTL {
 		return !n.suspended(groups)
 	}
-	return n.groupServing
+	return n.groupServing && !groups[n.groupAt].stoppedAfter(n.reportedAt)
 }
 
 // failureRate returns the fraction of recent attempts that failed, decayed to
@@ -330,7 +332,7 @@
 	n.slowness = l.Slowness
 	n.groupServing, n.group, n.groupSize = l.GroupServing, l.Group, l.GroupSize
 	n.recordInterval(now)
-	n.reportedAt, n.heardAt = now, now
+	n.reportedAt, n.heardAt, n.quiet = now, now, false
 	if l.GroupServing && now.Sub(n.suspendedAt) > maxReportDelay {
 		n.suspendedUntil = time.Time{}
 	}
