--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -19,6 +19,9 @@
 	// Withdrawn is set if the request was withdrawn from a silent upstream. The other entries
 	// withdraw theirs at the same moment and see the same reports.
 	Withdrawn bool
+	// TargetGap is the longest pause between two parts with which the answer is on time, 0
+	// for none.
+	TargetGap time.Duration
 }
 
 // Obstacle is why an upstream can't be given a request. The obstacle of a pool is that of the
@@ -175,8 +178,9 @@
 	partCountWeight = 0.05
 )
 
-// RecordPart records the time since the previous part of the same answer.
-func (p *Pool) RecordPart(interval time.Duration) {
+// RecordPart records the time since the previous part of the same answer of an upstream.
+func (p *Pool) RecordPart(n *Node, interval time.Duration, now time.Time) {
+	p.recordPace(n, interval, now)
 	interval = min(interval, maxPartInterval)
 	if p.partInterval == 0 {
 		p.partInterval = interval
--- a/internal/dispatch/demand_test.go
+++ b/internal/dispatch/demand_test.go
@@ -14,7 +14,7 @@
 func loadedGroup(loads ...dispatch.Load) (*dispatch.Pool, []*dispatch.Node) {
 	p, nodes := group(len(loads))
 	p.RecordFirstPart(time.Second)
-	p.RecordPart(500 * time.Millisecond)
+	p.RecordPart(nodes[0], 500*time.Millisecond, start)
 	p.RecordAnswerParts(10, true)
 	for i, l := range loads {
 		l.GroupServing, l.Slowness = true, max(l.Slowness, 1)
@@ -100,14 +100,14 @@
 // An answer that was cut short doesn't make the usual one shorter.
 func TestServiceTimeIgnoresAnswersThatWereCutShort(t *testing.T) {
 	g := NewWithT(t)
-	p, _ := loadedGroup(dispatch.Load{})
+	p, nodes := loadedGroup(dispatch.Load{})
 	before := p.ServiceTime()
 	for range 100 {
 		p.RecordAnswerParts(1, false)
 	}
 	g.Expect(p.ServiceTime()).To(Equal(before))
 	for range 100 {
-		p.RecordPart(time.Second)
+		p.RecordPart(nodes[0], time.Second, start)
 	}
 	g.Expect(p.ServiceTime()).To(BeNumerically(">", before), "it follows the present pace")
 }
--- a/internal/dispatch/groups.go
+++ b/internal/dispatch/groups.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/pace"
+)
 
 // groupState is what the valid reports say about one group.
 type groupState struct {
@@ -10,6 +14,12 @@
 	// fastest is the lowest slowness of the ranks that could take a request, 0 if there are
 	// none.
 	fastest float64
+	// load is the number of requests at the group's ranks, batch those that run, slots the most
+	// slots of a rank and bound the number of requests up to which the group keeps the pace.
+	// They are set in a paced pool.
+	load, bound float64
+	batch       pace.Batch
+	slots       int
 }
 
 // groupStates returns the states of the groups with valid reports, and sets the nodes' groupAt.
@@ -29,6 +39,7 @@
 		n.groupAt = i
 		states[i].serving = states[i].serving || n.groupServing
 	}
+	p.measureGroups(states, now)
 	return states
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -151,6 +151,7 @@
 	partCount    float64
 	// entryShare is this entry's share of the upstreams' capacity, 0 while it isn't known.
 	entryShare float64
+	pacer      pacer
 	// obstacles and groupIndex are the memory in which a pick collects the nodes' obstacles and
 	// the places of the groups' states.
 	obstacles  []Obstacle
@@ -158,7 +159,9 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(rng *rand.Rand) *Pool { return &Pool{rand: rng, groupIndex: map[string]int{}} }
+func NewPool(rng *rand.Rand) *Pool {
+	return &Pool{rand: rng, groupIndex: map[string]int{}, pacer: pacer{groups: map[string]*measuredGroup{}}}
+}
 
 // SetStepCost sets how requests at the pool's upstreams slow each other.
 func (p *Pool) SetStepCost(c StepCost) { p.cost = c }
@@ -197,10 +200,18 @@
 	if least != None && least != Unheard {
 		return nil, least
 	}
-	best := p.cheapest(now, func(i int) bool {
+	candidate := func(i int) bool {
 		n := p.nodes[i]
 		return p.obstacles[i] == least && (least == None || n.permits(now) > 0 && p.beginsInTime(n, v, d, 1) && !(n.unreachable && now.Sub(p.probedAt) < probeInterval))
+	}
+	off := p.offPace(v, d)
+	best := p.cheapest(now, func(i int) bool {
+		n := p.nodes[i]
+		return candidate(i) && (off == nil || now.Sub(n.reportedAt) > reportTTL || !slices.Contains(off, n.groupAt))
 	})
+	if best == nil && off != nil {
+		best = p.cheapest(now, candidate)
+	}
 	if best == nil {
 		return nil, least
 	}
@@ -215,7 +226,10 @@
 func (p *Pool) cheapest(now time.Time, candidate func(i int) bool) *Node {
 	var best *Node
 	bestCost := 0.0
-	compared := 0
+	compared, sample := 0, sampleSize
+	if p.pacer.paced() {
+		sample = pacedSampleSize
+	}
 	for _, i := range p.rand.Perm(len(p.nodes)) {
 		if !candidate(i) {
 			continue
@@ -224,7 +238,7 @@
 		if c := p.costAt(n, now); best == nil || c < bestCost {
 			best, bestCost = n, c
 		}
-		if compared++; compared == sampleSize {
+		if compared++; compared == sample {
 			break
 		}
 	}
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -30,7 +30,7 @@
 // demand returns what the request asks of its next upstream: that it begins early enough to be
 // answered while its caller waits.
 func (q *request) demand() dispatch.Demand {
-	d := dispatch.Demand{Exclude: q.attempted, Accepted: q.accepted(), Withdrawn: q.withdrawn}
+	d := dispatch.Demand{Exclude: q.attempted, Accepted: q.accepted(), Withdrawn: q.withdrawn, TargetGap: q.route.TargetGap}
 	wait, usual := q.waitLimit(), q.usualDelay()
 	switch {
 	case q.withdrawn:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -269,6 +269,7 @@
 			return
 		case <-leftover.Chan():
 			g.Pools.startOnLeftover()
+			g.reportPace()
 			continue
 		case <-silence.Chan():
 			g.standstill.observe(time.Now())
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -30,6 +30,8 @@
 	leaving map[*dispatch.Node]*Member
 	// waiting holds the requests that wait for an upstream, by service.
 	waiting map[string]*admission.Waitlist
+	// shortOfPace holds the services whose groups don't keep the pace, as logged last.
+	shortOfPace map[string]bool
 	// suspensions holds what is known of the outages of each service.
 	suspensions map[string]*suspension
 	// lastSuspendedAt is the last time when requests waited for a service
@@ -56,7 +58,7 @@
 
 // NewPools returns empty pools.
 func NewPools(clock clockwork.Clock, rng *rand.Rand) *Pools {
-	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, leaving: map[*dispatch.Node]*Member{}, waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
+	return &Pools{clock: clock, rand: rng, pools: map[string]*dispatch.Pool{}, members: map[string]*Member{}, byAddress: map[string]*Member{}, leaving: map[*dispatch.Node]*Member{}, waiting: map[string]*admission.Waitlist{}, shortOfPace: map[string]bool{}, lastSuspendedAt: map[string]time.Time{}, suspensions: map[string]*suspension{}, rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, entryShare: defaultEntryShare, reachable: func(string) bool { return true }}
 }
 
 // Configure sets the step costs of the services' engines.
@@ -66,6 +68,7 @@
 	for _, s := range services {
 		if s.Engine != nil {
 			p.pool(s.Name).SetStepCost(dispatch.StepCost{Base: s.Engine.StepTime, PerRequest: s.Engine.StepTimePerSequence})
+			p.pool(s.Name).SetPaceCost(paceCost(s.Engine))
 		}
 	}
 }
@@ -281,7 +284,7 @@
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
 	m.node.Hear(m.pools.clock.Now())
-	m.pools.pool(m.Service).RecordPart(interval)
+	m.pools.pool(m.Service).RecordPart(m.node, interval, m.pools.clock.Now())
 }
 
 // RecordAnswerParts records the number of parts after the first that an attempt brought.
