--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -62,9 +62,9 @@
 	p.target = min(p.target, gap)
 }
 
-// targetGap returns the smallest target gap of the requests of late, 0 if the pool isn't paced.
+// targetGap returns the smallest target gap of the requests of late, 0 for none.
 func (p *pacer) targetGap() time.Duration {
-	if !p.cost.Known() || p.targetBefore == 0 {
+	if p.targetBefore == 0 {
 		return p.target
 	}
 	return min(p.target, p.targetBefore)
@@ -128,8 +128,8 @@
 // keepsPace reports whether the group keeps the pace with one more request.
 func (s *groupState) keepsPace() bool { return s.load+1 <= s.bound }
 
-// offPace returns, by their places in the view, the groups that a new stream doesn't go to since
-// others keep the pace; nil for none.
+// offPace records the target gap of a request and returns, by their places in the view, the groups
+// that it doesn't go to since others keep the pace; nil for none.
 func (p *Pool) offPace(v view, d Demand) []int {
 	if d.TargetGap > 0 {
 		p.pacer.addTarget(d.TargetGap, v.now)
@@ -173,7 +173,7 @@
 type Pace struct {
 	// Target is the smallest target gap of the requests of late, 0 if the pool isn't paced.
 	Target time.Duration
-	// Short is set while streams find no group that keeps the pace, since ShortFor.
+	// Short is set while streams find no group that keeps the pace, for ShortFor.
 	Short    bool
 	ShortFor time.Duration
 	// ViewAge is the age of the oldest valid report.
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -47,7 +47,7 @@
 			gauge(group.Interval.Milliseconds(), group.Group, "interval_ms")
 		}
 		if s.changed {
-			g.Log.Info("room at pace changed", zap.String("service", service), zap.Bool("short", s.Short), zap.Duration("target_gap", s.Target),
+			g.Log.Info("room at pace changed", zap.String("service", service), zap.Bool("short", s.Short), zap.Duration("short_for", s.ShortFor), zap.Duration("target_gap", s.Target),
 				zap.Duration("view_age", s.ViewAge), zap.Any("groups", s.Groups))
 		}
 	}
