--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -22,6 +22,9 @@
 	// Urgent is set if the caller would notice a slow first answer. A cold upstream gets such
 	// a request only if no warm one has room.
 	Urgent bool
+	// TargetGap is the longest pause between two parts with which the answer is on time, 0
+	// for none.
+	TargetGap time.Duration
 }
 
 // Obstacle is why an upstream can't be given a request. The obstacle of a pool is that of the
@@ -181,8 +184,9 @@
 	partCountWeight = 0.05
 )
 
-// RecordPart records the time since the previous part of the same answer.
-func (p *Pool) RecordPart(interval time.Duration) {
+// RecordPart records the time since the previous part of the same answer of an upstream.
+func (p *Pool) RecordPart(n *Node, interval time.Duration, now time.Time) {
+	p.recordPace(n, interval, now)
 	interval = min(interval, maxPartInterval)
 	if p.partInterval == 0 {
 		p.partInterval = interval
--- a/internal/dispatch/groups.go
+++ b/internal/dispatch/groups.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/pace"
+)
 
 // groupState is what the valid reports say about one group.
 type groupState struct {
@@ -14,6 +18,12 @@
 	// each, the newest first. size is the number of its ranks.
 	stops [maxStopReports]time.Time
 	size  int
+	// load is the number of requests at the group's ranks, batch those that run, slots the most
+	// slots of a rank and bound the number of requests up to which the group keeps the pace.
+	// They are set in a paced pool.
+	load, bound float64
+	batch       pace.Batch
+	slots       int
 }
 
 // maxStopReports is the number of ranks whose reports that their group doesn't serve hold for
@@ -63,6 +73,7 @@
 			g.serving = g.serving || !g.stoppedAfter(n.reportedAt)
 		}
 	}
+	p.measureGroups(states, now)
 	return states
 }
 
