--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -39,6 +39,8 @@
 	returning map[string]int
 	// quiet holds the data centres whose reports have stopped.
 	quiet map[string]bool
+	// shortOfPace holds the services whose groups don't keep the pace, as logged last.
+	shortOfPace map[string]bool
 	// lastSuspendedAt is the last time when requests waited for a service
 	// without a usable upstream, by service.
 	lastSuspendedAt map[string]time.Time
@@ -70,7 +72,7 @@
 		clock: clock, rand: rng, pools: map[string]*dispatch.Pool{},
 		members: map[string]*Member{}, byAddress: map[string]*Member{}, leaving: map[*dispatch.Node]*Member{},
 		waiting: map[string]*admission.Waitlist{}, lastSuspendedAt: map[string]time.Time{}, outages: map[string]*outage.Tracker{},
-		engines: map[string]outage.Engine{}, returning: map[string]int{},
+		engines: map[string]outage.Engine{}, returning: map[string]int{}, shortOfPace: map[string]bool{},
 		rests: map[directory.Departure]time.Time{}, limits: map[directory.Departure]*namedLimit{}, warmups: newWarmups(),
 		entryShare: defaultEntryShare,
 		reachable:  func(string) bool { return true }, evacuated: func(string) bool { return false },
@@ -84,6 +86,7 @@
 	for _, s := range services {
 		if s.Engine != nil {
 			p.pool(s.Name).SetStepCost(dispatch.StepCost{Base: s.Engine.StepTime, PerRequest: s.Engine.StepTimePerSequence})
+			p.pool(s.Name).SetPaceCost(paceCost(s.Engine))
 		}
 	}
 	p.configureWarmups(services)
@@ -305,7 +308,7 @@
 	m.pools.mu.Lock()
 	defer m.pools.mu.Unlock()
 	m.node.Hear(m.pools.clock.Now())
-	m.pools.pool(m.Service).RecordPart(interval)
+	m.pools.pool(m.Service).RecordPart(m.node, interval, m.pools.clock.Now())
 }
 
 // RecordAnswerParts records the number of parts after the first that an attempt brought.
