--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -126,7 +126,7 @@
 }
 
 // keepsPace reports whether the group keeps the pace with one more request.
-func (s *groupState) keepsPace() bool { return s.load+1 <= s.bound }
+func (g *groupState) keepsPace() bool { return g.load+1 <= g.bound }
 
 // offPace records the target gap of a request and returns, by their places in the view, the groups
 // that it doesn't go to since others keep the pace; nil for none.
