outage: a data centre is called so in the code

Site was a second word for what the glossary and the other packages call a data centre. Names only, no change of behaviour; go test ./internal/outage, vet and staticcheck: ok.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -42,18 +42,18 @@
 	return changes
 }
 
-// checkSites marks the upstreams of data centres whose reports have stopped, and returns how long
+// checkDataCentres marks the upstreams of data centres whose reports have stopped, and returns how long
 // ago the last came from those that have just become quiet. It concerns services whose return
 // from an outage is declared.
-func (p *Pools) checkSites() map[string]time.Duration {
+func (p *Pools) checkDataCentres() map[string]time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, sites := p.clock.Now(), map[string]outage.Site{}
+	now, dataCentres := p.clock.Now(), map[string]outage.DataCentre{}
 	for _, m := range p.members {
 		if _, planned := p.engines[m.Service]; !planned {
 			continue
 		}
-		s := sites[m.DataCentre]
+		s := dataCentres[m.DataCentre]
 		at, rate := m.node.LastHeard(now)
 		if at.After(s.HeardAt) {
 			s.HeardAt = at
@@ -62,12 +62,12 @@
 			s.Reporting++
 			s.ReportsPerSecond += rate
 		}
-		sites[m.DataCentre] = s
+		dataCentres[m.DataCentre] = s
 	}
-	quiet, changed := outage.Quiet(sites, now), map[string]time.Duration{}
+	quiet, changed := outage.Quiet(dataCentres, now), map[string]time.Duration{}
 	for name := range quiet {
 		if !p.quiet[name] {
-			changed[name] = now.Sub(sites[name].HeardAt)
+			changed[name] = now.Sub(dataCentres[name].HeardAt)
 		}
 	}
 	p.quiet = quiet
@@ -82,7 +82,7 @@
 // checkSilence looks for upstreams that have fallen silent or are heard from again. An
 // upstream that has just fallen silent loses the requests that may run elsewhere.
 func (g *Gateway) checkSilence() {
-	for dataCentre, age := range g.Pools.checkSites() {
+	for dataCentre, age := range g.Pools.checkDataCentres() {
 		g.Log.Info("reports from a data centre have stopped", zap.String("data_centre", dataCentre), zap.Duration("age", age))
 	}
 	for _, c := range g.Pools.checkSilence() {
--- a/internal/outage/plan_test.go
+++ b/internal/outage/plan_test.go
@@ -148,8 +148,8 @@
 // dozens of reports are missing.
 func TestDataCentreIsQuietOnceItsReportsAreMissing(t *testing.T) {
 	g := NewWithT(t)
-	sites := map[string]outage.Site{"cut": {start, 21, 140}, "own": {start.Add(350 * time.Millisecond), 21, 140}, "small": {start, 4, 20}, "idle": {start, 21, 42}}
-	g.Expect(outage.Quiet(sites, start.Add(250*time.Millisecond))).To(BeEmpty())
-	g.Expect(outage.Quiet(sites, start.Add(400*time.Millisecond))).To(Equal(map[string]bool{"cut": true}))
-	g.Expect(outage.Quiet(sites, start.Add(700*time.Millisecond))).To(BeEmpty(), "nothing comes from anywhere")
+	dataCentres := map[string]outage.DataCentre{"cut": {start, 21, 140}, "own": {start.Add(350 * time.Millisecond), 21, 140}, "small": {start, 4, 20}, "idle": {start, 21, 42}}
+	g.Expect(outage.Quiet(dataCentres, start.Add(250*time.Millisecond))).To(BeEmpty())
+	g.Expect(outage.Quiet(dataCentres, start.Add(400*time.Millisecond))).To(Equal(map[string]bool{"cut": true}))
+	g.Expect(outage.Quiet(dataCentres, start.Add(700*time.Millisecond))).To(BeEmpty(), "nothing comes from anywhere")
 }
--- a/internal/outage/quiet.go
+++ b/internal/outage/quiet.go
@@ -16,8 +16,8 @@
 	freshTime = 150 * time.Millisecond
 )
 
-// Site is what is heard from the upstreams of one data centre.
-type Site struct {
+// DataCentre is what is heard from the upstreams of one data centre.
+type DataCentre struct {
 	HeardAt time.Time
 	// Reporting is the number of those that send reports, ReportsPerSecond the usual rate of
 	// all of these.
@@ -27,27 +27,27 @@
 
 // silenceLimit returns the time without a report after which the data centre is quiet. All of
 // its upstreams may send theirs at the same moment.
-func (s Site) silenceLimit() time.Duration {
-	interval := time.Duration(float64(s.Reporting) / s.ReportsPerSecond * float64(time.Second))
+func (d DataCentre) silenceLimit() time.Duration {
+	interval := time.Duration(float64(d.Reporting) / d.ReportsPerSecond * float64(time.Second))
 	return max(quietTime, quietIntervals*interval/2)
 }
 
 // enough reports whether so many reports are due that their absence says something.
-func (s Site) enough() bool {
-	return s.ReportsPerSecond*quietTime.Seconds() >= minMissedReports
+func (d DataCentre) enough() bool {
+	return d.ReportsPerSecond*quietTime.Seconds() >= minMissedReports
 }
 
 // Quiet returns the data centres from which reports have stopped while others come. It takes a
 // part of the time after which a single upstream counts as silent, since dozens are missed. It
 // returns none if nothing has come lately: then the fault may be on this side.
-func Quiet(sites map[string]Site, now time.Time) map[string]bool {
+func Quiet(dataCentres map[string]DataCentre, now time.Time) map[string]bool {
 	receives := false
-	for _, s := range sites {
-		receives = receives || now.Sub(s.HeardAt) <= freshTime
+	for _, d := range dataCentres {
+		receives = receives || now.Sub(d.HeardAt) <= freshTime
 	}
 	quiet := map[string]bool{}
-	for name, s := range sites {
-		if receives && s.enough() && now.Sub(s.HeardAt) > s.silenceLimit() {
+	for name, d := range dataCentres {
+		if receives && d.enough() && now.Sub(d.HeardAt) > d.silenceLimit() {
 			quiet[name] = true
 		}
 	}
