--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -20,6 +20,7 @@
 // without the disruption.
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
 	"reborn-behind-cut": rebornBehindCut,
+	"long-prompt":       longPrompt,
 }
 
 func main() {
