--- a/review/_stand2/deployment.go
+++ b/review/_stand2/deployment.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -290,13 +289,3 @@
 		fmt.Println("logs:", d.dir)
 	}
 }
-
-// sleep waits for a time; it returns false if ctx ends first.
-func sleep(ctx context.Context, t time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(t):
-		return true
-	}
-}
--- a/review/_stand2/longprompt.go
+++ b/review/_stand2/longprompt.go
@@ -32,7 +32,7 @@
 		events     = 6
 		gap        = 40 * time.Millisecond
 	)
-	// Each part of a prompt has 16 tokens. PARTS changes their number, for a comparison.
+	// PARTS changes the number of a prompt's parts, for a comparison.
 	parts := 91
 	if n, err := strconv.Atoi(os.Getenv("PARTS")); err == nil {
 		parts = n
@@ -52,6 +52,9 @@
 	respond := func(i *incarnation, c net.Conn, q *http.Request) bool {
 		id := q.Header.Get("Request-Id")
 		if name := q.Header.Get("X-Deadly"); name != "" && trouble {
+			if !i.end() {
+				return false // another one has just crashed it
+			}
 			now := d.record.now()
 			mu.Lock()
 			s := state[name]
@@ -62,13 +65,14 @@
 			s.crashes = append(s.crashes, now)
 			n := len(s.crashes)
 			mu.Unlock()
-			d.record.add("%s (attempt %s) begins to run at %s, crash %d of it", name, id, i.name, n)
-			i.crash()
+			d.record.add("%s (attempt %s) began to run at %s, crash %d of it", name, id, i.name, n)
 			time.AfterFunc(downFor, func() {
 				select {
 				case <-d.done:
 				default:
-					_ = i.replica.restartAnew()
+					if err := i.restartAnew(); err != nil {
+						d.record.add("error: %v", err)
+					}
 				}
 			})
 			return false
@@ -98,12 +102,14 @@
 	if err := d.startGateways(gateways); err != nil {
 		return cannotRun, err
 	}
-	prompt := func(name string) string {
+	// prompt returns the headers that describe a prompt.
+	prompt := func(name string) map[string]string {
+		const partTokens = 16
 		var list []string
 		for n := range parts {
-			list = append(list, fmt.Sprintf("%08x:16", hash(fmt.Sprint(name, n))))
+			list = append(list, fmt.Sprintf("%08x:%d", hash(fmt.Sprint(name, n)), partTokens))
 		}
-		return strings.Join(list, ",")
+		return map[string]string{"Model": "m", "Token-Count": fmt.Sprint(parts*partTokens, ",80"), "Prefix-Hash": strings.Join(list, ",")}
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -116,8 +122,7 @@
 			case <-time.After(40 * time.Millisecond):
 			}
 			wg.Go(func() {
-				header := map[string]string{"Model": "m", "Token-Count": "1460,80", "Prefix-Hash": prompt(fmt.Sprint("sound", n))}
-				a := d.send(d.processes[rand.IntN(gateways)], http.MethodPost, "/lohu930/2f", fmt.Sprint("prompt ", n), header, limit)
+				a := d.send(d.processes[rand.IntN(gateways)], http.MethodPost, "/lohu930/2f", fmt.Sprint("prompt ", n), prompt(fmt.Sprint("sound", n)), limit)
 				d.record.add("%s, sent at %.3f s: status %d, %d bytes, complete %v", a.id, a.sentAt.Seconds(), a.status, len(a.body), a.complete)
 				mu.Lock()
 				defer mu.Unlock()
@@ -136,7 +141,8 @@
 			case <-time.After(next):
 			}
 			next = perRequest
-			header := map[string]string{"Model": "m", "Token-Count": "1460,80", "Prefix-Hash": prompt(name), "X-Deadly": name}
+			header := prompt(name)
+			header["X-Deadly"] = name
 			a := d.send(d.processes[rand.IntN(gateways)], http.MethodPost, "/lohu930/2f", name, header, limit)
 			d.record.add("%s (attempt %s): status %d, %v", name, a.id, a.status, a.err)
 		}
--- a/review/_stand2/replica.go
+++ b/review/_stand2/replica.go
@@ -13,8 +13,7 @@
 )
 
 // replica is a stand-in of a plain replica on raw connections, so that a case decides how an
-// answer is framed and how it ends. It is registered at the address of its link, by which all
-// callers reach it.
+// answer is framed and how it ends.
 type replica struct {
 	d             *deployment
 	name, service string
@@ -103,15 +102,27 @@
 	return r.current.ln.Addr().String()
 }
 
-// crash ends the incarnation as a killed process ends: its connections are closed by the kernel.
+// crash ends the incarnation that runs, if any.
 func (r *replica) crash() {
 	r.mu.Lock()
 	i := r.current
-	r.current = nil
 	r.mu.Unlock()
-	if i == nil {
-		return
+	if i != nil {
+		i.end()
 	}
+}
+
+// end ends the incarnation as a killed process ends: its connections are closed by the kernel. It
+// returns false if the incarnation had ended before.
+func (i *incarnation) end() bool {
+	r := i.replica
+	r.mu.Lock()
+	if r.current != i {
+		r.mu.Unlock()
+		return false
+	}
+	r.current = nil
+	r.mu.Unlock()
 	close(i.ended)
 	i.ln.Close()
 	i.connsMu.Lock()
@@ -120,6 +131,7 @@
 		c.Close()
 	}
 	r.d.record.add("replica %s ends, %d connections", r.name, len(i.conns))
+	return true
 }
 
 // beat writes the replica's entry while it runs.
