--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -6,7 +6,7 @@
 )
 
 func main() {
-	cases := map[string]func(record string){"memory": caseMemory}
+	cases := map[string]func(record string){"memory": caseMemory, "poison": casePoison}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
 		os.Exit(notRun)
