--- a/review/_stand3/poison.go
+++ b/review/_stand3/crash.go
@@ -6,19 +6,20 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
 )
 
-// crashingReplica is a replica of a plain service whose process crashes when it begins to run a
-// request with the mark. It is back after some seconds as a new incarnation.
+// crashingReplica is a replica of a plain service whose process crashes when it has begun to
+// answer a request with the mark. It is back after some seconds as a new incarnation.
 type crashingReplica struct {
 	e       *env
 	name    string
 	address string
 	crashes bool
-	arrive  func(r *crashingReplica, request string, poison bool)
+	arrive  func(r *crashingReplica, request string, deadly bool)
 
 	mu    sync.Mutex
 	id    string
@@ -28,8 +29,10 @@
 }
 
 const (
-	mark      = "crashes-its-replica"
-	backAfter = 1500 * time.Millisecond
+	mark = "crashes-its-replica"
+	// crashAfter is the number of events after which the process crashes.
+	crashAfter = 2
+	backAfter  = 3 * time.Second
 )
 
 func (r *crashingReplica) start() {
@@ -100,13 +103,9 @@
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", request, id)
 			continue
 		}
-		poison := strings.Contains(string(body), mark)
-		r.arrive(r, request, poison)
+		deadly := strings.Contains(string(body), mark)
+		r.arrive(r, request, deadly)
 		time.Sleep(30 * time.Millisecond)
-		if poison && r.crashes {
-			r.crash()
-			return
-		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request, id)
 		for i := 1; i <= 5; i++ {
 			event := fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, request, i)
@@ -114,35 +113,37 @@
 				return
 			}
 			time.Sleep(40 * time.Millisecond)
+			if deadly && r.crashes && i == crashAfter {
+				r.crash()
+				return
+			}
 		}
 		fmt.Fprint(c, "0\r\n\r\n")
 	}
 }
 
-// casePoison sends a request whose prompt has many parts again and again, each time through another
-// gateway. If there is trouble it crashes its replicas. The retries that reach replicas although
+// caseQuery sends a request that crashes its replicas, if there is trouble, again and again: with the
+// same path, caller and body, and another query each time. The retries that reach replicas although
 // the third crash is long past count.
-func casePoison(record string) {
+func caseQuery(record string) {
 	const (
-		gateways   = 8
-		replicas   = 8
-		parts      = 90
-		comesEvery = 3500 * time.Millisecond
+		gateways   = 3
+		replicas   = 12
+		comesEvery = 1500 * time.Millisecond
+		spell      = 20 * time.Second
 		maxRetries = 3
 		inTouch    = 3 * time.Second
 	)
+	sameQuery := os.Getenv("QUERY") == "same"
 	e := newEnv(record, settings{memoryMB: 284, configApplyMS: 2000})
 	var mu sync.Mutex
 	var thirdCrash time.Time
 	crashes, late := 0, map[string]bool{}
-	arrive := func(r *crashingReplica, request string, poison bool) {
+	arrive := func(r *crashingReplica, request string, deadly bool) {
 		mu.Lock()
 		defer mu.Unlock()
 		e.log("%s reaches %s", request, r.id)
-		if !poison {
-			return
-		}
-		if !r.crashes {
+		if !deadly || !r.crashes {
 			return
 		}
 		crashes++
@@ -162,26 +163,15 @@
 	e.awaitReady(10 * time.Second)
 	time.Sleep(4 * time.Second) // the gateways know each other
 
-	var prefix []string
-	for i := range parts {
-		prefix = append(prefix, fmt.Sprintf("%08x:%d", 0x5c1e0000+i, 12))
-	}
 	stop := make(chan struct{})
 	var others sync.WaitGroup
-	var whole, cut int
-	for i := range 16 {
-		others.Add(1)
-		go func() {
-			defer others.Done()
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(200 * time.Millisecond):
-				}
-				request := fmt.Sprintf("sound-%d-%d", i, n)
+	whole, cut := 0, 0
+	for i := range 8 {
+		others.Go(func() {
+			for n := 0; !stopped(stop, 200*time.Millisecond); n++ {
 				p := e.procs[(i+n)%gateways]
-				answer := e.stream(p, request, fmt.Sprintf("%08x:20,%08x:5", i, n), "a sound prompt "+request)
+				request := fmt.Sprintf("sound-%d-%d", i, n)
+				answer := e.stream(p, request, "/stream/sound", fmt.Sprintf("5c1e07a2:40,%08x:400", i<<16|n), "a sound prompt "+request)
 				e.log("%s to %s: %s", request, p.name, answer)
 				mu.Lock()
 				if answer == "200 whole" {
@@ -191,16 +181,20 @@
 				}
 				mu.Unlock()
 			}
-		}()
+		})
 	}
 	time.Sleep(time.Second)
-	for round := range gateways + 2 {
-		p := e.procs[round%gateways]
-		request := fmt.Sprintf("poison-%d", round+1)
-		e.log("%s is sent to %s", request, p.name)
-		answer := e.stream(p, request, strings.Join(prefix, ","), "a prompt that "+mark)
-		e.log("%s: %s", request, answer)
-		time.Sleep(comesEvery)
+	for n, begin := 0, time.Now(); time.Since(begin) < spell; n++ {
+		next := time.Now().Add(comesEvery)
+		p, request, path := e.procs[n%gateways], fmt.Sprintf("deadly-%d", n+1), "/stream/deadly?try=1"
+		if !sameQuery {
+			path = fmt.Sprint("/stream/deadly?try=", n+1)
+		}
+		e.log("%s, %s, is sent to %s", request, path, p.name)
+		others.Go(func() {
+			e.log("%s: %s", request, e.stream(p, request, path, "5c1e07a2:40,0badc0de:600", "a prompt that "+mark))
+		})
+		time.Sleep(time.Until(next))
 	}
 	close(stop)
 	others.Wait()
@@ -210,10 +204,10 @@
 }
 
 // stream sends a streaming request and returns its status and whether the answer is whole.
-func (e *env) stream(p *proc, request, prefix, body string) string {
-	req, _ := http.NewRequest(http.MethodPost, "http://"+p.ip+":8227/stream/x", strings.NewReader(body))
+func (e *env) stream(p *proc, request, path, prefix, body string) string {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+p.ip+":8227"+path, strings.NewReader(body))
 	req.Host = host
-	for name, value := range map[string]string{"Request-Id": request, "Deadline-Ms": "8000", "Authorization": "Bearer " + apiKey, "Model": "m", "Token-Count": "1080,60", "Prefix-Hash": prefix} {
+	for name, value := range map[string]string{"Request-Id": request, "Deadline-Ms": "8000", "Authorization": "Bearer " + apiKey, "Model": "m", "Token-Count": "640,60", "Prefix-Hash": prefix} {
 		req.Header.Set(name, value)
 	}
 	c := http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/_stand3/env.go
+++ b/review/_stand3/env.go
@@ -46,10 +46,10 @@
 	storeAddr string
 	settings  settings
 
-	mu       sync.Mutex
-	record   *os.File
-	procs    []*proc
-	sequence int
+	mu     sync.Mutex
+	record *os.File
+	// procs are the gateways, agents the processes beside ranks.
+	procs, agents []*proc
 }
 
 // settings are the values of a gateway's settings file that differ between cases.
@@ -144,7 +144,7 @@
 
 // stop ends all processes of the case.
 func (e *env) stop() {
-	for _, p := range e.procs {
+	for _, p := range append(e.procs, e.agents...) {
 		p.signal(syscall.SIGCONT)
 		p.kill()
 	}
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -6,11 +6,7 @@
 )
 
 func main() {
-	cases := map[string]func(record string){"memory": caseMemory, "poison": casePoison, "reborn": caseReborn}
-	if len(os.Args) == 4 && os.Args[1] == "replica" {
-		runReplica(os.Args[2], os.Args[3])
-		return
-	}
+	cases := map[string]func(record string){"memory": caseMemory, "query": caseQuery, "cascade": caseCascade}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
 		os.Exit(notRun)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 go build -o target/review/stand2 ./review/_stand2
+./review/build-3.sh
