socket: a reset that the writer of a request got reaches the reader of the answer

Callers saw a part of an answer as a whole one: an upstream answered an upload at once, without a length, wrote a part of the body and reset the connection while the upload was being written. The part came with status 200 and a length of its own (MIXED).

Cause: the kernel reports the error that ended a connection to one system call. When the writer of the upload got ECONNRESET, the reader found an end in order. Traced in Reply.Read: at 60 of 60 such ends the writer had ECONNRESET, at 2 of them its write hadn't returned yet; at 320 ends of whole early answers it had no error or was still writing. confirmEnd can't tell, since the upstream lives.

Change: connections that socket.Dialer opens keep the first error of a write. Read, where it finds an end, ends a write in progress and returns that error. EPIPE is none: the peer's direction had ended in order before. Since the kernel gave the error to the write before it gave the read an end, the reader always finds it, also while the write returns. The gateway, the store's and the replicas' clients and the agent dial so.

The tests failed before. The cost: a whole early answer without a length, whose upstream then resets the connection instead of ending it, is broken now, as it was before where the reader got the reset. Early answers that end in order or state their framing are delivered as before (TestEarlyAnswerIsWhole). One end of a connection sets a deadline; no call is added. Not changed: an early answer with a length whose connection is reset at once may be lost at the agent (outcome unknown), before and after.

--- a/internal/agent/mapengine.go
+++ b/internal/agent/mapengine.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -28,7 +27,7 @@
 // newMapEngine returns a client whose calls use a connection each: a faulty engine may write
 // an earlier answer again on a kept one, and answers don't name their call.
 func newMapEngine(base string) *mapEngine {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DialContext: newDialer().DialContext, DisableKeepAlives: true, DisableCompression: true}
 	return &mapEngine{base: base, http: &http.Client{Transport: transport, Timeout: mapCallTimeout}}
 }
 
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -21,6 +21,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/eventstream"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/socket"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
@@ -60,9 +61,12 @@
 // errNoEvent is the error of a stream in which the head of another answer stands.
 var errNoEvent = fault.New(fault.Crashed, "see the upstream's logs", "the upstream wrote the head of another answer into its stream")
 
+// newDialer returns a dialer for connections to the upstream.
+func newDialer() *socket.Dialer { return &socket.Dialer{Dialer: net.Dialer{Timeout: dialTimeout}} }
+
 func newUpstream(base string, stallTimeout time.Duration, clock clockwork.Clock) *upstream {
 	u := &upstream{
-		base: base, dialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, stallTimeout: stallTimeout, clock: clock,
+		base: base, dialContext: newDialer().DialContext, stallTimeout: stallTimeout, clock: clock,
 		onAnswer: func(http.Header, time.Time) {}, log: zap.NewNop(),
 	}
 	transport := &http.Transport{
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -31,7 +31,7 @@
 // Dial connects to a process and runs the connection in the background until
 // ctx is done.
 func Dial(ctx context.Context, address string, handler wire.Handler) (*wire.Conn, error) {
-	nc, err := socket.Dialer(dialTimeout, linkSilenceTimeout).DialContext(ctx, "tcp", address)
+	nc, err := socket.NewDialer(dialTimeout, linkSilenceTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, err, "no action needed; the connection is retried", "connecting to %s", address)
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -15,21 +15,21 @@
 // connection is closed.
 const keepAliveProbes = 2
 
-// Dialer returns a dialer whose connections fail after about ackTimeout without
+// NewDialer returns a dialer whose connections fail after about ackTimeout without
 // an acknowledgement from the peer's host, whether or not data is in flight.
 // connectTimeout bounds the handshake.
-func Dialer(connectTimeout, ackTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{
+func NewDialer(connectTimeout, ackTimeout time.Duration) *Dialer {
+	return &Dialer{net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: keepAlive(ackTimeout),
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return setUserTimeout(raw, ackTimeout)
 		},
-	}
+	}}
 }
 
 // ListenConfig returns the options of a listener whose connections fail after
-// about ackTimeout without an acknowledgement, as those of Dialer do.
+// about ackTimeout without an acknowledgement, as those of NewDialer do.
 func ListenConfig(ackTimeout time.Duration) *net.ListenConfig {
 	return &net.ListenConfig{
 		KeepAliveConfig: keepAlive(ackTimeout),
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -18,7 +17,7 @@
 // It is safe for concurrent use; mu is a leaf lock.
 type Transport struct {
 	opts   Options
-	dialer *net.Dialer
+	dialer *socket.Dialer
 
 	mu        sync.Mutex
 	connPools map[string]*connPool
@@ -36,7 +35,7 @@
 // NewTransport returns a transport without open connections.
 func NewTransport(opts Options) *Transport {
 	opts = opts.withDefaults()
-	return &Transport{opts: opts, dialer: socket.Dialer(opts.ConnectTimeout, opts.AckTimeout), connPools: map[string]*connPool{}}
+	return &Transport{opts: opts, dialer: socket.NewDialer(opts.ConnectTimeout, opts.AckTimeout), connPools: map[string]*connPool{}}
 }
 
 // ConnectionsOpened returns the number of connections that the transport has
@@ -245,7 +244,7 @@
 // connection so that request data that the upstream's host has not yet accepted
 // is never delivered.
 func (t *Transport) resetConn(address string, c *conn) {
-	if tc, ok := c.nc.(*net.TCPConn); ok {
+	if tc, ok := c.nc.(*socket.Conn); ok {
 		_ = tc.SetLinger(0) // it fails only if the connection is already closed
 	}
 	t.closeConn(address, c)
