httphead: an answer whose status isn't one of HTTP is none

Callers saw status 600 and 999 as they came, on both interfaces. An upstream in trouble that answered with 000 (also 001, 099, +20, 101) held the gateway's caller until its deadline; and if the body of that answer looked like an answer, the caller got that one.

Cause: net/http parses any three characters that make a number. The gateway took each status below 200 for that of an informational head, which has no body, and read the body as the next head. The agent took each status from 200 on.

Change: httphead.Check refuses a status outside 100 to 599, and 101, since no request asks for another protocol. The gateway checks each head, also of the answers to its liveness calls; the clients of replicas, store and maps and the agent's clients check theirs in httphead.Transport, its liveness check where it reads the head. The connection is closed, so that nothing behind the head is read. Such an answer is an unknown result at the gateway and for an order, a failed one at the agent, as 101 was there before.

The clients of the store and the VM list took none of them before: their tests stay. Malformed ones (20, 2000, -01, 2x0) were refused before and are. cut_test reaches the wrapped transport; its checks are unchanged.

--- a/internal/agent/cut_test.go
+++ b/internal/agent/cut_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/expertmap"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/httphead"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
@@ -184,7 +185,7 @@
 				p, dial := c.start(t)
 				defer p.end(nil)
 				engine, u := newMapEngine("http://engine"), newUpstream("http://engine", time.Minute, clockwork.NewRealClock())
-				engine.http.Transport.(*http.Transport).DialContext, u.dialContext = dial, dial
+				engine.http.Transport.(httphead.Transport).DialContext, u.dialContext = dial, dial
 				yes, voteErr := engine.Hold(expertmap.SwitchID{Round: 1, Version: 2, Step: 9}, 1)
 				l, loadErr := u.load(t.Context())
 				return yes, voteErr, l, loadErr
--- a/internal/agent/liveness.go
+++ b/internal/agent/liveness.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/kingcupreel/kingcupreel/internal/httphead"
 	"github.com/kingcupreel/kingcupreel/internal/socket"
 )
 
@@ -155,6 +156,9 @@
 	if err := req.Write(conn); err != nil {
 		return err
 	}
-	_, err = http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxPingHead)), req)
-	return err
+	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxPingHead)), req)
+	if err != nil {
+		return err
+	}
+	return httphead.Check(resp)
 }
--- a/internal/agent/mapengine.go
+++ b/internal/agent/mapengine.go
@@ -11,6 +11,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/engineapi"
 	"github.com/kingcupreel/kingcupreel/internal/expertmap"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/httphead"
 )
 
 // mapCallTimeout bounds a call to the engine about expert maps.
@@ -28,7 +29,7 @@
 // an earlier answer again on a kept one, and answers don't name their call.
 func newMapEngine(base string) *mapEngine {
 	transport := &http.Transport{DialContext: newDialer().DialContext, DisableKeepAlives: true, DisableCompression: true}
-	return &mapEngine{base: base, http: &http.Client{Transport: transport, Timeout: mapCallTimeout}}
+	return &mapEngine{base: base, http: &http.Client{Transport: httphead.Transport{Transport: transport}, Timeout: mapCallTimeout}}
 }
 
 // call sends a POST with the JSON of body, or a GET if body is nil, and decodes
--- /dev/null
+++ b/internal/agent/odd_heads_test.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/expertmap"
+	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/standin/raw"
+)
+
+// expectNoAnswer checks that nothing of an answer is sent to the entry, whether or not the request
+// asks for a stream, and that no call of the agent's own takes it for an answer. answer returns
+// the whole answer with a content type and a body.
+func expectNoAnswer(t *testing.T, answer func(contentType, body string) string) {
+	t.Helper()
+	g := NewWithT(t)
+	for contentType, body := range map[string]string{"text/plain": "whole", "text/event-stream": "data: {}\n\ndata: [DONE]\n\n"} {
+		u := newRawUpstream(t, func(*http.Request) raw.Answer {
+			return raw.Answer{Text: answer(contentType, body), ReadFirst: true, End: raw.Close}
+		})
+		r, o, err := callWith(u, []byte("order"), contentType == "text/event-stream")
+		g.Expect(o).To(Equal(outcome.Failed), contentType)
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(r.head).To(BeNil(), "%s: %s", contentType, r.received())
+	}
+	load := newRawUpstream(t, func(*http.Request) raw.Answer {
+		return raw.Answer{Text: answer("application/json", `{"running":11,"queued":12,"capacity":13}`), End: raw.Close}
+	})
+	_, err := load.load(t.Context())
+	g.Expect(err).To(HaveOccurred(), "load")
+	vote := newRawUpstream(t, func(*http.Request) raw.Answer {
+		return raw.Answer{Text: answer("application/json", `{"yes":true}`), End: raw.Close}
+	})
+	_, err = newMapEngine(vote.base).Hold(expertmap.SwitchID{Round: 1, Version: 2, Step: 9}, 1)
+	g.Expect(err).To(HaveOccurred(), "vote")
+	ping, err := raw.Serve(func(*http.Request) raw.Answer {
+		return raw.Answer{Text: answer("text/plain", ""), End: raw.Close}
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ping.Close()
+	load.base = "http://" + ping.Address()
+	conn, err := load.dial(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	g.Expect(load.ping(t.Context(), conn)).To(HaveOccurred(), "liveness check")
+}
+
+// An upstream's status is none that HTTP has. Guards against such an answer being sent on.
+func TestStatusOutsideOfItsRangeIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "600", "999", "101"} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			expectNoAnswer(t, func(contentType, body string) string {
+				return fmt.Sprintf("HTTP/1.1 %s Odd\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", status, contentType, len(body), body)
+			})
+		})
+	}
+}
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -20,6 +20,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/engineapi"
 	"github.com/kingcupreel/kingcupreel/internal/eventstream"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/httphead"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/socket"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -76,7 +77,7 @@
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
-	u.http = &http.Client{Transport: transport, CheckRedirect: returnRedirect}
+	u.http = &http.Client{Transport: httphead.Transport{Transport: transport}, CheckRedirect: returnRedirect}
 	return u
 }
 
@@ -104,9 +105,6 @@
 	}
 	defer resp.Body.Close()
 	u.onAnswer(resp.Header, calledAt)
-	if resp.StatusCode < http.StatusOK {
-		return outcome.Failed, fault.New(fault.Crashed, "see the upstream's logs", "the upstream answered with status %d, which isn't final", resp.StatusCode)
-	}
 	contentType := resp.Header.Get("Content-Type")
 	r.sendHead(resp.StatusCode, contentType)
 	stream := eventstream.IsStream(contentType)
@@ -170,12 +168,16 @@
 }
 
 // callError returns the outcome of a call without a response. If the dial failed,
-// the upstream has not received the call; otherwise the outcome is unknown.
+// the upstream has not received the call. If the head of the response is invalid, the upstream
+// has failed with the call; otherwise the outcome is unknown.
 func callError(r *run, err error) (outcome.Outcome, error) {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return outcome.NotRun, fault.Wrap(fault.Unavailable, err, "send the request again", "can't connect to the upstream")
 	}
+	if errors.Is(err, httphead.ErrInvalid) {
+		return outcome.Failed, fault.Wrap(fault.Crashed, err, "see the upstream's logs", "the upstream broke the protocol")
+	}
 	return outcome.Unknown, abortError(r, err, "the upstream gave no answer")
 }
 
--- /dev/null
+++ b/internal/gateway/odd_heads_test.go
@@ -0,0 +1,66 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupreel/kingcupreel/internal/standin/raw"
+)
+
+// expectNoAnswer checks that callers get nothing of an answer on any route, but an error of the
+// gateway, and that such an answer to a liveness call proves nothing. answer returns the answer for
+// the head of a whole one.
+func expectNoAnswer(t *testing.T, answer func(head string) string) {
+	t.Helper()
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/once/x"} {
+		for _, end := range []raw.End{raw.Keep, raw.Close} {
+			g := NewWithT(t)
+			f := newRawFixture(t, 1, func(r *http.Request) raw.Answer {
+				if r.URL.Path == livenessPath {
+					return answerLivenessCall()
+				}
+				return raw.Answer{Text: answer(rawHead(r)), ReadFirst: true, End: end}
+			})
+			status, h, body, err := f.send(f.request(http.MethodPost, path, "order"))
+			what := fmt.Sprintf("%s, %d: %s", path, end, body)
+			g.Expect(err).NotTo(HaveOccurred(), what)
+			g.Expect(status).To(Equal(http.StatusBadGateway), what)
+			g.Expect(h.Get("Server-Stamp")).To(BeEmpty(), what)
+			g.Expect(f.arrived()).To(HaveLen(1), what)
+		}
+	}
+	g := NewWithT(t)
+	f := newRawFixture(t, 1, func(r *http.Request) raw.Answer {
+		if r.URL.Path == livenessPath {
+			return raw.Answer{Text: answer(rawHead(r)), End: raw.Close}
+		}
+		return raw.Answer{Text: rawHead(r) + "\r\nwhole", ReadFirst: true, End: raw.Close}
+	})
+	status, _, body, err := f.send(f.request(http.MethodPost, "/unsafe/x", "order"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusBadGateway), "liveness call: %s", body)
+	g.Expect(f.arrived()).To(HaveLen(2))
+}
+
+// An upstream's status is none that HTTP has. Guards against such an answer being delivered, and
+// against its body being read as the next head, since a status below 200 isn't final.
+func TestStatusOutsideOfItsRangeIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "20", "2000", "+20", "-01", "600", "999", "2x0", "101"} {
+		for name, body := range map[string]func(head string) string{
+			"a body":                           func(string) string { return "whole" },
+			"a body that looks like an answer": func(head string) string { return head + "Content-Length: 5\r\n\r\nwhole" },
+		} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				t.Parallel()
+				expectNoAnswer(t, func(head string) string {
+					odd := strings.Replace(head, "200 OK", status+" Odd", 1)
+					return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", odd, len(body(head)), body(head))
+				})
+			})
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/kingcupreel/kingcupreel/internal/httphead"
 )
 
 const (
@@ -131,7 +133,8 @@
 }
 
 // readHead reads the head of the next response, skipping informational (1xx)
-// ones. All of them together may have maxHeadBytes.
+// ones. All of them together may have maxHeadBytes. After an error, what follows on the
+// connection belongs to no response.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.limit.left = maxHeadBytes
 	defer func() { c.limit.left = unlimited }()
@@ -143,6 +146,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httphead.Check(resp); err != nil {
+			return nil, err
+		}
 		if method == http.MethodHead {
 			resp.ContentLength = 0 // the header's length is that of the answer to GET
 		}
