httphead: an answer with a blank in the name of a field is none

Callers saw such an answer of an upstream in trouble as one with status 200 and without that line. Where the line stated the framing (Transfer-Encoding : chunked) the body was not the upstream's: sizes of chunks and all came as the body once the connection ended, or the caller waited until its deadline.

Cause: net/textproto takes a blank in a field's name and keeps the name as it is, so that no reader finds the field; the server that writes to the caller leaves it out.

Change: httphead.Check refuses a head with a name that isn't a token, by httpguts of golang.org/x/net, which was an indirect dependency.

The others (tabs, control bytes, bytes above 127, no name, no colon, a control byte in a value) were refused before; the tests keep that. Names in trailers aren't checked: trailers are not passed on, and the chunks before them are whole.

--- a/internal/gateway/odd_heads_test.go
+++ b/internal/gateway/odd_heads_test.go
@@ -64,3 +64,41 @@
 		}
 	}
 }
+
+// A line in the head of an answer isn't a field. Guards against such an answer being delivered
+// without that line, or with a body that isn't the upstream's where the line states the framing.
+func TestHeadWithAnOddFieldIsNoAnswer(t *testing.T) {
+	const chunks = "5\r\nwhole\r\n0\r\n\r\n"
+	for line, body := range map[string]string{
+		"X Odd: 1":                     "whole",
+		"X-Odd : 1":                    "whole",
+		"X-Odd  \t: 1":                 "whole",
+		"X\tOdd: 1":                    "whole",
+		"X-Odd\t: 1":                   "whole",
+		"X\x00Odd: 1":                  "whole",
+		"X\x0bOdd: 1":                  "whole",
+		"X\x7fOdd: 1":                  "whole",
+		"X\x80Odd: 1":                  "whole",
+		"X\rOdd: 1":                    "whole",
+		"X(Odd): 1":                    "whole",
+		": 1":                          "whole",
+		" : 1":                         "whole",
+		"X-Odd":                        "whole",
+		"X-Odd: \x01":                  "whole",
+		"Content-Length : 3":           "whole",
+		"Content Length: 3":            "whole",
+		"Transfer-Encoding : chunked":  chunks,
+		"Transfer-Encoding\t: chunked": chunks,
+		"Transfer Encoding: chunked":   chunks,
+	} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			t.Parallel()
+			expectNoAnswer(t, func(head string) string {
+				if body == "whole" && !strings.HasPrefix(line, "Content") {
+					head += "Content-Length: 5\r\n"
+				}
+				return strings.Replace(head, "\r\n", "\r\n"+line+"\r\n", 1) + "\r\n" + body
+			})
+		})
+	}
+}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net/http"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 )
 
@@ -26,6 +28,11 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return fault.Wrap(fault.Mismatch, ErrInvalid, remedy, "a response switches to a protocol that wasn't asked for")
 	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fault.Wrap(fault.Mismatch, ErrInvalid, remedy, "a response has a field with the name %.64q", name)
+		}
+	}
 	return nil
 }
 
--- a/internal/vmlist/odd_heads_test.go
+++ b/internal/vmlist/odd_heads_test.go
@@ -46,3 +46,14 @@
 		})
 	}
 }
+
+// A line in the head of an answer isn't a field. Guards against a list being taken from it.
+func TestHeadWithAnOddFieldIsNoList(t *testing.T) {
+	for _, line := range []string{"X Odd: 1", "X-Odd : 1", "X\tOdd: 1", "X\x00Odd: 1", "X\x80Odd: 1", ": 1", "X-Odd", "Content-Length : 3"} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			expectNoList(t, func(body string) string {
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(body), body)
+			})
+		})
+	}
+}
