httphead: HTTP/1.0 has no transfer codings, in the agent and behind long heads too

An upstream answered with HTTP/1.0 and chunks. The agent sent the chunks, sizes and all, on as a whole body. The gateway did so if the head was longer than its read buffer of 4 KB, or held the caller until its deadline where the connection stayed open.

Cause: net/http drops the field that names a transfer coding in HTTP/1.0 and reads to the end of the connection. The gateway looked for the field by peeking into its buffer; the agent didn't look.

Change: httphead.FramingScanner looks at the bytes of the heads as they are read, so that no buffer bounds it. It replaces the gateway's peeking and stands in the agent's connections to its upstream, which serve one request each (not through TLS, where it sees only ciphertext).

--- a/internal/agent/liveness.go
+++ b/internal/agent/liveness.go
@@ -156,7 +156,7 @@
 	if err := req.Write(conn); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxPingHead)), req)
+	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(httphead.NewConn(conn), maxPingHead)), req)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/odd_heads_test.go
+++ b/internal/agent/odd_heads_test.go
@@ -87,3 +87,25 @@
 		})
 	}
 }
+
+// An answer of HTTP/1.0, which has no transfer codings, names one. Guards against chunks that are
+// sent on as the body.
+func TestTransferCodingOfHTTP10IsNoAnswer(t *testing.T) {
+	for name, start := range map[string]string{
+		"short":                         "HTTP/1.0 200 OK\r\n",
+		"long line":                     "HTTP/1.0 200 OK\r\nX-Long: " + strings.Repeat("x", 5000) + "\r\n",
+		"after an informational answer": "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\nHTTP/1.0 200 OK\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			expectNoAnswer(t, chunkedAfter(start))
+		})
+	}
+}
+
+// chunkedAfter returns a function that returns an answer with chunks, whose head begins with start.
+func chunkedAfter(start string) func(contentType, body string) string {
+	return func(contentType, body string) string {
+		return fmt.Sprintf("%sContent-Type: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", start, contentType, len(body), body)
+	}
+}
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -72,7 +72,11 @@
 	}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return u.dialContext(ctx, network, address)
+			conn, err := u.dialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return httphead.NewConn(conn), nil
 		},
 		DisableKeepAlives:  true,
 		DisableCompression: true,
--- a/internal/gateway/odd_heads_test.go
+++ b/internal/gateway/odd_heads_test.go
@@ -102,3 +102,22 @@
 		})
 	}
 }
+
+// An answer of HTTP/1.0, which has no transfer codings, names one. Guards against chunks that are
+// delivered as the body, also behind a head that exceeds the read buffer.
+func TestTransferCodingOfHTTP10IsNoAnswer(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+	for name, c := range map[string]struct{ version, rest string }{
+		"short":                         {"HTTP/1.0", chunked},
+		"long line":                     {"HTTP/1.0", "X-Long: " + strings.Repeat("x", 5000) + "\r\n" + chunked},
+		"long head":                     {"HTTP/1.0", strings.Repeat("X-Long: "+strings.Repeat("x", 500)+"\r\n", 100) + chunked},
+		"continued line":                {"HTTP/1.0", "X-Long: a\r\n b\r\n" + chunked},
+		"line feeds":                    {"HTTP/1.0", strings.ReplaceAll(chunked, "\r\n", "\n")},
+		"after an informational answer": {"HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\nHTTP/1.0", chunked},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			expectNoAnswer(t, func(head string) string { return strings.Replace(head, "HTTP/1.1", c.version, 1) + c.rest })
+		})
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,8 +42,8 @@
 // conn is one connection to an upstream. One request uses it at a time.
 type conn struct {
 	nc net.Conn
-	// limit bounds what br reads from nc while the head of a response is read.
-	limit *readLimit
+	// heads checks what br reads from nc while the head of a response is read.
+	heads *headReader
 	br    *bufio.Reader
 	used  bool
 	// openedAt is the time when the connection was established.
@@ -63,28 +61,37 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	limit := &readLimit{r: nc, left: unlimited}
-	return &conn{nc: nc, openedAt: time.Now(), limit: limit, br: bufio.NewReaderSize(limit, readBufferSize)}
+	heads := &headReader{r: nc}
+	return &conn{nc: nc, openedAt: time.Now(), heads: heads, br: bufio.NewReaderSize(heads, readBufferSize)}
 }
 
-// unlimited is the number of bytes that may be read when there is no limit.
-const unlimited = math.MaxInt64
+// headReader is a reader of a connection. While a head is expected, it fails once more than
+// maxHeadBytes have been read, or if the framing of the response can't be trusted.
+type headReader struct {
+	r        io.Reader
+	expected bool
+	left     int
+	framing  httphead.FramingScanner
+}
 
-// readLimit is a reader that fails with errHeadTooLarge once left bytes have been read.
-type readLimit struct {
-	r    io.Reader
-	left int64
+// expect begins with the heads of a response, of which the first bytes have been read already.
+func (h *headReader) expect(buffered []byte) error {
+	h.expected, h.left, h.framing = true, maxHeadBytes, httphead.FramingScanner{}
+	return h.framing.Scan(buffered)
 }
 
+func (h *headReader) end() { h.expected = false }
+
 // Read implements io.Reader.
-func (l *readLimit) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errHeadTooLarge
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.expected {
+		return h.r.Read(p)
 	}
-	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
-	if l.left != unlimited {
-		l.left -= int64(n)
+	if h.left <= 0 {
+		return 0, errHeadTooLarge
 	}
+	n, err := h.framing.Read(h.r, p[:min(len(p), h.left)])
+	h.left -= n
 	return n, err
 }
 
@@ -136,12 +143,12 @@
 // ones. All of them together may have maxHeadBytes. After an error, what follows on the
 // connection belongs to no response.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limit.left = maxHeadBytes
-	defer func() { c.limit.left = unlimited }()
+	buffered, _ := c.br.Peek(c.br.Buffered()) // can't fail
+	if err := c.heads.expect(buffered); err != nil {
+		return nil, err
+	}
+	defer c.heads.end()
 	for {
-		if err := c.checkFraming(); err != nil {
-			return nil, err
-		}
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -158,45 +165,6 @@
 	}
 }
 
-// checkFraming returns an error if the next response is of HTTP/1.0 and names a transfer coding,
-// which that version doesn't have. http.ReadResponse would take the chunks for the body.
-func (c *conn) checkFraming() error {
-	const version = "HTTP/1.0 "
-	for n := 1; n <= len(version); n++ {
-		start, err := c.br.Peek(n)
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
-		if start[n-1] != version[n-1] {
-			return nil
-		}
-	}
-	for n := len(version); ; {
-		if _, err := c.br.Peek(n); err != nil {
-			return nil // http.ReadResponse meets the same end
-		}
-		head, _ := c.br.Peek(c.br.Buffered()) // can't fail
-		if end := endOfHead(head); end >= 0 {
-			if bytes.Contains(bytes.ToLower(head[:end]), []byte("\ntransfer-encoding:")) {
-				return errFraming
-			}
-			return nil
-		}
-		n = len(head) + 1
-	}
-}
-
-// endOfHead returns the index of the blank line that ends a head, -1 if there is none.
-func endOfHead(b []byte) int {
-	if end := bytes.Index(b, []byte("\n\r\n")); end >= 0 {
-		return end
-	}
-	return bytes.Index(b, []byte("\n\n"))
-}
-
 // abortOnDone aborts reads and writes on the connection when ctx ends. The
 // returned function cancels this; it returns false if the abort has already
 // started.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -160,7 +160,6 @@
 	errMismatched      = fault.New(fault.Mismatch, "no action needed; the connection is closed", "the response belongs to another request")
 	errEncoded         = fault.New(fault.Mismatch, "look for an intermediary that encodes responses; the response is discarded", "the response body has a content encoding")
 	errHeadTooLarge    = fault.New(fault.TooLarge, "see the upstream's logs; the connection is closed", "the head of the response exceeds %d bytes", maxHeadBytes)
-	errFraming         = fault.New(fault.Mismatch, "see the upstream's logs; the connection is closed", "an HTTP/1.0 response names a transfer coding")
 	errTooLarge        = fault.New(fault.TooLarge, "raise the limit on response bodies", "the response body is too large")
 )
 
