httphead: an answer of a version other than HTTP/1 is none

With HTTP/0.9 and chunks the body was the chunks, or the gateway's caller waited until its deadline.

Cause: net/http takes any two digits for a version and reads those below 1.1 without transfer codings.

Change: httphead.Check refuses a major version other than 1.

--- a/internal/agent/odd_heads_test.go
+++ b/internal/agent/odd_heads_test.go
@@ -103,6 +103,16 @@
 	}
 }
 
+// Guards against an answer of a version that isn't spoken.
+func TestOddVersionIsNoAnswer(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.1"} {
+		t.Run(version, func(t *testing.T) {
+			t.Parallel()
+			expectNoAnswer(t, chunkedAfter(version+" 200 OK\r\n"))
+		})
+	}
+}
+
 // chunkedAfter returns a function that returns an answer with chunks, whose head begins with start.
 func chunkedAfter(start string) func(contentType, body string) string {
 	return func(contentType, body string) string {
--- a/internal/gateway/odd_heads_test.go
+++ b/internal/gateway/odd_heads_test.go
@@ -121,3 +121,18 @@
 		})
 	}
 }
+
+// Guards against an answer of a version that isn't spoken.
+func TestOddVersionIsNoAnswer(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.1"} {
+		for name, rest := range map[string]string{
+			"length": "Content-Length: 5\r\n\r\nwhole",
+			"chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		} {
+			t.Run(version+" "+name, func(t *testing.T) {
+				t.Parallel()
+				expectNoAnswer(t, func(head string) string { return strings.Replace(head, "HTTP/1.1", version, 1) + rest })
+			})
+		}
+	}
+}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -22,6 +22,9 @@
 // Check returns an error if the head of a response, which may be an informational one, isn't
 // valid. What follows such a head on its connection belongs to no response.
 func Check(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return fault.Wrap(fault.Mismatch, ErrInvalid, remedy, "a response is of version %.16q", resp.Proto)
+	}
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
 		return fault.Wrap(fault.Mismatch, ErrInvalid, remedy, "a response has status %d", resp.StatusCode)
 	}
