agent: an answer with an invalid head is no crash of the upstream

What callers saw: with an upstream that answers 000 or 101 the agent reported a crash, and all requests in flight there were suspected of it; three such reports without a success between refuse them and what they share. Since the heads are checked, 600, 999, a blank in a name and a transfer coding of HTTP/1.0 would count as well, and what was delivered before would cost sound requests.

Cause: the agent counts each failure of the kind "crashed" as the end of the upstream. A process that has answered, however oddly, is running.

Change: an invalid head ends its call with the same outcome and kind, so that an idempotent request is retried, but isn't reported as a crash.

TestInvalidHeadIsNoCrash failed before, at 000. Heads that net/http itself refuses count as before; so do answers that break off.

--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -1,9 +1,12 @@
 package agent
 
 import (
+	"errors"
+
 	"github.com/google/uuid"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/httphead"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
@@ -36,11 +39,12 @@
 
 // callUpstream runs an attempt at the upstream. A crash is attributed to all
 // requests in flight there, and reported before the attempt's outcome is sent.
+// An upstream that answers with an invalid head is running.
 func (a *Agent) callUpstream(r *run) (outcome.Outcome, error) {
 	f := a.inFlight.Start(suspectOf(r.dispatch), r.answerStarted)
 	defer a.inFlight.End(f)
 	o, err := a.upstream.run(r)
-	if fault.KindOf(err) == fault.Crashed {
+	if fault.KindOf(err) == fault.Crashed && !errors.Is(err, httphead.ErrInvalid) {
 		a.inFlight.Crashed(f, a.reportCrash)
 	}
 	return o, err
--- a/internal/agent/odd_heads_test.go
+++ b/internal/agent/odd_heads_test.go
@@ -6,11 +6,17 @@
 	"strings"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
+	"github.com/kingcupreel/kingcupreel/internal/config"
+	"github.com/kingcupreel/kingcupreel/internal/config/codec"
 	"github.com/kingcupreel/kingcupreel/internal/expertmap"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/standin/raw"
+	"github.com/kingcupreel/kingcupreel/internal/timeline"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
 // expectNoAnswer checks that nothing of an answer is sent to the entry, whether or not the request
@@ -113,6 +119,27 @@
 	}
 }
 
+// Guards against requests that are suspected of crashing an upstream which is running.
+func TestInvalidHeadIsNoCrash(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 000 Odd\r\n\r\n",
+		"HTTP/1.1 600 Odd\r\n\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		g := NewWithT(t)
+		u := newRawUpstream(t, func(*http.Request) raw.Answer { return raw.Answer{Text: answer, ReadFirst: true, End: raw.Close} })
+		a := New(Options{Target: u.base, Workers: 1, Store: config.NewStore(codec.Decode), Events: timeline.NewRing("a", 16, clockwork.NewRealClock()), Metrics: metrics.NewRegistry()})
+		r := newRun(&wire.Dispatch{Method: http.MethodPost, Path: "/", Body: []byte("order")}, nil)
+		o, err := a.callUpstream(r)
+		r.close()
+		g.Expect(o).To(Equal(outcome.Failed), answer)
+		g.Expect(err).To(HaveOccurred(), answer)
+		g.Expect(a.quarantine.Empty()).To(BeTrue(), answer)
+	}
+}
+
 // chunkedAfter returns a function that returns an answer with chunks, whose head begins with start.
 func chunkedAfter(start string) func(contentType, body string) string {
 	return func(contentType, body string) string {
