agent: bounds on heads and on the engine's answers about maps

Cause: the agent's clients left the bound on heads at net/http's default of 10 MB, whose fields take many times that in memory, and the answer about a map was decoded from the connection without a bound.

An answer about a map may have 4 MB.

--- a/internal/agent/liveness.go
+++ b/internal/agent/liveness.go
@@ -20,8 +20,6 @@
 	// livenessInterval is how often a livenessCheck replaces its connection, since
 	// servers close connections on which no request arrives.
 	livenessInterval = 1 * time.Second
-	// maxPingHead bounds the head of the answer to a ping, in bytes.
-	maxPingHead = 64 << 10
 )
 
 var errEarlyData = errors.New("the upstream wrote to the connection or closed it before a request was sent")
@@ -156,7 +154,7 @@
 	if err := req.Write(conn); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(httphead.NewConn(conn), maxPingHead)), req)
+	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(httphead.NewConn(conn), httphead.MaxBytes)), req)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/mapengine.go
+++ b/internal/agent/mapengine.go
@@ -14,8 +14,13 @@
 	"github.com/kingcupreel/kingcupreel/internal/httphead"
 )
 
-// mapCallTimeout bounds a call to the engine about expert maps.
-const mapCallTimeout = 2 * time.Second
+const (
+	// mapCallTimeout bounds a call to the engine about expert maps.
+	mapCallTimeout = 2 * time.Second
+	// maxMapAnswer bounds the body of the engine's answer, in bytes. The largest one is a status
+	// with its map, which has some 25 bytes a slot.
+	maxMapAnswer = 4 << 20
+)
 
 // mapEngine is the client of the expert map interface of this VM's engine.
 type mapEngine struct {
@@ -29,7 +34,7 @@
 // an earlier answer again on a kept one, and answers don't name their call.
 func newMapEngine(base string) *mapEngine {
 	transport := &http.Transport{DialContext: newDialer().DialContext, DisableKeepAlives: true, DisableCompression: true}
-	return &mapEngine{base: base, http: &http.Client{Transport: httphead.Transport{Transport: transport}, Timeout: mapCallTimeout}}
+	return &mapEngine{base: base, http: &http.Client{Transport: httphead.NewTransport(transport), Timeout: mapCallTimeout}}
 }
 
 // call sends a POST with the JSON of body, or a GET if body is nil, and decodes
@@ -55,7 +60,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return engineError(resp)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxMapAnswer)).Decode(out); err != nil {
 		return fault.Wrap(fault.Unavailable, err, "send the order again", "reading the engine's answer to %s", path)
 	}
 	return nil
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -81,7 +81,7 @@
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
-	u.http = &http.Client{Transport: httphead.Transport{Transport: transport}, CheckRedirect: returnRedirect}
+	u.http = &http.Client{Transport: httphead.NewTransport(transport), CheckRedirect: returnRedirect}
 	return u
 }
 
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -14,6 +14,10 @@
 // ErrInvalid is the cause of each error of this package.
 var ErrInvalid = errors.New("the head is invalid")
 
+// MaxBytes bounds the head of a response, with the informational ones before it, in bytes: common
+// servers send a few kilobytes at most.
+const MaxBytes = 64 << 10
+
 const remedy = "see the server's logs; the connection is closed"
 
 // maxStatus is the highest status of HTTP.
@@ -42,6 +46,12 @@
 // Transport is an http.Transport that returns an error for a response with an invalid head.
 type Transport struct{ *http.Transport }
 
+// NewTransport returns a Transport over t, whose heads may have MaxBytes.
+func NewTransport(t *http.Transport) Transport {
+	t.MaxResponseHeaderBytes = MaxBytes
+	return Transport{t}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.Transport.RoundTrip(r)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -25,9 +25,6 @@
 	// announces, because the upstream counts it from the moment that it wrote the
 	// response.
 	idleTimeoutMargin = 1 * time.Second
-	// maxHeadBytes bounds the head of a response, in bytes: common servers send a few
-	// kilobytes at most.
-	maxHeadBytes = 64 << 10
 	// maxDiscardedBody bounds a body that is read only to reuse its connection, in
 	// bytes.
 	maxDiscardedBody = 64 << 10
@@ -65,8 +62,8 @@
 	return &conn{nc: nc, openedAt: time.Now(), heads: heads, br: bufio.NewReaderSize(heads, readBufferSize)}
 }
 
-// headReader is a reader of a connection. While a head is expected, it fails once more than
-// maxHeadBytes have been read, or if the framing of the response can't be trusted.
+// headReader is a reader of a connection. While a head is expected, it fails once
+// httphead.MaxBytes have been read, or if the framing of the response can't be trusted.
 type headReader struct {
 	r        io.Reader
 	expected bool
@@ -76,7 +73,7 @@
 
 // expect begins with the heads of a response, of which the first bytes have been read already.
 func (h *headReader) expect(buffered []byte) error {
-	h.expected, h.left, h.framing = true, maxHeadBytes, httphead.FramingScanner{}
+	h.expected, h.left, h.framing = true, httphead.MaxBytes, httphead.FramingScanner{}
 	return h.framing.Scan(buffered)
 }
 
@@ -140,7 +137,7 @@
 }
 
 // readHead reads the head of the next response, skipping informational (1xx)
-// ones. All of them together may have maxHeadBytes. After an error, what follows on the
+// ones. All of them together may have httphead.MaxBytes. After an error, what follows on the
 // connection belongs to no response.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	buffered, _ := c.br.Peek(c.br.Buffered()) // can't fail
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/httphead"
 )
 
 // Call is one request to an upstream.
@@ -159,7 +160,7 @@
 	errConnectionLimit = fault.New(fault.Overloaded, "try another upstream", "all connections to the upstream are in use")
 	errMismatched      = fault.New(fault.Mismatch, "no action needed; the connection is closed", "the response belongs to another request")
 	errEncoded         = fault.New(fault.Mismatch, "look for an intermediary that encodes responses; the response is discarded", "the response body has a content encoding")
-	errHeadTooLarge    = fault.New(fault.TooLarge, "see the upstream's logs; the connection is closed", "the head of the response exceeds %d bytes", maxHeadBytes)
+	errHeadTooLarge    = fault.New(fault.TooLarge, "see the upstream's logs; the connection is closed", "the head of the response exceeds %d bytes", httphead.MaxBytes)
 	errTooLarge        = fault.New(fault.TooLarge, "raise the limit on response bodies", "the response body is too large")
 )
 
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -64,7 +64,7 @@
 // New returns a client for the list at the base URL, such as
 // http://127.0.0.1:2000. Each read is limited to timeout.
 func New(base string, timeout time.Duration, log *zap.Logger) *Client {
-	return &Client{base: base, http: &http.Client{Transport: httphead.Transport{Transport: http.DefaultTransport.(*http.Transport).Clone()}}, timeout: timeout, log: log}
+	return &Client{base: base, http: &http.Client{Transport: httphead.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}, timeout: timeout, log: log}
 }
 
 // VMs implements kvstore.VMList. If the server sent an entity tag with the last
