agent: an answer without end neither fills the memory nor ends other requests

A call that must not run twice would go on so for ten minutes after its entry has cancelled it, since it has to complete (by reading).

Cause: nothing slowed the reading of an answer. The queue of a connection to an entry is bounded by messages, 4,096 of up to 1 MB; an engine on the same VM fills it faster than the entry reads, and a full queue closes the connection.

Change: wire.Conn.AwaitRoom; the agent waits before each chunk while 512 KB are unsent, so that the engine's connection fills instead. Its stall timer doesn't run meanwhile. An answer that isn't a stream ends at wire.MaxAnswerBody, beyond which the entry never delivered one. A cancelled call that has to complete goes on without its entry and without a replay, and ends after as much without a receiver. An answer that is too large isn't reported as a crash.

Each run may still keep 1 MB for a replay, as designed.

--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -92,6 +92,7 @@
 	state := a.journal.fence(c.Peer().Incarnation, m.ID)
 	if !m.OnlyIfWaiting {
 		a.remove(r)
+		r.abandon()
 	}
 	return state
 }
@@ -172,6 +173,10 @@
 	if a.runs[id] != r {
 		return
 	}
+	if r.isAbandoned() {
+		a.remove(r)
+		return
+	}
 	r.setTimer(a.opts.Clock, releaseTimeout, func() { a.release(&wire.Release{ID: id}) })
 }
 
--- a/internal/agent/endless_test.go
+++ b/internal/agent/endless_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,22 +33,24 @@
 // heapPeak calls f and returns the largest heap meanwhile, in bytes.
 func heapPeak(f func()) uint64 {
 	runtime.GC()
-	done := make(chan struct{})
+	done, peak := make(chan struct{}), make(chan uint64, 1)
 	go func() {
-		defer close(done)
-		f()
-	}()
-	var peak uint64
-	for {
 		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		peak = max(peak, m.HeapAlloc)
-		select {
-		case <-done:
-			return peak
-		case <-time.After(2 * time.Millisecond):
+		var largest uint64
+		for {
+			runtime.ReadMemStats(&m)
+			largest = max(largest, m.HeapAlloc)
+			select {
+			case <-done:
+				peak <- largest
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
 		}
-	}
+	}()
+	f()
+	close(done)
+	return <-peak
 }
 
 // entryPeer is an entry's connection to an agent. It cancels an attempt once, when the entry
@@ -100,7 +104,7 @@
 	p.t.Helper()
 	p.dispatched++
 	id := wire.AttemptID{Request: fmt.Sprint("r", p.dispatched), Attempt: 1, Incarnation: testIncarnation, DispatchNumber: p.dispatched}
-	d := &wire.Dispatch{ID: id, Method: http.MethodPost, Path: path, NonIdempotent: once, TimeoutMS: 60_000}
+	d := &wire.Dispatch{ID: id, Method: http.MethodPost, Path: path, Body: []byte(id.Request), NonIdempotent: once, TimeoutMS: 60_000}
 	if once {
 		d.Key, d.Ticket = id.Request, wire.Ticket{Generation: 1, Incarnation: testIncarnation}
 	}
@@ -120,12 +124,13 @@
 			_ = c.Send(&wire.Cancel{ID: m.ID})
 		}
 	case *wire.Done:
+		_ = c.Send(&wire.Release{ID: m.ID})
 		p.done <- m
 	}
 }
 
 // maxWanted is the size of an answer at which entryPeer cancels its attempt, in bytes.
-const maxWanted = 16 << 20
+const maxWanted = 256 << 10
 
 // serveEndless starts an upstream with an answer without end, and sound ones on the path /sound.
 func serveEndless(t *testing.T, endless raw.Answer) *upstream {
@@ -160,8 +165,7 @@
 				}
 				sound := p.dispatch("/sound", false)
 				for range requests + 1 {
-					var d *wire.Done
-					g.Eventually(p.done, "30s").Should(Receive(&d))
+					d := p.nextDone()
 					g.Expect(d.Outcome == outcome.Completed).To(Equal(d.ID == sound), "%v", d)
 				}
 			})
@@ -202,3 +206,91 @@
 		})
 	}
 }
+
+// Guards against an agent that keeps bodies without end, closes its connection to the entry, which
+// other requests share, or reads on when nobody wants the answer.
+func TestBodyWithoutEnd(t *testing.T) {
+	const plain, stream = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	junk := strings.Repeat("junkjunk", 4<<10)
+	for name, a := range map[string]raw.Answer{
+		"without a length": {Text: plain + "\r\n", Repeat: junk},
+		"chunks":           {Text: plain + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "400\r\n" + strings.Repeat("j", 1024) + "\r\n"},
+		"a chunk's size":   {Text: plain + "Transfer-Encoding: chunked\r\n\r\n", Repeat: strings.Repeat("0", 1<<15)},
+		"a trailer":        {Text: plain + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Repeat: strings.Repeat("X-Junk: junk\r\n", 1<<10)},
+		"an event":         {Text: stream + "data: ", Repeat: junk},
+		"events":           {Text: stream, Repeat: strings.Repeat("data: "+strings.Repeat("junk", 12)+"\n\n", 1<<10)},
+		"long events":      {Text: stream, Repeat: "data: " + junk + "\n\n"},
+	} {
+		for _, once := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " once=", once), func(t *testing.T) {
+				g := NewWithT(t)
+				const requests, sound = 32, 20
+				var open atomic.Int64
+				u := newRawUpstream(t, func(r *http.Request) raw.Answer {
+					if r.URL.Path == "/sound" {
+						return raw.Answer{Text: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", ReadFirst: true, End: raw.Close}
+					}
+					open.Add(1)
+					endless := a
+					endless.Ended = func() { open.Add(-1) }
+					return endless
+				})
+				p := startAgent(t, u.base, requests+1)
+				peak := heapPeak(func() {
+					for range requests {
+						p.dispatch("/odd", once)
+					}
+					for range sound {
+						id, d := p.dispatch("/sound", false), p.nextDone()
+						for d.ID != id { // an answer without end has been ended
+							d = p.nextDone()
+						}
+						g.Expect(d.Outcome).To(Equal(outcome.Completed))
+					}
+					g.Eventually(open.Load, "30s").Should(BeZero(), "connections on which answers without end are read")
+				})
+				g.Expect(p.conn.Closed()).NotTo(BeClosed())
+				g.Expect(peak).To(BeNumerically("<", maxHeapBytes))
+				t.Logf("heap of up to %d MB", peak>>20)
+			})
+		}
+	}
+}
+
+// nextDone returns the next end of an attempt.
+func (p *entryPeer) nextDone() *wire.Done {
+	p.t.Helper()
+	select {
+	case d := <-p.done:
+		return d
+	case <-p.conn.Closed():
+		p.t.Fatal("the agent closed its connection")
+	case <-time.After(30 * time.Second):
+		p.t.Fatal("no attempt has ended")
+	}
+	return nil
+}
+
+// zeros is an endless reader.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// Guards against an answer of the largest size that isn't delivered, and against a larger one that
+// is read to its end.
+func TestLargestAnswer(t *testing.T) {
+	g := NewWithT(t)
+	for size, want := range map[int64]error{wire.MaxAnswerBody: nil, wire.MaxAnswerBody + 1: errAnswerTooLarge} {
+		r := newRun(&wire.Dispatch{}, nil)
+		err := relayBody(r, io.LimitReader(zeros{}, size))
+		r.close()
+		if want == nil {
+			g.Expect(err).NotTo(HaveOccurred())
+			continue
+		}
+		g.Expect(err).To(MatchError(want))
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -45,6 +46,11 @@
 	head      *wire.Head
 	replay    replay
 	finalDone *wire.Done
+	// abandoned is set once the entry has cancelled the run. A non-idempotent call that the
+	// upstream is executing goes on without a sink and a replay.
+	abandoned bool
+	// undelivered is the size of the chunks for which there was no sink, in bytes.
+	undelivered int
 	// answer is a non-idempotent call's answer so far, for the ledger.
 	answer claim.Answer
 	// timer stops a run that has no sink, or removes one that has ended.
@@ -113,17 +119,48 @@
 	return r.seq > r.dispatch.ResumeFrom
 }
 
+// awaitRoom waits until the entry has taken enough of the answers sent to it. Without an entry it
+// doesn't wait.
+func (r *run) awaitRoom() {
+	r.mu.Lock()
+	sink := r.sink
+	r.mu.Unlock()
+	if sink != nil {
+		sink.AwaitRoom(r.ctx)
+	}
+}
+
 // sendChunk sends the next part of the answer and keeps it for a replay.
 func (r *run) sendChunk(data []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.recordChunk(data)
+	if r.sink == nil {
+		r.undelivered += len(data)
+	}
+	if r.abandoned {
+		return
+	}
 	r.seq++
 	c := &wire.Chunk{ID: r.dispatch.ID, Seq: r.seq, Data: data}
 	r.replay.add(c, replayLimit)
 	r.send(c)
 }
 
+// errUndelivered ends an answer that no entry takes.
+var errUndelivered = fault.New(fault.TooLarge, "ask for a smaller answer", "more than %d bytes of the answer had no receiver", wire.MaxAnswerBody)
+
+// checkDelivered returns an error once more of the answer had no receiver than any of them could
+// still get.
+func (r *run) checkDelivered() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.undelivered > wire.MaxAnswerBody {
+		return errUndelivered
+	}
+	return nil
+}
+
 // finish marks the run as ended and sends the entry its outcome.
 func (r *run) finish(o outcome.Outcome, err error) {
 	r.mu.Lock()
@@ -185,6 +222,21 @@
 	return true
 }
 
+// abandon drops what an entry could still get of the answer.
+func (r *run) abandon() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sink, r.abandoned = nil, true
+	r.replay = replay{}
+	r.replay.startAt(math.MaxUint64) // no chunk is kept
+}
+
+func (r *run) isAbandoned() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.abandoned
+}
+
 // orphaned reports whether the run has no sink and has not ended.
 func (r *run) orphaned() bool {
 	r.mu.Lock()
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -158,9 +158,12 @@
 }
 
 // abortError returns the error of a call that ended early: the agent's reason for
-// cancelling it, a timeout if the context ended for another reason, or else a
-// crash of the upstream.
+// cancelling it, a timeout if the context ended for another reason, the size of the
+// answer, or else a crash of the upstream.
 func abortError(r *run, err error, message string) error {
+	if errors.Is(err, errAnswerTooLarge) || errors.Is(err, errUndelivered) {
+		return err
+	}
 	var agentErr *fault.Error
 	switch cause := context.Cause(r.ctx); {
 	case errors.As(cause, &agentErr):
@@ -251,20 +254,32 @@
 		if eventstream.IsHead(event) {
 			return errNoEvent
 		}
+		stallTimer.Stop() // the engine isn't to blame for the wait
+		r.awaitRoom()
+		stallTimer.Reset(u.stallTimeout)
 		r.sendChunk(event)
 		if engineapi.IsStreamEnd(event) {
 			return nil
 		}
+		if err := r.checkDelivered(); err != nil {
+			return err
+		}
 		event = nil
 	}
 }
 
+var errAnswerTooLarge = fault.New(fault.TooLarge, "ask for a smaller answer", "the answer exceeds %d bytes", wire.MaxAnswerBody)
+
 // relayBody sends the body in chunks.
 func relayBody(r *run, body io.Reader) error {
-	for {
+	for size := 0; ; {
 		// io.ReadFull gives an answer that was cut off the error of one that has ended.
 		part, err := io.ReadAll(io.LimitReader(body, bodyChunkSize))
+		if size += len(part); size > wire.MaxAnswerBody {
+			return errAnswerTooLarge
+		}
 		if len(part) > 0 {
+			r.awaitRoom()
 			r.sendChunk(part)
 		}
 		if err != nil || len(part) < bodyChunkSize {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -15,11 +15,9 @@
 	"github.com/kingcupreel/kingcupreel/internal/eventstream"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
-// maxAnswerBody bounds an answer that isn't a stream, in bytes.
-const maxAnswerBody = 16 << 20
-
 // HeaderRequestID is the header that carries the request's id in every answer.
 const HeaderRequestID = "Kingcupreel-Request"
 
@@ -108,8 +106,8 @@
 }
 
 func (a *answer) buffer(data []byte) error {
-	if len(a.body)+len(data) > maxAnswerBody {
-		return fault.New(fault.TooLarge, "ask for a smaller answer", "the answer exceeds %d bytes", maxAnswerBody)
+	if len(a.body)+len(data) > wire.MaxAnswerBody {
+		return fault.New(fault.TooLarge, "ask for a smaller answer", "the answer exceeds %d bytes", wire.MaxAnswerBody)
 	}
 	a.body = append(a.body, data...)
 	return nil
--- a/internal/entry/mailbox.go
+++ b/internal/entry/mailbox.go
@@ -7,11 +7,8 @@
 )
 
 // maxMailboxBytes bounds the data that waits for one attempt, in bytes. A chunk
-// counts with chunkOverheadBytes more than its data.
-const (
-	maxMailboxBytes    = 4 << 20
-	chunkOverheadBytes = 256
-)
+// counts with wire.ChunkOverhead more than its data.
+const maxMailboxBytes = 4 << 20
 
 // mailbox passes the messages of one attempt from the connection's reader,
 // which must not block, to the request's goroutine.
@@ -30,7 +27,7 @@
 func (b *mailbox) put(m wire.Message) {
 	b.mu.Lock()
 	if chunk, ok := m.(*wire.Chunk); ok {
-		b.size += len(chunk.Data) + chunkOverheadBytes
+		b.size += len(chunk.Data) + wire.ChunkOverhead
 		b.overflow = b.overflow || b.size > maxMailboxBytes
 	}
 	if !b.overflow {
--- a/internal/standin/raw/raw.go
+++ b/internal/standin/raw/raw.go
@@ -46,6 +46,8 @@
 	// Delay is the time between the answer and the end of its connection.
 	Delay time.Duration
 	End   End
+	// Ended, if not nil, is called once the answer has been written or its connection has failed.
+	Ended func()
 }
 
 // Server serves answers at its address.
@@ -126,7 +128,11 @@
 			return
 		}
 		a := s.answer(r)
-		if err := a.write(c, r.Body); err != nil || a.end(c) != Keep {
+		err = a.write(c, r.Body)
+		if a.Ended != nil {
+			a.Ended()
+		}
+		if err != nil || a.end(c) != Keep {
 			return
 		}
 	}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -144,6 +144,25 @@
 	return err
 }
 
+// AwaitRoom waits until the peer has taken enough of the chunks sent before, the connection ends
+// or ctx is done. Senders of long answers call it before each chunk, so that an answer that comes
+// faster than the peer reads fills neither the memory nor the queue, which others share.
+func (c *Conn) AwaitRoom(ctx context.Context) {
+	for {
+		room := c.queue.awaited()
+		if room == nil {
+			return
+		}
+		select {
+		case <-room:
+		case <-c.closed:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close closes the connection. Messages still queued are dropped.
 func (c *Conn) Close() { c.close(errClosed) }
 
@@ -275,6 +294,7 @@
 		if fault.KindOf(err) == fault.TooLarge {
 			// An oversized message is dropped instead of closing the connection,
 			// which other requests share. Its own request ends at its deadline.
+			c.queue.sent(m)
 			continue
 		}
 		if err != nil {
@@ -288,6 +308,7 @@
 		if _, err := w.Write(buf); err != nil {
 			return err
 		}
+		c.queue.sent(m)
 	}
 	return w.Flush()
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -86,6 +86,9 @@
 	DispatchNumber uint64
 }
 
+// MaxAnswerBody bounds the body of an answer that isn't a stream, in bytes.
+const MaxAnswerBody = 16 << 20
+
 // Dispatch sends an attempt to an agent.
 type Dispatch struct {
 	ID          AttemptID
