entry: a bound on the memory of answers that are kept to their end

Change: the answers share 64 MB (membudget, as the gateway's bodies do); one client account may have half of it, two answers of the largest size. An answer that finds no memory ends its request with 429 and the outcome failed or unknown, and isn't sent again, since the memory would be missing there as well.

What it costs callers: an account with many answers of several megabytes at once is told to come back, where before it could have had them.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -14,10 +14,15 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/eventstream"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
+	"github.com/kingcupreel/kingcupreel/internal/membudget"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
+// maxAnswerMemory bounds the memory of all answers that aren't streams, which are kept to their
+// end, in bytes: four of the largest size, of which a client account alone may have two.
+const maxAnswerMemory = 4 * wire.MaxAnswerBody
+
 // HeaderRequestID is the header that carries the request's id in every answer.
 const HeaderRequestID = "Kingcupreel-Request"
 
@@ -41,6 +46,11 @@
 	// http10 is set if the caller's request is of a version before HTTP/1.1.
 	http10 bool
 	log    *zap.Logger
+	// memory bounds body, for the account and in all; nil means no bound. reserved is what the
+	// answer holds of it, in bytes.
+	memory   *membudget.Budget
+	account  string
+	reserved int64
 
 	status      int
 	contentType string
@@ -72,6 +82,7 @@
 
 // reset drops an answer of which nothing was written to the caller.
 func (a *answer) reset() {
+	a.release()
 	a.status, a.contentType, a.chunks, a.body = 0, "", 0, nil
 	a.transcript = transcript{}
 }
@@ -106,13 +117,41 @@
 }
 
 func (a *answer) buffer(data []byte) error {
-	if len(a.body)+len(data) > wire.MaxAnswerBody {
+	size := len(a.body) + len(data)
+	if size > wire.MaxAnswerBody {
 		return fault.New(fault.TooLarge, "ask for a smaller answer", "the answer exceeds %d bytes", wire.MaxAnswerBody)
 	}
+	if size > cap(a.body) {
+		capacity := max(size, min(2*cap(a.body), wire.MaxAnswerBody))
+		if !a.reserve(int64(capacity - cap(a.body))) {
+			return fault.New(fault.Overloaded, "try again shortly, or ask for a smaller answer", "the memory for answers, or the client account's part of it, is exhausted").After(unavailableRetryAfter)
+		}
+		a.body = append(make([]byte, 0, capacity), a.body...)
+	}
 	a.body = append(a.body, data...)
 	return nil
 }
 
+// reserve takes n bytes of the memory for answers, until release.
+func (a *answer) reserve(n int64) bool {
+	if a.memory == nil {
+		return true
+	}
+	if !a.memory.Reserve(a.account, n) {
+		return false
+	}
+	a.reserved += n
+	return true
+}
+
+// release gives back the memory of the answer, whose body isn't used any more.
+func (a *answer) release() {
+	if a.reserved > 0 {
+		a.memory.Release(a.account, a.reserved)
+		a.reserved = 0
+	}
+}
+
 // writeStreamHeader writes a stream's header once; the outcome follows as a
 // trailer.
 func (a *answer) writeStreamHeader() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/kvstore"
 	"github.com/kingcupreel/kingcupreel/internal/membership"
+	"github.com/kingcupreel/kingcupreel/internal/membudget"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/quarantine"
 	"github.com/kingcupreel/kingcupreel/internal/telemetry"
@@ -59,6 +60,7 @@
 	// them.
 	dispatchCount atomic.Uint64
 	retryBudget   *outcome.RetryBudget
+	answerMemory  *membudget.Budget
 	queries       queryTable
 	planners      *planners
 	claims        *claimState
@@ -82,6 +84,7 @@
 	}
 	e := &Entry{opts: opts, links: newLinkTable(opts.Hello.DataCentre), admitter: newAdmitter(), queries: queryTable{pending: map[uint64]chan wire.Message{}}}
 	e.stopped, e.stop = context.WithCancelCause(context.WithoutCancel(ctx))
+	e.answerMemory = membudget.New(maxAnswerMemory)
 	e.retryBudget = outcome.NewRetryBudget(outcome.DefaultRetriesPerSuccess, outcome.DefaultInitialRetries, outcome.DefaultMaxSavedRetries)
 	e.peerMux.Funcs = map[wire.Kind]func(*wire.Conn, wire.Message){}
 	e.peerMux.Funcs[wire.KindUsageDigest] = e.handleUsageDigest
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -226,6 +226,8 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, req *request, stream bool) {
 	x := &exchange{entry: e, req: req, answer: newAnswer(w, req.id, stream), attempted: map[string]bool{}}
 	x.answer.http10, x.answer.log = !r.ProtoAtLeast(1, 1), e.opts.Log
+	x.answer.memory, x.answer.account = e.answerMemory, req.account.Name
+	defer x.answer.release()
 	if req.dispatch.NonIdempotent {
 		x.runNonIdempotent(r.Context())
 		return
