--- a/test/soak/killed_test.go
+++ b/test/soak/killed_test.go
@@ -162,7 +162,7 @@
 	until := time.Now().Add(replicaFaultTime)
 	running.Go(func() { d.freezeGateways(until) })
 	for i := range replicaCallers {
-		c := &replicaCaller{d: d, rand: rand.New(rand.NewPCG(seed, uint64(i))), expected: expected, results: results, client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{}}}
+		c := &replicaCaller{d: d, rand: rand.New(rand.NewPCG(seed, uint64(i))), expected: expected, results: results, client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{}}, body: "body"}
 		running.Go(func() {
 			for n := 0; time.Now().Before(until); n++ {
 				c.call(fmt.Sprintf("r-%d-%d", i, n))
@@ -241,6 +241,8 @@
 	client   *http.Client
 	expected *expectations
 	results  *replicaResults
+	// body is that of the requests.
+	body string
 }
 
 // call sends a request until its answer is complete, if it may run again.
@@ -300,7 +302,7 @@
 // send sends a request and returns the answer's status, 0 without an answer, what arrived of
 // its body, and whether that is complete.
 func (c *replicaCaller) send(p *process, path, id string, last int) (int, string, bool) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+p.ip+":8227"+path, strings.NewReader("body"))
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.ip+":8227"+path, strings.NewReader(c.body))
 	if err != nil {
 		c.d.t.Error(err)
 		return 0, "", false
