scenario: odd answers before an entry and its agents

whole-odd-answers runs an entry and agents as processes before a stand-in on raw sockets that gives each odd answer by turns; the soak's replicas now take theirs from the same list.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -26,7 +26,7 @@
 // command's name and the function that starts the stand-in.
 type declareFunc func(app *kingpin.Application) (string, startFunc)
 
-var standIns = []declareFunc{declareKV, declareEngine, declarePlain, declareRanks, declareWeights, declareLink}
+var standIns = []declareFunc{declareKV, declareEngine, declarePlain, declareRaw, declareRanks, declareWeights, declareLink}
 
 // Main parses args and serves the stand-in that they name. It returns the exit
 // code.
--- a/internal/standin/command/standins.go
+++ b/internal/standin/command/standins.go
@@ -14,6 +14,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/standin/link"
 	"github.com/kingcupreel/kingcupreel/internal/standin/plain"
 	"github.com/kingcupreel/kingcupreel/internal/standin/ranks"
+	"github.com/kingcupreel/kingcupreel/internal/standin/raw"
 	"github.com/kingcupreel/kingcupreel/internal/standin/weights"
 )
 
@@ -58,6 +59,11 @@
 	}
 }
 
+func declareRaw(app *kingpin.Application) (string, startFunc) {
+	cmd := app.Command("raw", "Plain service whose answers are cut, invalid or without end.")
+	return cmd.FullCommand(), func(*daemon.Ready) (serveFunc, error) { return raw.ServeOdd, nil }
+}
+
 func declareRanks(app *kingpin.Application) (string, startFunc) {
 	cmd := app.Command("ranks", "Rank group that runs steps in lock-step on an expert map.")
 	var o ranks.Options
--- a/internal/standin/raw/raw.go
+++ b/internal/standin/raw/raw.go
@@ -74,11 +74,34 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: l, answer: answer, conns: map[net.Conn]bool{}}
-	go s.accept()
+	s := newServer(l, answer)
+	go func() { _ = s.accept() }() // it ends with Close
 	return s, nil
 }
 
+func newServer(l net.Listener, answer func(r *http.Request) Answer) *Server {
+	return &Server{listener: l, answer: answer, conns: map[net.Conn]bool{}}
+}
+
+// ServeOdd answers the calls on a listener with all odd answers by turns, and pings with a whole one.
+func ServeOdd(l net.Listener) error {
+	var mu sync.Mutex
+	n := 0
+	return newServer(l, func(r *http.Request) Answer {
+		if r.Method != http.MethodPost {
+			return Answer{Text: "HTTP/1.1 501 Not Implemented\r\nContent-Length: 0\r\n\r\n", End: Close}
+		}
+		var answers []Answer
+		for _, k := range OddAnswers("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n", "an odd answer") {
+			answers = append(answers, k.Answers...)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		return answers[n%len(answers)]
+	}).accept()
+}
+
 // Address returns the server's address, IP:port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -93,11 +116,11 @@
 	s.conns = nil
 }
 
-func (s *Server) accept() {
+func (s *Server) accept() error {
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
-			return
+			return err
 		}
 		s.mu.Lock()
 		open := s.conns != nil
@@ -107,7 +130,7 @@
 		s.mu.Unlock()
 		if !open {
 			c.Close()
-			return
+			return net.ErrClosed
 		}
 		go s.serve(c.(*net.TCPConn))
 	}
--- a/test/scenario/checks_outcomes_test.go
+++ b/test/scenario/checks_outcomes_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -12,6 +14,7 @@
 	"sync/atomic"
 
 	"github.com/kingcupreel/kingcupreel/internal/engineapi"
+	"github.com/kingcupreel/kingcupreel/internal/outcome"
 	"github.com/kingcupreel/kingcupreel/internal/standin/engine"
 	"github.com/kingcupreel/kingcupreel/internal/standin/plain"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -166,3 +169,57 @@
 	fmt.Printf("closed=%d\n", closed.Load())
 	return nil
 }
+
+// checkOdd implements "check odd ENTRY_URL CALLS PATH": it sends calls to a service of which one
+// upstream gives odd answers only, half of them with a body that an upstream may answer before it
+// has read it. It prints how many were answered whole by a sound upstream and how many ended with
+// an error of the entry, and fails if anything else was answered.
+func checkOdd(args []string) error {
+	const parallel = 8
+	var whole, failed, wrong atomic.Int32
+	var wg sync.WaitGroup
+	for i := range parallel {
+		wg.Go(func() {
+			for n := i; n < mustAtoi(args[1]); n += parallel {
+				body := fmt.Sprint("call ", n)
+				if n%2 == 0 {
+					body += strings.Repeat("u", 4<<20-len(body))
+				}
+				status, o, answer, err := callOnce(args[0]+args[2], fmt.Sprint(args[2], n), body)
+				var receipt plain.Receipt
+				switch {
+				case err == nil && o == outcome.Completed && status == http.StatusOK && json.Unmarshal(answer, &receipt) == nil && receipt.Done == body:
+					whole.Add(1)
+				case err == nil && o != outcome.Completed && o != "" && status >= http.StatusBadRequest && status < 600:
+					failed.Add(1)
+				default:
+					wrong.Add(1)
+					fmt.Printf("%d %s %v %.200q\n", status, o, err, answer)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	fmt.Printf("whole=%d failed=%d wrong=%d\n", whole.Load(), failed.Load(), wrong.Load())
+	if wrong.Load() > 0 {
+		return errors.New("callers got answers that aren't whole")
+	}
+	return nil
+}
+
+// callOnce sends a call with a key and returns the status, the outcome and the body of its answer.
+func callOnce(url, key, body string) (int, outcome.Outcome, []byte, error) {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", nil, err
+	}
+	req.Header.Set("Authorization", "Bearer account-1")
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, outcome.Outcome(resp.Header.Get(outcome.Header)), answer, err
+}
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -72,6 +72,7 @@
 	{"once", checkOnce},
 	{"answer", checkAnswer},
 	{"garbage", checkGarbage},
+	{"odd", checkOdd},
 	{"flow", checkFlow},
 	{"never-ran", checkNeverRan},
 	{"stamp", checkStamp},
--- a/test/soak/oddanswers_test.go
+++ b/test/soak/oddanswers_test.go
@@ -97,31 +97,16 @@
 
 // oddAnswer returns an answer that must not reach a caller as a whole one.
 func (v *oddReplica) oddAnswer(head, body string) raw.Answer {
-	inner := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len("other"), "other")
-	framed := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
-	status := []string{"000", "099", "+20", "101", "600", "999", "20"}[v.draw(7)]
-	name := []string{"X Odd: 1", "X-Odd : 1", "X\tOdd: 1", "X\x00: 1", "X\x80: 1", ": 1", "X"}[v.draw(7)]
-	end := []raw.End{raw.Keep, raw.Close, raw.Reset}[v.draw(3)]
-	kinds := []struct {
-		name string
-		raw.Answer
-	}{
-		{"early and reset", raw.Answer{Text: head + "\r\n" + body[:len(body)/2], Delay: time.Duration(v.draw(150)) * time.Millisecond, End: raw.Reset}},
-		{"early and reset at once", raw.Answer{Text: head + "\r\n" + body[:len(body)/2], End: raw.Reset}},
-		{"status", raw.Answer{Text: strings.Replace(head, "200", status, 1) + framed, ReadFirst: true, End: end}},
-		{"status before an answer", raw.Answer{Text: fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", strings.Replace(head, "200", status, 1), len(inner), inner), ReadFirst: true, End: end}},
-		{"name", raw.Answer{Text: head + name + "\r\n" + framed, ReadFirst: true, End: end}},
-		{"name of the framing", raw.Answer{Text: head + "Transfer-Encoding : chunked\r\n\r\n" + asChunks(body), ReadFirst: true, End: raw.Close}},
-		{"coding of HTTP/1.0", raw.Answer{Text: strings.Replace(head, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + asChunks(body), ReadFirst: true, End: raw.Close}},
-		{"head without end", raw.Answer{Text: head, Repeat: strings.Repeat("X-Junk: junk\r\n", 1<<10)}},
-		{"body without end", raw.Answer{Text: head + "\r\n", Repeat: strings.Repeat("junk", 1<<12)}},
-		{"chunk without end", raw.Answer{Text: head + "Transfer-Encoding: chunked\r\n\r\n", Repeat: strings.Repeat("0", 1<<14)}},
-	}
+	kinds := raw.OddAnswers(head, body)
 	k := kinds[v.draw(len(kinds))]
+	a := k.Answers[v.draw(len(k.Answers))]
+	if a.ReadFirst && !strings.Contains(a.Text, " chunked") {
+		a.End = []raw.End{raw.Keep, raw.Close, raw.Reset}[v.draw(3)]
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.odd[k.name]++
-	return k.Answer
+	v.odd[k.Kind]++
+	return a
 }
 
 // TestOddAnswers guards against answers that are cut, invalid or without end and reach callers as
