--- a/internal/standin/raw/raw.go
+++ b/internal/standin/raw/raw.go
@@ -150,6 +150,7 @@
 		if err != nil {
 			return
 		}
+		r.RemoteAddr = c.RemoteAddr().String()
 		a := s.answer(r)
 		err = a.write(c, r.Body)
 		if a.Ended != nil {
