--- a/internal/agent/endless_test.go
+++ b/internal/agent/endless_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +20,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/config/codec"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/standin/heap"
 	"github.com/kingcupreel/kingcupreel/internal/standin/raw"
 	"github.com/kingcupreel/kingcupreel/internal/timeline"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
@@ -30,29 +30,6 @@
 // of the gateway's test.
 const maxHeapBytes = 160 << 20
 
-// heapPeak calls f and returns the largest heap meanwhile, in bytes.
-func heapPeak(f func()) uint64 {
-	runtime.GC()
-	done, peak := make(chan struct{}), make(chan uint64, 1)
-	go func() {
-		var m runtime.MemStats
-		var largest uint64
-		for {
-			runtime.ReadMemStats(&m)
-			largest = max(largest, m.HeapAlloc)
-			select {
-			case <-done:
-				peak <- largest
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
-		}
-	}()
-	f()
-	close(done)
-	return <-peak
-}
-
 // entryPeer is an entry's connection to an agent. It cancels an attempt once, when the entry
 // doesn't want more of its answer, and collects the ends of attempts.
 type entryPeer struct {
@@ -159,7 +136,7 @@
 			g := NewWithT(t)
 			const requests = 32
 			p := startAgent(t, serveEndless(t, a).base, requests+1)
-			peak := heapPeak(func() {
+			peak := heap.Peak(func() {
 				for range requests {
 					p.dispatch("/odd", true)
 				}
@@ -192,7 +169,7 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			defer s.Close()
 			u := newUpstream("http://"+s.Address(), time.Minute, clockwork.NewRealClock())
-			peak := heapPeak(func() {
+			peak := heap.Peak(func() {
 				_, err := u.load(t.Context())
 				g.Expect(err).To(HaveOccurred(), "load")
 				_, err = newMapEngine(u.base).status()
@@ -236,7 +213,7 @@
 					return endless
 				})
 				p := startAgent(t, u.base, requests+1)
-				peak := heapPeak(func() {
+				peak := heap.Peak(func() {
 					for range requests {
 						p.dispatch("/odd", once)
 					}
--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -12,6 +11,7 @@
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/membudget"
 	"github.com/kingcupreel/kingcupreel/internal/outcome"
+	"github.com/kingcupreel/kingcupreel/internal/standin/heap"
 	"github.com/kingcupreel/kingcupreel/internal/wire"
 )
 
@@ -36,23 +36,21 @@
 		a, _ := newAttempt("small")
 		attempts = append(attempts, a)
 	}
-	runtime.GC()
-	ended, peak := map[int]result{}, uint64(0)
+	ended := map[int]result{}
 	chunk := make([]byte, 64<<10)
-	for seq := uint64(1); len(ended) < requests; seq++ {
-		for i, a := range attempts {
-			if _, over := ended[i]; over {
-				continue
-			}
-			if res, over := a.handle(&wire.Chunk{Seq: seq, Data: chunk}); over {
-				ended[i] = res
+	peak := heap.Peak(func() {
+		for seq := uint64(1); len(ended) < requests; seq++ {
+			for i, a := range attempts {
+				if _, over := ended[i]; over {
+					continue
+				}
+				if res, over := a.handle(&wire.Chunk{Seq: seq, Data: chunk}); over {
+					ended[i] = res
+				}
 			}
+			g.Expect(seq).To(BeNumerically("<=", wire.MaxAnswerBody/len(chunk)+1))
 		}
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		peak = max(peak, m.HeapAlloc)
-		g.Expect(seq).To(BeNumerically("<=", wire.MaxAnswerBody/len(chunk)+1))
-	}
+	})
 	g.Expect(peak).To(BeNumerically("<", maxHeapBytes))
 	for _, res := range ended {
 		g.Expect(res.outcome).NotTo(BeElementOf(outcome.Completed, outcome.NotRun))
--- a/internal/vmlist/endless_test.go
+++ b/internal/vmlist/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/kingcupreel/kingcupreel/internal/standin/heap"
 	"github.com/kingcupreel/kingcupreel/internal/standin/raw"
 	"github.com/kingcupreel/kingcupreel/internal/vmlist"
 )
@@ -32,23 +32,10 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			defer s.Close()
 			c := vmlist.New("http://"+s.Address(), time.Minute, zap.NewNop())
-			done := make(chan error, 1)
-			go func() {
+			peak := heap.Peak(func() {
 				_, err := c.VMs(t.Context())
-				done <- err
-			}()
-			var peak uint64
-			g.Eventually(func() error {
-				var m runtime.MemStats
-				runtime.ReadMemStats(&m)
-				peak = max(peak, m.HeapAlloc)
-				select {
-				case err := <-done:
-					return err
-				default:
-					return nil
-				}
-			}, "30s", "2ms").Should(HaveOccurred())
+				g.Expect(err).To(HaveOccurred())
+			})
 			g.Expect(peak).To(BeNumerically("<", maxHeapBytes))
 			t.Logf("heap of up to %d MB", peak>>20)
 		})
--- a/test/soak/killed_test.go
+++ b/test/soak/killed_test.go
@@ -132,26 +132,47 @@
 	}
 }
 
-func soakKilledReplicas(t *testing.T, seed uint64) {
-	g := NewWithT(t)
+// newReplicaDeployment returns a deployment without processes, whose configuration has a route of
+// each kind and a service with a health check.
+func newReplicaDeployment(t *testing.T, seed uint64, firstHost int) *deployment {
+	t.Helper()
 	d := newStore(t, seed)
 	t.Cleanup(func() {
 		if t.Failed() {
 			d.logProcessOutput()
 		}
 	})
-	d.firstHost = 20
+	d.firstHost = firstHost
 	d.services = func() []any { return []any{map[string]any{"name": "s", "health-path": healthPath}} }
 	d.routes = func() []any {
 		return []any{route("/safe/", "safe", false), route("/unsafe/", "unsafe", false), route("/stream/", "streaming", true), route("/once/", "streaming", false)}
 	}
+	return d
+}
+
+func soakKilledReplicas(t *testing.T, seed uint64) {
+	g := NewWithT(t)
+	d := newReplicaDeployment(t, seed, 20)
 	record := &replicaRecord{framing: map[string]string{}, began: map[string]int{}, finished: map[string]int{}, last: map[string]bool{}}
 	ctx, kill := context.WithCancel(context.Background())
 	defer kill()
-	var replicas, running sync.WaitGroup
+	var replicas sync.WaitGroup
 	for i := range replicaCount {
 		replicas.Go(func() { d.runReplicas(ctx, i, record) })
 	}
+	expected, results := d.callReplicas(g, replicaCallers, replicaFaultTime, func(int) string { return "body" }, d.freezeGateways)
+	kill()
+	replicas.Wait()
+	expected.check(d.recorder)
+	results.log(t, record)
+	g.Expect(d.recorder.violations).To(BeEmpty())
+	g.Expect(results.complete).NotTo(BeEmpty(), "the callers were served")
+	g.Expect(record.kills).To(BeNumerically(">", replicaCount), "replicas were killed") // those at the end included
+}
+
+// callReplicas starts the gateways and sends requests through them for a while, beside what disturbs
+// them until then. body returns the body of a caller's requests.
+func (d *deployment) callReplicas(g *WithT, callers int, duration time.Duration, body func(caller int) string, disturb func(until time.Time)) (*expectations, *replicaResults) {
 	d.writeConfiguration()
 	d.startGateways()
 	for _, p := range d.processes {
@@ -159,10 +180,11 @@
 	}
 	expected := &expectations{notRun: map[string]int{}}
 	results := &replicaResults{complete: map[string]bool{}, truncated: map[string]string{}, statuses: map[int]int{}}
-	until := time.Now().Add(replicaFaultTime)
-	running.Go(func() { d.freezeGateways(until) })
-	for i := range replicaCallers {
-		c := &replicaCaller{d: d, rand: rand.New(rand.NewPCG(seed, uint64(i))), expected: expected, results: results, client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{}}, body: "body"}
+	until := time.Now().Add(duration)
+	var running sync.WaitGroup
+	running.Go(func() { disturb(until) })
+	for i := range callers {
+		c := &replicaCaller{d: d, rand: rand.New(rand.NewPCG(d.seed, uint64(i))), expected: expected, results: results, client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{}}, body: body(i)}
 		running.Go(func() {
 			for n := 0; time.Now().Before(until); n++ {
 				c.call(fmt.Sprintf("r-%d-%d", i, n))
@@ -170,13 +192,7 @@
 		})
 	}
 	running.Wait()
-	kill()
-	replicas.Wait()
-	expected.check(d.recorder)
-	results.log(t, record)
-	g.Expect(d.recorder.violations).To(BeEmpty())
-	g.Expect(results.complete).NotTo(BeEmpty(), "the callers were served")
-	g.Expect(record.kills).To(BeNumerically(">", replicaCount), "replicas were killed") // those at the end included
+	return expected, results
 }
 
 // freezeGateways makes one gateway after the other stand still, so that they learn of the end
--- a/test/soak/oddanswers_test.go
+++ b/test/soak/oddanswers_test.go
@@ -123,44 +123,19 @@
 
 func soakOddAnswers(t *testing.T, seed uint64) {
 	g := NewWithT(t)
-	d := newStore(t, seed)
-	t.Cleanup(func() {
-		if t.Failed() {
-			d.logProcessOutput()
-		}
-	})
-	d.firstHost = 180
-	d.services = func() []any { return []any{map[string]any{"name": "s", "health-path": healthPath}} }
-	d.routes = func() []any {
-		return []any{route("/safe/", "safe", false), route("/unsafe/", "unsafe", false), route("/stream/", "streaming", true), route("/once/", "streaming", false)}
-	}
+	d := newReplicaDeployment(t, seed, 180)
 	var replicas []*oddReplica
 	for i := range oddReplicas {
 		replicas = append(replicas, d.startOddReplica(i))
 	}
-	d.writeConfiguration()
-	d.startGateways()
-	for _, p := range d.processes {
-		g.Eventually(p.ready, recoveryTimeout).Should(BeTrue(), p.name)
-	}
-	expected := &expectations{notRun: map[string]int{}}
-	results := &replicaResults{complete: map[string]bool{}, truncated: map[string]string{}, statuses: map[int]int{}}
-	until := time.Now().Add(oddFaultTime)
-	var running sync.WaitGroup
-	for i := range oddCallers {
-		c := &replicaCaller{d: d, rand: rand.New(rand.NewPCG(seed, uint64(i))), expected: expected, results: results, client: &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{}}, body: "body"}
-		if i%3 == 0 {
-			c.body = strings.Repeat("u", longBody)
+	upload, memory := strings.Repeat("u", longBody), uint64(0)
+	body := func(caller int) string {
+		if caller%3 == 0 {
+			return upload
 		}
-		running.Go(func() {
-			for n := 0; time.Now().Before(until); n++ {
-				c.call(fmt.Sprintf("r-%d-%d", i, n))
-			}
-		})
+		return "body"
 	}
-	var memory uint64
-	running.Go(func() { memory = d.disturbGateways(until) })
-	running.Wait()
+	expected, results := d.callReplicas(g, oddCallers, oddFaultTime, body, func(until time.Time) { memory = d.disturbGateways(until) })
 	expected.check(d.recorder)
 	odd, whole := map[string]int{}, 0
 	for _, v := range replicas {
