--- a/internal/agent/liveness.go
+++ b/internal/agent/liveness.go
@@ -16,11 +16,9 @@
 	"github.com/kingcupreel/kingcupreel/internal/socket"
 )
 
-const (
-	// livenessInterval is how often a livenessCheck replaces its connection, since
-	// servers close connections on which no request arrives.
-	livenessInterval = 1 * time.Second
-)
+// livenessInterval is how often a livenessCheck replaces its connection, since
+// servers close connections on which no request arrives.
+const livenessInterval = 1 * time.Second
 
 var errEarlyData = errors.New("the upstream wrote to the connection or closed it before a request was sent")
 
