wire: the test of a peer that doesn't read waits until the writer is blocked

The test filled the queue before the writer had taken anything; then the writer put the first chunks into its write buffer, which counts as sent, and there was room again. The code is right, the test wasn't: beside 24 busy processes it failed 188 times in 200 rounds. It now sends a chunk that exceeds the buffer first and waits until the writer has taken it. What it checks is unchanged: 0 in 200 rounds beside the same load.

--- a/internal/wire/queue_test.go
+++ b/internal/wire/queue_test.go
@@ -8,6 +8,13 @@
 	. "github.com/onsi/gomega"
 )
 
+// waiting returns the number of messages that the writer hasn't taken.
+func (q *sendQueue) waiting() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.messages)
+}
+
 // A peer doesn't read. Guards against a sender of a long answer that fills the queue, or waits
 // although the peer reads again, the connection has ended or nobody wants the answer any more.
 func TestSenderOfChunksWaitsForThePeer(t *testing.T) {
@@ -27,6 +34,9 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			go func() { _ = c.Run(context.Background()) }()
+			// The first chunk exceeds the write buffer, so that its write waits for the peer.
+			g.Expect(c.Send(&Chunk{Data: make([]byte, 2*bufferSize)})).To(Succeed())
+			g.Eventually(c.queue.waiting, "10s").Should(BeZero())
 			sent := 0
 			for ; c.queue.awaited() == nil; sent++ {
 				c.AwaitRoom(ctx)
