--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -39,7 +39,7 @@
 
 // callUpstream runs an attempt at the upstream. A crash is attributed to all
 // requests in flight there, and reported before the attempt's outcome is sent.
-// An upstream that answers with an invalid head is running.
+// An invalid head is no crash: the upstream that sent it is running.
 func (a *Agent) callUpstream(r *run) (outcome.Outcome, error) {
 	f := a.inFlight.Start(suspectOf(r.dispatch), r.answerStarted)
 	defer a.inFlight.End(f)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -119,8 +119,7 @@
 	return r.seq > r.dispatch.ResumeFrom
 }
 
-// awaitRoom waits until the entry has taken enough of the answers sent to it. Without an entry it
-// doesn't wait.
+// awaitRoom waits until the sink has room for another chunk. Without a sink it doesn't wait.
 func (r *run) awaitRoom() {
 	r.mu.Lock()
 	sink := r.sink
@@ -147,11 +146,11 @@
 	r.send(c)
 }
 
-// errUndelivered ends an answer that no entry takes.
+// errUndelivered ends a stream that has had no entry for too long.
 var errUndelivered = fault.New(fault.TooLarge, "ask for a smaller answer", "more than %d bytes of the answer had no receiver", wire.MaxAnswerBody)
 
-// checkDelivered returns an error once more of the answer had no receiver than any of them could
-// still get.
+// checkDelivered returns an error once more than wire.MaxAnswerBody of the answer had no sink. A
+// replay holds less.
 func (r *run) checkDelivered() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -222,7 +221,7 @@
 	return true
 }
 
-// abandon drops what an entry could still get of the answer.
+// abandon removes the sink and the replay of a run that its entry has cancelled.
 func (r *run) abandon() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
