--- a/internal/gateway/early_answers_test.go
+++ b/internal/gateway/early_answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -13,8 +14,14 @@
 	"github.com/kingcupreel/kingcupreel/internal/standin/raw"
 )
 
-// upload is a body that doesn't fit into the buffers of a connection, in bytes.
-const upload = 4 << 20
+// uploadSize is the size of a body that doesn't fit into the buffers of a connection, in bytes.
+const uploadSize = 4 << 20
+
+var uploadBody = strings.Repeat("u", uploadSize)
+
+// collectUploads frees the memory of uploads at the end of a test, of which TestBytesWithoutEnd
+// would measure a part.
+func collectUploads(t *testing.T) { t.Cleanup(runtime.GC) }
 
 // newRawFixture returns a gateway before upstreams that write answers as given, also to its
 // liveness calls. No time limit matters with it.
@@ -37,7 +44,7 @@
 	}
 	f.gateway.Pools.Reconcile(f.upstreams)
 	c := configuration()
-	c.Version, c.Limits.BodyBytes = 2, upload
+	c.Version, c.Limits.BodyBytes = 2, uploadSize
 	for i := range c.Routes {
 		c.Routes[i].Timeout, c.Routes[i].TargetLatency = time.Minute, time.Minute
 	}
@@ -59,7 +66,7 @@
 // upload sends an upload and returns what the caller received.
 func (f *fixture) upload(path string) callerView {
 	f.t.Helper()
-	r := f.request(http.MethodPost, path, strings.Repeat("u", upload))
+	r := f.request(http.MethodPost, path, uploadBody)
 	r.Header.Set("Deadline-Ms", "60000")
 	status, h, body, err := f.send(r)
 	return callerView{status, h.Get("Server-Stamp"), body, err == nil}
@@ -69,6 +76,7 @@
 // body and resets the connection. Guards against a part that the caller gets as a whole answer,
 // since the reset was reported to the writer of the upload.
 func TestEarlyAnswerThatIsResetIsNotWhole(t *testing.T) {
+	collectUploads(t)
 	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/once/x"} {
 		for _, delay := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
 			t.Run(fmt.Sprint(path, " ", delay), func(t *testing.T) {
@@ -94,6 +102,7 @@
 
 // Guards against whole answers that are lost since they came before the upload was read.
 func TestEarlyAnswerIsWhole(t *testing.T) {
+	collectUploads(t)
 	for name, a := range map[string]raw.Answer{
 		"the upload is read afterwards":          {Text: "\r\n" + threeEventsBody, ReadLast: true, End: raw.Close},
 		"a direction is ended, the upload read":  {Text: "\r\n" + threeEventsBody, ReadLast: true, End: raw.CloseWrite},
--- a/internal/gateway/kept_odd_test.go
+++ b/internal/gateway/kept_odd_test.go
@@ -13,6 +13,7 @@
 // Odd answers come on connections that have served whole ones. Guards against one that reaches the
 // caller of the request, or of the next one.
 func TestOddAnswersOnKeptConnections(t *testing.T) {
+	collectUploads(t)
 	for _, kind := range raw.OddAnswers("", "") {
 		t.Run(kind.Kind, func(t *testing.T) {
 			t.Parallel()
