platform, agent: calls to engines end by their contexts, not by a goroutine each

Cause: http.Client bounds a call by the request's context only if its transport is an http.Transport. Since heads are checked in a transport around it, each call with Client.Timeout had a goroutine, a timer and a wake-up more: the rank agents read their replica's report many times a second.

Change: the engines' clients have no timeout of their own; each call has a context with the same bound.

--- a/internal/agent/mapengine.go
+++ b/internal/agent/mapengine.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -34,7 +35,7 @@
 // an earlier answer again on a kept one, and answers don't name their call.
 func newMapEngine(base string) *mapEngine {
 	transport := &http.Transport{DialContext: newDialer().DialContext, DisableKeepAlives: true, DisableCompression: true}
-	return &mapEngine{base: base, http: &http.Client{Transport: httphead.NewTransport(transport), Timeout: mapCallTimeout}}
+	return &mapEngine{base: base, http: &http.Client{Transport: httphead.NewTransport(transport)}}
 }
 
 // call sends a POST with the JSON of body, or a GET if body is nil, and decodes
@@ -48,7 +49,9 @@
 		}
 		method, reader = http.MethodPost, bytes.NewReader(data)
 	}
-	req, err := http.NewRequest(method, e.base+path, reader)
+	ctx, cancel := context.WithTimeout(context.Background(), mapCallTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, e.base+path, reader)
 	if err != nil {
 		return err
 	}
