gateway: a test of an early answer whose connection times out

An upstream answers an upload early without a length, writes a part of the body and stands still: the upload isn't taken, and TCP_USER_TIMEOUT ends the connection after 1.5 s. The kernel reports ETIMEDOUT to the writer, and the reader finds an end in order, as after a reset.

No code is changed: socket.Conn keeps each error of a write.

--- a/internal/gateway/early_answers_test.go
+++ b/internal/gateway/early_answers_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcupreel/kingcupreel/internal/directory"
 	"github.com/kingcupreel/kingcupreel/internal/standin/raw"
+	"github.com/kingcupreel/kingcupreel/internal/upstream"
 )
 
 // uploadSize is the size of a body that doesn't fit into the buffers of a connection, in bytes.
@@ -130,3 +131,24 @@
 		}
 	}
 }
+
+// An upstream writes a part of an early answer and then stands still, so that the kernel ends the
+// connection with a time-out. Guards against a part that the caller gets as a whole answer, since the
+// time-out was reported to the writer of the upload.
+func TestEarlyAnswerThatTimesOutIsNotWhole(t *testing.T) {
+	collectUploads(t)
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := newRawFixture(t, 1, func(r *http.Request) raw.Answer {
+				if r.URL.Path == livenessPath {
+					return answerLivenessCall()
+				}
+				return raw.Answer{Text: rawHead(r) + "\r\n" + threeEventsBody[:len(threeEventsBody)/3*2], Delay: 4 * upstream.DefaultAckTimeout, End: raw.Reset}
+			})
+			view := f.upload(path)
+			g.Expect(view.complete && view.status == http.StatusOK).To(BeFalse(), "%+v", view)
+		})
+	}
+}
