agent: what a stream lost without an entry doesn't add up over its life

A stream ends once 16 MB of it have had no entry; the bytes were counted over the whole life of the run, so that a long stream whose connection is replaced often would end although its entry takes it. Attaching an entry now begins the count anew.

TestReattachedStreamIsDelivered failed before, after 16 MB of such gaps.

--- a/internal/agent/endless_test.go
+++ b/internal/agent/endless_test.go
@@ -271,3 +271,21 @@
 		g.Expect(err).To(MatchError(want))
 	}
 }
+
+// A long stream loses its entry for a moment again and again. Guards against the losses adding up
+// until the stream is ended although its entry takes it.
+func TestReattachedStreamIsDelivered(t *testing.T) {
+	g := NewWithT(t)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	c := wire.NewConn(near, &entryPeer{}, wire.Options{})
+	r := newRun(&wire.Dispatch{Stream: true}, nil)
+	defer r.close()
+	for range 2*wire.MaxAnswerBody/bodyChunkSize + 1 {
+		r.sendChunk(make([]byte, bodyChunkSize))
+		g.Expect(r.attach(c, r.seq-1)).To(BeTrue())
+		g.Expect(r.checkDelivered()).To(Succeed())
+		g.Expect(r.detach(c)).To(BeTrue())
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -49,7 +49,7 @@
 	// abandoned is set once the entry has cancelled the run. A non-idempotent call that the
 	// upstream is executing goes on without a sink and a replay.
 	abandoned bool
-	// undelivered is the size of the chunks for which there was no sink, in bytes.
+	// undelivered is the size of the chunks since the last sink was lost, in bytes.
 	undelivered int
 	// answer is a non-idempotent call's answer so far, for the ledger.
 	answer claim.Answer
@@ -149,7 +149,7 @@
 // errUndelivered ends a stream that has had no entry for too long.
 var errUndelivered = fault.New(fault.TooLarge, "ask for a smaller answer", "more than %d bytes of the answer had no receiver", wire.MaxAnswerBody)
 
-// checkDelivered returns an error once more than wire.MaxAnswerBody of the answer had no sink. A
+// checkDelivered returns an error once more than wire.MaxAnswerBody has come without a sink. A
 // replay holds less.
 func (r *run) checkDelivered() error {
 	r.mu.Lock()
@@ -192,7 +192,7 @@
 	if !ok {
 		return false
 	}
-	r.sink = c
+	r.sink, r.undelivered = c, 0
 	if r.phase != ended {
 		r.stopTimer()
 	}
