agent, entry: a log line for broken answers, a counter for answers without memory

The agent now logs one line for each such call, with request, attempt, outcome and reason; the entry counts answers.no_memory. The tests of both ask for them and failed before.

--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 
 	"github.com/kingcupreel/kingcupreel/internal/fault"
 	"github.com/kingcupreel/kingcupreel/internal/httphead"
@@ -44,7 +45,11 @@
 	f := a.inFlight.Start(suspectOf(r.dispatch), r.answerStarted)
 	defer a.inFlight.End(f)
 	o, err := a.upstream.run(r)
-	if fault.KindOf(err) == fault.Crashed && !errors.Is(err, httphead.ErrInvalid) {
+	invalidHead := errors.Is(err, httphead.ErrInvalid)
+	if invalidHead || fault.KindOf(err) == fault.TooLarge {
+		a.upstream.log.Warn("upstream's answer is broken; ending the call", zap.String("request", r.dispatch.ID.Request), zap.Uint32("attempt", r.dispatch.ID.Attempt), zap.String("outcome", string(o)), zap.Error(err))
+	}
+	if fault.KindOf(err) == fault.Crashed && !invalidHead {
 		a.inFlight.Crashed(f, a.reportCrash)
 	}
 	return o, err
--- a/internal/agent/odd_heads_test.go
+++ b/internal/agent/odd_heads_test.go
@@ -9,6 +9,8 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/config/codec"
@@ -130,13 +132,18 @@
 	} {
 		g := NewWithT(t)
 		u := newRawUpstream(t, func(*http.Request) raw.Answer { return raw.Answer{Text: answer, ReadFirst: true, End: raw.Close} })
-		a := New(Options{Target: u.base, Workers: 1, Store: config.NewStore(codec.Decode), Events: timeline.NewRing("a", 16, clockwork.NewRealClock()), Metrics: metrics.NewRegistry()})
+		core, logged := observer.New(zap.WarnLevel)
+		a := New(Options{
+			Target: u.base, Workers: 1, Store: config.NewStore(codec.Decode),
+			Events: timeline.NewRing("a", 16, clockwork.NewRealClock()), Metrics: metrics.NewRegistry(), Log: zap.New(core),
+		})
 		r := newRun(&wire.Dispatch{Method: http.MethodPost, Path: "/", Body: []byte("order")}, nil)
 		o, err := a.callUpstream(r)
 		r.close()
 		g.Expect(o).To(Equal(outcome.Failed), answer)
 		g.Expect(err).To(HaveOccurred(), answer)
 		g.Expect(a.quarantine.Empty()).To(BeTrue(), answer)
+		g.Expect(logged.FilterMessageSnippet("answer is broken").Len()).To(Equal(1), answer)
 	}
 }
 
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -23,6 +23,8 @@
 // end, in bytes: four of the largest size, of which a client account alone may have two.
 const maxAnswerMemory = 4 * wire.MaxAnswerBody
 
+var errAnswerMemory = fault.New(fault.Overloaded, "try again shortly, or ask for a smaller answer", "the memory for answers, or the client account's part of it, is exhausted").After(unavailableRetryAfter)
+
 // HeaderRequestID is the header that carries the request's id in every answer.
 const HeaderRequestID = "Kingcupreel-Request"
 
@@ -124,7 +126,7 @@
 	if size > cap(a.body) {
 		capacity := max(size, min(2*cap(a.body), wire.MaxAnswerBody))
 		if !a.reserve(int64(capacity - cap(a.body))) {
-			return fault.New(fault.Overloaded, "try again shortly, or ask for a smaller answer", "the memory for answers, or the client account's part of it, is exhausted").After(unavailableRetryAfter)
+			return errAnswerMemory
 		}
 		a.body = append(make([]byte, 0, capacity), a.body...)
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -176,6 +177,9 @@
 	}
 	for _, data := range ready {
 		if err := a.x.answer.addChunk(data); err != nil {
+			if errors.Is(err, errAnswerMemory) {
+				a.x.entry.count("answers.no_memory")
+			}
 			return a.abort(err), true
 		}
 	}
--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/kingcupreel/kingcupreel/internal/config"
 	"github.com/kingcupreel/kingcupreel/internal/fault"
@@ -56,6 +57,11 @@
 		g.Expect(res.outcome).NotTo(BeElementOf(outcome.Completed, outcome.NotRun))
 		g.Expect(fault.KindOf(res.err)).To(BeElementOf(fault.Overloaded, fault.TooLarge))
 	}
+	var refused int64
+	for _, a := range attempts {
+		refused += metrics.GetOrRegisterCounter("answers.no_memory", a.x.entry.opts.Metrics).Count()
+	}
+	g.Expect(refused).To(BeNumerically(">", 0))
 	other, w := newAttempt("other")
 	_, over := other.handle(&wire.Chunk{Seq: 1, Data: chunk})
 	g.Expect(over).To(BeFalse())
