--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// aLongTimeAgo is a deadline in the past; setting it ends a write in progress.
-var aLongTimeAgo = time.Unix(1, 0)
+// PastDeadline is a deadline in the past; setting it ends reads and writes in progress.
+var PastDeadline = time.Unix(1, 0)
 
 // Dialer is a net.Dialer whose TCP connections are Conns.
 type Dialer struct{ net.Dialer }
@@ -70,7 +70,7 @@
 // before its end was read, if a write got it. EPIPE means that the peer's direction had ended in
 // order before.
 func (c *Conn) errorReportedToWrite() error {
-	_ = c.SetWriteDeadline(aLongTimeAgo) // fails only if the connection is closed, which ends the write too
+	_ = c.SetWriteDeadline(PastDeadline) // fails only if the connection is closed, which ends the write too
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, after := range []error{os.ErrDeadlineExceeded, net.ErrClosed, syscall.EPIPE} {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/kingcupreel/kingcupreel/internal/httphead"
+	"github.com/kingcupreel/kingcupreel/internal/socket"
 )
 
 const (
@@ -32,10 +33,6 @@
 	maxMismatched = 2
 )
 
-// aLongTimeAgo is a deadline in the past; setting it aborts pending reads and
-// writes.
-var aLongTimeAgo = time.Unix(1, 0)
-
 // conn is one connection to an upstream. One request uses it at a time.
 type conn struct {
 	nc net.Conn
@@ -166,7 +163,7 @@
 // returned function cancels this; it returns false if the abort has already
 // started.
 func (c *conn) abortOnDone(ctx context.Context) (stop func() bool) {
-	return context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(aLongTimeAgo) })
+	return context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(socket.PastDeadline) })
 }
 
 // setReuseDeadline sets how long the connection may stay idle: the timeout in
