--- a/review/_stand4/memory.go
+++ b/review/_stand4/memory.go
@@ -63,7 +63,7 @@
 		}
 		id := fmt.Sprintf("o-%s-%d-%04d", g.ip[strings.LastIndex(g.ip, ".")+1:], client, n)
 		x := order{id: id, gateway: g.name}
-		resp, err := c.Do(newCall(g, http.MethodPost, "/order/2f", id, "8000"))
+		resp, err := c.Do(newCall(g, http.MethodPost, "/order/"+id, id, "8000"))
 		x.err = err
 		if err == nil {
 			x.status = resp.StatusCode
