--- a/review/_stand4/main.go
+++ b/review/_stand4/main.go
@@ -203,6 +203,18 @@
 	name, ip, callers, ready string
 }
 
+// smallTerms are the terms of the installation tac-dakar where they differ from bounds.
+var smallTerms = strings.NewReplacer(
+	"memory-mb = 184", "memory-mb = 284", "cpu-share = 0.384", "cpu-share = 0.4", "link-mbps = 40.0", "link-mbps = 1000.0", "\nmachines = 2", "\nmachines = 1",
+	"stable-window-ms = 4000", "stable-window-ms = 3000", "ack-ms = 6000", "ack-ms = 4000", "catch-up-s = 6", "catch-up-s = 4", "drain-ms = 3000", "drain-ms = 2000",
+	"config-apply-ms = 3000", "config-apply-ms = 2000", "partition-max-ms = 6000", "partition-max-ms = 5000", "retry-allowance = 214", "retry-allowance = 94",
+	"recover-s = 15", "recover-s = 12", "event-deadline-ms = 200", "event-deadline-ms = 120", "writes-per-s = 1200", "writes-per-s = 400", "reads-per-s = 6000", "reads-per-s = 2000",
+	`"health","pool",`, "",
+)
+
+// small is set for a case with the terms of tac-dakar.
+var small bool
+
 const gatewayCommand = "target/kingcupreeld gateway"
 
 func startGateway(name, ip, storeAddress string) *gateway {
@@ -228,6 +240,9 @@
 frontend = "%s"
 ready = "%s"
 `, name, ip, internal, internal, g.callers, g.ready) + fmt.Sprintf(bounds, memoryMB, storeAddress)
+	if small {
+		settings = smallTerms.Replace(settings)
+	}
 	g.process = start(name, gatewayCommand, settings)
 	return g
 }
@@ -260,7 +275,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand4 CASE RECORD")
 		os.Exit(2)
 	}
-	f := map[string]func(){"silent": silentCase, "memory": memoryCase, "deadly": deadlyCase}[os.Args[1]]
+	f := map[string]func(){"silent": silentCase, "memory": memoryCase, "deadly": deadlyCase, "cuts": cutsCase}[os.Args[1]]
 	var err error
 	if recordFile, err = os.Create(os.Args[2]); err != nil || f == nil {
 		fmt.Fprintln(os.Stderr, "no such case, or no record:", err)
--- a/review/_stand4/store.go
+++ b/review/_stand4/store.go
@@ -25,6 +25,8 @@
 	leases    map[int64]*lease
 	lastLease int64
 	changed   chan struct{}
+	// cut is closed and replaced when the watches that wait are cut.
+	cut chan struct{}
 	// watchBytes is the size of the largest response to a watch.
 	watchBytes int
 }
@@ -49,7 +51,7 @@
 }
 
 func newStore(history time.Duration) *store {
-	s := &store{history: history, revision: 1, items: map[string]*item{}, leases: map[int64]*lease{}, changed: make(chan struct{})}
+	s := &store{history: history, revision: 1, items: map[string]*item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), cut: make(chan struct{})}
 	go func() {
 		for {
 			time.Sleep(50 * time.Millisecond)
@@ -250,7 +252,7 @@
 			}
 			list = append(list, map[string]any{"key": e.Key, "value": e.Value, "revision": e.Revision, "created": e.Created, "lease": e.Lease})
 		}
-		changed, revision := s.changed, s.revision
+		changed, cut, revision := s.changed, s.cut, s.revision
 		s.mu.Unlock()
 		if len(list) > 0 || timedOut {
 			n := answer(w, 200, map[string]any{"events": list, "as-of": revision})
@@ -261,6 +263,8 @@
 		}
 		select {
 		case <-changed:
+		case <-cut:
+			panic(http.ErrAbortHandler)
 		case <-timer.C:
 			timedOut = true
 		case <-r.Context().Done():
@@ -340,3 +344,11 @@
 	defer s.mu.Unlock()
 	return s.watchBytes
 }
+
+// cutWatches cuts the watches that wait.
+func (s *store) cutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
