--- a/review/_stand4/main.go
+++ b/review/_stand4/main.go
@@ -154,6 +154,7 @@
 const bounds = `
 [zones]
 plateau-a = "sn-ouest"
+thies-b = "sn-ouest"
 [limits]
 cpu-share = 0.384
 cores = 1
@@ -218,6 +219,10 @@
 const gatewayCommand = "target/kingcupreeld gateway"
 
 func startGateway(name, ip, storeAddress string) *gateway {
+	return startGatewayIn("plateau-a", name, ip, storeAddress)
+}
+
+func startGatewayIn(zone, name, ip, storeAddress string) *gateway {
 	g := &gateway{name: name, ip: ip}
 	g.callers, g.ready = fmt.Sprintf("%s:%d", ip, freePort(ip)), fmt.Sprintf("%s:%d", ip, freePort(ip))
 	internal := freePort(ip)
@@ -226,7 +231,7 @@
 machine-class = "edge"
 serves = ["edge"]
 ip = "%s"
-zone = "plateau-a"
+zone = "%s"
 region = "sn-ouest"
 internal-ports = [%d,%d]
 seeds = []
@@ -239,7 +244,7 @@
 [listen]
 frontend = "%s"
 ready = "%s"
-`, name, ip, internal, internal, g.callers, g.ready) + fmt.Sprintf(bounds, memoryMB, storeAddress)
+`, name, ip, zone, internal, internal, g.callers, g.ready) + fmt.Sprintf(bounds, memoryMB, storeAddress)
 	if small {
 		settings = smallTerms.Replace(settings)
 	}
@@ -275,7 +280,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand4 CASE RECORD")
 		os.Exit(2)
 	}
-	f := map[string]func(){"silent": silentCase, "memory": memoryCase, "deadly": deadlyCase, "cuts": cutsCase}[os.Args[1]]
+	f := map[string]func(){"silent": silentCase, "memory": memoryCase, "deadly": deadlyCase, "cuts": cutsCase, "pages": pagesCase}[os.Args[1]]
 	var err error
 	if recordFile, err = os.Create(os.Args[2]); err != nil || f == nil {
 		fmt.Fprintln(os.Stderr, "no such case, or no record:", err)
--- a/review/_stand4/store.go
+++ b/review/_stand4/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -15,11 +16,16 @@
 // PROTOCOL.md describes it.
 type store struct {
 	history time.Duration
+	// maxAge is the greatest age of a stale read, pageItems the number of items in a page.
+	maxAge    time.Duration
+	pageItems int
 
 	mu       sync.Mutex
 	revision int64
 	items    map[string]*item
 	events   []event
+	// log holds all changes.
+	log []event
 	// compacted is the revision up to which the history has been discarded.
 	compacted int64
 	leases    map[int64]*lease
@@ -51,7 +57,7 @@
 }
 
 func newStore(history time.Duration) *store {
-	s := &store{history: history, revision: 1, items: map[string]*item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), cut: make(chan struct{})}
+	s := &store{history: history, pageItems: 500, revision: 1, items: map[string]*item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), cut: make(chan struct{})}
 	go func() {
 		for {
 			time.Sleep(50 * time.Millisecond)
@@ -100,6 +106,7 @@
 func (s *store) append(e event) {
 	e.at = time.Now()
 	s.events = append(s.events, e)
+	s.log = append(s.log, e)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -153,7 +160,11 @@
 		}
 		answer(w, 200, map[string]any{"key": i.Key, "value": i.Value, "revision": i.Revision, "created": i.Created, "lease": i.Lease, "as-of": revision})
 	case r.Method == http.MethodGet && r.URL.Path == "/v1/kv-range":
-		s.list(w, q.Get("path-prefix"), q.Get("after"))
+		var age time.Duration
+		if q.Get("stale-ok") == "1" && s.maxAge > 0 {
+			age = time.Duration(rand.Int64N(int64(s.maxAge)))
+		}
+		s.list(w, q.Get("path-prefix"), q.Get("after"), age)
 	case r.Method == http.MethodGet && r.URL.Path == "/v1/kv-watch":
 		s.watch(w, r)
 	case r.Method == http.MethodPost && r.URL.Path == "/v1/kv-txn":
@@ -203,11 +214,15 @@
 	return len(text)
 }
 
-// list answers with a page of at most about 500 items or 1 MB.
-func (s *store) list(w http.ResponseWriter, prefix, after string) {
+// list answers with a page of the items as they were some time ago.
+func (s *store) list(w http.ResponseWriter, prefix, after string, age time.Duration) {
 	s.mu.Lock()
+	items, revision := s.items, s.revision
+	if age > 0 {
+		items, revision = s.before(time.Now().Add(-age))
+	}
 	var keys []string
-	for key := range s.items {
+	for key := range items {
 		if strings.HasPrefix(key, prefix) && key > after {
 			keys = append(keys, key)
 		}
@@ -215,18 +230,38 @@
 	sort.Strings(keys)
 	page, size, more := []item{}, 0, false
 	for _, key := range keys {
-		if len(page) == 500 || size > 1<<20 {
+		if len(page) == s.pageItems || size > 1<<20 {
 			more = true
 			break
 		}
-		page = append(page, *s.items[key])
-		size += len(s.items[key].Value)
+		page = append(page, *items[key])
+		size += len(items[key].Value)
 	}
-	revision := s.revision
 	s.mu.Unlock()
+	if s.maxAge > 0 {
+		record("store: a page of %q after %q with %d items, %v old, as-of %d", prefix, after, len(page), age.Round(time.Millisecond), revision)
+	}
 	answer(w, 200, map[string]any{"items": page, "has-more": more, "as-of": revision})
 }
 
+// before returns the items and the revision as they were at a time. The caller holds mu.
+func (s *store) before(t time.Time) (items map[string]*item, revision int64) {
+	items, revision = map[string]*item{}, 1
+	for _, e := range s.log {
+		if e.at.After(t) {
+			break
+		}
+		revision = e.Revision
+		if e.Deleted {
+			delete(items, e.Key)
+		} else {
+			i := e.item
+			items[e.Key] = &i
+		}
+	}
+	return items, revision
+}
+
 // watch answers with the events after a revision as soon as there is one.
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
