--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/stand4/stand4 ] && [ -x target/kingcupreeld ] || { echo "build first: the deploy file's build and review/build-4.sh"; exit 2; }
-exec target/stand4/stand4 memory "$here/record.txt"
+exec target/stand4/stand4 pages "$here/record.txt"
--- a/review/_stand4/cuts.go
+++ b/review/_stand4/cuts.go
@@ -23,7 +23,7 @@
 	drainTime     = 2 * time.Second
 	// askClients is the number of clients, each with askEvery between its requests.
 	askClients = 8
-	askEvery   = 50 * time.Millisecond
+	askEvery   = 100 * time.Millisecond
 )
 
 // cutsCase: replicas leave without notice while watches that wait are cut.
--- a/review/_stand4/pages.go
+++ b/review/_stand4/pages.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"sync"
+	"os"
 	"syscall"
 	"time"
 )
@@ -28,6 +26,9 @@
 func pagesCase() {
 	s := newStore(20 * time.Second)
 	s.pageItems, s.maxAge = 50, 3*time.Second
+	if os.Getenv("STALE") == "0" {
+		s.maxAge = 0 // for comparison: stale reads are fresh
+	}
 	storeAddress := serve("127.0.0.1", s)
 	for n := range others {
 		r := startReplica(fmt.Sprintf("i-%08x", n), "wuno96b")
@@ -56,7 +57,7 @@
 	}
 	startAll()
 	time.Sleep(4 * time.Second)
-	late, lateRounds := 0, 0
+	late, lateRounds, lost := 0, 0, 0
 	for n := range rounds {
 		begin(7 + n) // the new one starts first
 		time.Sleep(time.Second)
@@ -81,37 +82,33 @@
 		}
 		time.Sleep(time.Until(inTouch))
 		record("every machine is in touch, and drain-ms have passed since the ack")
-		var clients sync.WaitGroup
-		for c := range 2 {
-			clients.Go(func() {
-				client := http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
-				for i := 0; time.Since(inTouch) < watched; i++ {
-					id := fmt.Sprintf("c%d-%d-%04d", n, c, i)
-					resp, err := client.Do(newCall(gateways[c], http.MethodGet, "/moved/2f", id, "4000"))
-					if err != nil {
-						record("client: %s to %s: %v", id, gateways[c].name, err)
-						continue
-					}
-					_, _ = io.Copy(io.Discard, resp.Body)
-					resp.Body.Close()
-					record("client: %s to %s: %d stamp %q", id, gateways[c].name, resp.StatusCode, resp.Header.Get("Server-Stamp"))
-					time.Sleep(50 * time.Millisecond)
-				}
-			})
+		var sent orders
+		stop := make(chan struct{})
+		for _, g := range gateways {
+			for c := range 8 {
+				go sent.send(g, 10*n+c, stop)
+			}
 		}
-		clients.Wait()
-		r.mu.Lock()
+		time.Sleep(watched)
+		r.exit()
+		close(stop)
+		time.Sleep(orderWork + 200*time.Millisecond)
 		count := 0
-		for _, x := range r.runs {
-			if x.at.After(inTouch) {
+		sent.mu.Lock()
+		for _, x := range sent.list {
+			if run, ran := r.ran(x.id); ran && run.at.After(inTouch) {
 				count++
+				if x.status != 200 {
+					lost++
+					record("order %s ran at %s and is lost: status %d, error %v", x.id, r.id, x.status, x.err)
+				}
 			}
 		}
-		r.mu.Unlock()
+		sent.mu.Unlock()
 		record("%d requests reached replica %s after that", count, r.id)
 		if late += count; count > 0 {
 			lateRounds++
 		}
 	}
-	verdict(late > 0, "%d requests reached replicas that had left longer than %v ago, in %d of %d rounds", late, grownDrain, lateRounds, rounds)
+	verdict(late > 0, "%d orders reached replicas that had left longer than %v ago, in %d of %d rounds; %d of them were lost when these exited", late, grownDrain, lateRounds, rounds, lost)
 }
--- a/review/_stand4/replica.go
+++ b/review/_stand4/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -12,6 +13,7 @@
 type replica struct {
 	id, service, address string
 	born                 int64
+	server               *http.Server
 
 	mu   sync.Mutex
 	runs []run
@@ -25,10 +27,21 @@
 
 func startReplica(id, service string) *replica {
 	r := &replica{id: id, service: service, born: time.Now().UnixMilli()}
-	r.address = serve("127.0.0.1", r)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fail2("%v", err)
+	}
+	r.address, r.server = l.Addr().String(), &http.Server{Handler: r}
+	go func() { _ = r.server.Serve(l) }()
 	return r
 }
 
+// exit ends the replica with its connections.
+func (r *replica) exit() {
+	record("replica %s exits", r.id)
+	_ = r.server.Close()
+}
+
 // entry is the replica's entry in the store.
 func (r *replica) entry(state string) map[string]any {
 	return map[string]any{"service": r.service, "address": r.address, "zone": "plateau-a", "version": "v1", "slots": 6, "state": state, "warmup-left-ms": 0, "sequence": 1, "born": r.born}
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,3 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 go build -o target/review-stand3 ./review/_stand3
+sh review/build-4.sh
