--- a/review/_stand4/main.go
+++ b/review/_stand4/main.go
@@ -280,7 +280,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand4 CASE RECORD")
 		os.Exit(2)
 	}
-	f := map[string]func(){"silent": silentCase, "cuts": cutsCase, "pages": pagesCase}[os.Args[1]]
+	f := map[string]func(){"silent": silentCase, "cuts": cutsCase, "pages": pagesCase, "listener": listenerCase}[os.Args[1]]
 	var err error
 	if recordFile, err = os.Create(os.Args[2]); err != nil || f == nil {
 		fmt.Fprintln(os.Stderr, "no such case, or no record:", err)
