--- a/review/_stand4/pages.go
+++ b/review/_stand4/pages.go
@@ -21,13 +21,13 @@
 	others = 63
 )
 
-// pagesCase: the gateways are killed and start again while a replica leaves without notice. Each page
-// of the listing that they read at their start may be seconds old.
+// pagesCase: the gateways are killed and start again while a replica leaves without notice. Any of
+// two copies of the store answers each page of the listing that they read at their start, and one lags.
 func pagesCase() {
 	s := newStore(20 * time.Second)
-	s.pageItems, s.maxAge = 50, 3*time.Second
+	s.pageItems, s.lags = 50, []time.Duration{100 * time.Millisecond, 3 * time.Second}
 	if os.Getenv("STALE") == "0" {
-		s.maxAge = 0 // for comparison: stale reads are fresh
+		s.lags = nil // for comparison: stale reads are fresh
 	}
 	storeAddress := serve("127.0.0.1", s)
 	for n := range others {
--- a/review/_stand4/store.go
+++ b/review/_stand4/store.go
@@ -16,8 +16,9 @@
 // PROTOCOL.md describes it.
 type store struct {
 	history time.Duration
-	// maxAge is the greatest age of a stale read, pageItems the number of items in a page.
-	maxAge    time.Duration
+	// lags are the ages of the copies of which any may answer a stale read; without any, stale
+	// reads are fresh. pageItems is the number of items in a page.
+	lags      []time.Duration
 	pageItems int
 
 	mu       sync.Mutex
@@ -161,8 +162,8 @@
 		answer(w, 200, map[string]any{"key": i.Key, "value": i.Value, "revision": i.Revision, "created": i.Created, "lease": i.Lease, "as-of": revision})
 	case r.Method == http.MethodGet && r.URL.Path == "/v1/kv-range":
 		var age time.Duration
-		if q.Get("stale-ok") == "1" && s.maxAge > 0 {
-			age = time.Duration(rand.Int64N(int64(s.maxAge)))
+		if q.Get("stale-ok") == "1" && len(s.lags) > 0 {
+			age = s.lags[rand.IntN(len(s.lags))]
 		}
 		s.list(w, q.Get("path-prefix"), q.Get("after"), age)
 	case r.Method == http.MethodGet && r.URL.Path == "/v1/kv-watch":
@@ -238,7 +239,7 @@
 		size += len(items[key].Value)
 	}
 	s.mu.Unlock()
-	if s.maxAge > 0 {
+	if len(s.lags) > 0 {
 		record("store: a page of %q after %q with %d items, %v old, as-of %d", prefix, after, len(page), age.Round(time.Millisecond), revision)
 	}
 	answer(w, 200, map[string]any{"items": page, "has-more": more, "as-of": revision})
