--- a/review/_stand4/cuts.go
+++ b/review/_stand4/cuts.go
@@ -2,12 +2,9 @@
 
 import (
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"strconv"
-	"sync"
 	"time"
 )
 
@@ -21,9 +18,11 @@
 	replicasLeave = 14
 	leaveEvery    = 3 * time.Second
 	drainTime     = 2 * time.Second
-	// askClients is the number of clients, each with askEvery between its requests.
-	askClients = 8
-	askEvery   = 100 * time.Millisecond
+	// exitAfter is when a replica that has left exits: orders that reach it within drainTime have
+	// been answered then.
+	exitAfter = drainTime + orderWork + 100*time.Millisecond
+	// orderers is the number of clients at each gateway.
+	orderers = 10
 )
 
 // cutsCase: replicas leave without notice while watches that wait are cut.
@@ -52,28 +51,11 @@
 	awaitReady(gateways...)
 	time.Sleep(8 * time.Second)
 	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	for n := range askClients {
-		clients.Go(func() {
-			c := http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
-			g := gateways[n%len(gateways)]
-			for i := 0; ; i++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(askEvery):
-				}
-				id := fmt.Sprintf("c%d-%04d", n, i)
-				resp, err := c.Do(newCall(g, http.MethodGet, "/moved/2f", id, "4000"))
-				if err != nil {
-					record("client: %s to %s: %v", id, g.name, err)
-					continue
-				}
-				_, _ = io.Copy(io.Discard, resp.Body)
-				resp.Body.Close()
-				record("client: %s to %s: %d stamp %q", id, g.name, resp.StatusCode, resp.Header.Get("Server-Stamp"))
-			}
-		})
+	var sent orders
+	for _, g := range gateways {
+		for n := range orderers {
+			go sent.send(g, n, stop)
+		}
 	}
 	time.Sleep(2 * time.Second)
 	if troubled {
@@ -97,11 +79,18 @@
 		current = current[1:]
 		left[r.id] = s.delete("servers/" + r.id)
 		record("the entry of replica %s is removed; it goes on serving", r.id)
+		time.AfterFunc(exitAfter, r.exit)
 	}
-	time.Sleep(drainTime + 2*time.Second)
+	time.Sleep(exitAfter + time.Second)
 	close(stop)
-	clients.Wait()
-	late, longest := 0, time.Duration(0)
+	time.Sleep(orderWork + 200*time.Millisecond)
+	answered := map[string]bool{}
+	sent.mu.Lock()
+	for _, x := range sent.list {
+		answered[x.id] = x.status == 200
+	}
+	sent.mu.Unlock()
+	late, lost, longest := 0, 0, time.Duration(0)
 	for id, at := range left {
 		r := replicas[id]
 		r.mu.Lock()
@@ -110,6 +99,10 @@
 			if after := x.at.Sub(at); after > drainTime {
 				n++
 				longest = max(longest, after)
+				if !answered[x.id] {
+					lost++
+					record("order %s reached replica %s %v after the ack of its leaving and is lost", x.id, id, after)
+				}
 			}
 		}
 		r.mu.Unlock()
@@ -118,5 +111,5 @@
 		}
 		late += n
 	}
-	verdict(late > 0, "%d requests reached replicas later than %v after the ack of their leaving, up to %v", late, drainTime, longest.Round(time.Millisecond))
+	verdict(late > 0, "%d orders reached replicas later than %v after the ack of their leaving, up to %v; %d of them were lost when these exited", late, drainTime, longest.Round(time.Millisecond), lost)
 }
